--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,6 +1,5 @@
-//! Hosts instances of the rushhook brain behind a wire of JSON lines on standard input and output.
+//! Hosts instances of the onyxrock brain behind a wire of JSON lines on standard input and output.
 
-mod settings;
 mod wire;
 
 use std::io::{BufRead, BufWriter, Write};
@@ -27,7 +26,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("rushhook-benchlink: {e}");
+            eprintln!("onyxrock-benchlink: {e}");
             ExitCode::FAILURE
         }
     }
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -1,8 +1,9 @@
 //! The wire's events and actions, as arrays in JSON, to the library's and back.
 
-use crate::settings::{self, Names};
-use rushhook::Brain;
-use rushhook::interface::*;
+use onyxrock::Brain;
+use onyxrock::core::Names;
+use onyxrock::interface::*;
+use onyxrock_config::settings;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::panic::{AssertUnwindSafe, catch_unwind};
--- a/benchlink/tests/wire.rs
+++ b/benchlink/tests/wire.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_rushhook-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_onyxrock-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- /dev/null
+++ b/config/src/daemon.rs
@@ -0,0 +1,68 @@
+//! What the platform tells one forwarder: variables, and one JSON object.
+
+use crate::{list, settings};
+use onyxrock::core::Names;
+use onyxrock::interface::{Micros, Settings};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub state: PathBuf,
+    pub seed: u64,
+    pub sockets: usize,
+    pub disk_bytes: u64,
+    pub connect_timeout: Micros,
+    pub settings: Settings,
+    pub names: Names,
+    pub known: list::List,
+}
+
+/// Reads the file; `var` gives the platform's variables, which stand above it.
+pub fn read(path: &Path, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let shown = path.display();
+    let text = std::fs::read(path).map_err(|e| format!("cannot read {shown}: {e}"))?;
+    let v: Value = serde_json::from_slice(&text).map_err(|e| format!("{shown} is not JSON: {e}"))?;
+    let text = |name: &str, key: &str| {
+        var(name)
+            .or_else(|| v.get(key).and_then(Value::as_str).map(str::to_owned))
+            .ok_or_else(|| format!("{shown}: no \"{key}\" and no ${name}"))
+    };
+    let address = |name: &str, key: &str| {
+        let t = text(name, key)?;
+        t.parse().map_err(|_| format!("{key} is not an address with a port: \"{t}\""))
+    };
+    let setup = v.get("settings").ok_or_else(|| format!("{shown}: no \"settings\""))?;
+    let (settings, names) = settings::read(setup)?;
+    if settings.classes.is_empty() {
+        return Err(format!("{shown}: the settings name no class"));
+    }
+    let seed = v.get("seed").and_then(|s| match s {
+        Value::String(s) => u64::from_str_radix(s, 16).ok(),
+        other => other.as_u64(),
+    });
+    let limit = |key: &str, or: f64| v.pointer(key).and_then(Value::as_f64).unwrap_or(or);
+    let known = match v.get("known").filter(|k| !k.is_null()) {
+        Some(k) => list::read(k, &names)?,
+        None => list::List::default(),
+    };
+    Ok(Config {
+        name: text("GW_NAME", "name")?,
+        listen: address("GW_LISTEN", "listen")?,
+        discovery: address("GW_DISCOVERY", "discovery")?,
+        state: PathBuf::from(var("GW_STATE").ok_or("no $GW_STATE, the folder that lasts")?),
+        seed: seed.unwrap_or(0),
+        sockets: limit("/limits/sockets", 1024.0) as usize,
+        disk_bytes: (limit("/limits/disk_mb", 3.0) * 1e6) as u64,
+        connect_timeout: Micros(
+            setup.pointer("/limits/connectTimeoutUs").and_then(Value::as_u64).unwrap_or(1_000_000),
+        ),
+        settings,
+        names,
+        known,
+    })
+}
--- a/config/src/settings.rs
+++ b/config/src/settings.rs
@@ -1,18 +1,10 @@
 //! From the wire's settings object to the library's settings. Absent values mean "does not apply".
 
-use rushhook::interface::*;
+use onyxrock::core::Names;
+use onyxrock::interface::*;
 use serde_json::Value;
 use std::collections::BTreeMap;
 
-/// Names that the wire uses and the library knows by place.
-#[derive(Default)]
-pub struct Names {
-    pub classes: BTreeMap<String, usize>,
-    pub tenants: BTreeMap<String, usize>,
-    pub kinds: BTreeMap<String, usize>,
-    pub zones: BTreeMap<String, usize>,
-}
-
 fn number(v: &Value, path: &str) -> f64 {
     v.pointer(path).and_then(Value::as_f64).unwrap_or(0.0)
 }
--- /dev/null
+++ b/daemon/src/counters.rs
@@ -0,0 +1,48 @@
+//! What the forwarder takes in, sends and answers.
+
+use serde_json::{Value, json};
+use std::cell::Cell;
+
+#[derive(Default, Debug)]
+pub struct Count(Cell<u64>);
+
+impl Count {
+    pub fn up(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+    pub fn down(&self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+macro_rules! counters {
+    ($($name:ident),* $(,)?) => {
+        /// One count for each thing worth knowing; `/counters` and the exit print them all.
+        #[derive(Default, Debug)]
+        pub struct Counters { $(pub $name: Count),* }
+        impl Counters {
+            pub fn json(&self) -> Value {
+                Value::Object([$((stringify!($name).to_owned(), json!(self.$name.get()))),*].into_iter().collect())
+            }
+        }
+    };
+}
+
+counters! {
+    // the clients' side
+    inbound_open, inbound_opened, inbound_turned_away, taken, fail_fast, bad_requests, unheard, resumed,
+    // the endpoints' side
+    outbound_open, outbound_opened, outbound_reused, outbound_calls,
+    delivered, error, full, timed_out, connect_failed, reset, moot, cancelled, late_decisions,
+    // ends
+    failed, returned, notices_sent, notices_retried,
+    // the list
+    list_answers, list_failures,
+    // the log
+    wal_records, wal_refused, wal_compactions,
+    // SMPP
+    smpp_sessions, smpp_bad_pdus, smpp_receipts,
+}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,11 @@
+//! The forwarder: the module's decisions on real sockets. Everything runs on one thread; each peer, the list,
+//! the notices and the module are actors with bounded mailboxes.
+
+pub mod clock;
+pub mod counters;
+pub mod list;
+pub mod module;
+pub mod net;
+pub mod notices;
+pub mod serve;
+pub mod wal;
--- /dev/null
+++ b/daemon/src/list.rs
@@ -0,0 +1,85 @@
+//! The list: follows discovery for as long as that works, and says when it does not.
+
+use crate::module::ToModule;
+use crate::net::Shared;
+use crate::net::http::client::Conn;
+use async_channel::Receiver;
+use async_io::Timer;
+use onyxrock::core::Names;
+use onyxrock::interface::Micros;
+use onyxrock_config::list::{self, List};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+const LIST_MOST: usize = 1 << 20;
+/// What a call may take beyond the wait that it asks for.
+const GRACE: Micros = Micros(1_500_000);
+/// A watch goes on if the next call comes within 200 ms.
+const PAUSE: Duration = Duration::from_millis(50);
+
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub names: Names,
+    pub generation: u64,
+    /// How long a call may wait for news. Shorter than discovery would allow: on a connection that has gone
+    /// silent nothing else tells that news is missed.
+    pub wait: Micros,
+}
+
+/// Each letter is the module's wish to follow the list.
+pub async fn run(shared: Rc<Shared>, mut discovery: Discovery, wishes: Receiver<()>) {
+    let mut conn = None;
+    while wishes.recv().await.is_ok() {
+        loop {
+            let asked = shared.clock.now();
+            let by = asked.after(discovery.wait).after(GRACE);
+            let answer = shared.clock.before(by, ask(&discovery, &mut conn)).await;
+            match answer.unwrap_or_else(|| Err("no answer in time".into())) {
+                Ok(list) => {
+                    shared.counters.list_answers.up();
+                    let quick = shared.clock.now().since(asked) < Micros(20_000);
+                    let idle = list.entries.is_empty() && !list.whole;
+                    discovery.generation = list.generation;
+                    if shared.module.send(ToModule::List(list)).await.is_err() {
+                        return;
+                    }
+                    if quick && idle {
+                        Timer::after(PAUSE).await;
+                    }
+                }
+                Err(why) => {
+                    shared.counters.list_failures.up();
+                    eprintln!("list: {why}");
+                    conn = None;
+                    if shared.module.send(ToModule::ListFailed).await.is_err() {
+                        return;
+                    }
+                    break;
+                }
+            }
+        }
+    }
+}
+
+async fn ask(d: &Discovery, kept: &mut Option<Conn>) -> Result<List, String> {
+    let fail = |e: std::io::Error| e.to_string();
+    let mut conn = match kept.take().filter(|c| !c.stale()) {
+        Some(conn) => conn,
+        None => Conn::open(d.address, LIST_MOST).await.map_err(fail)?,
+    };
+    let query = match d.generation {
+        0 => String::new(),
+        g => format!("?since={g}&timeout_ms={}", d.wait.0 / 1000),
+    };
+    let request = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {}\r\n\r\n", d.address);
+    conn.write(request.as_bytes()).await.map_err(fail)?;
+    let answer = conn.head().await.map_err(fail)?;
+    let (body, again) = conn.body(&answer).await.map_err(fail)?;
+    if answer.status != 200 {
+        return Err(format!("answer {}", answer.status));
+    }
+    let v = serde_json::from_slice(&body).map_err(|e| e.to_string())?;
+    *kept = again.then_some(conn);
+    list::read(&v, &d.names)
+}
--- /dev/null
+++ b/daemon/src/module.rs
@@ -0,0 +1,365 @@
+//! The actor round the module: one letter after the other, then one decision, then its steps.
+
+use crate::net::http::client::Conn;
+use crate::net::http::endpoint;
+use crate::net::{OutboundCall, Shared, ToEndpoint};
+use crate::wal::Wal;
+use async_channel::{Receiver, Sender, TrySendError};
+use onyxrock::core::{Answered, Desk, End, Owed, Record, Step, Taken};
+use onyxrock::interface::{Event, Listing, Micros, ReceiverId, Verdict};
+use onyxrock_config::list::List;
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+
+/// Nothing may go out later than a second after the list told of a drain; a queued call stops well before.
+const DRAIN_GRACE: Micros = Micros(500_000);
+
+#[derive(Debug)]
+pub struct HandIn {
+    pub taken: Taken,
+    pub reply: Sender<Reply>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    Taken(u64),
+    FailFast(Option<Micros>),
+    /// No such class or tenant.
+    Unknown,
+}
+
+/// The module's mailbox.
+#[derive(Debug)]
+pub enum ToModule {
+    HandIn(HandIn),
+    /// The answer that it was taken on did not reach its client.
+    Unheard(u64),
+    /// A call is about to be written: may it go?
+    Writing {
+        n: u64,
+        to: ReceiverId,
+        reply: Sender<bool>,
+    },
+    Answered(Answered),
+    List(List),
+    ListFailed,
+    /// A client has been told of an end.
+    Told(u64),
+    /// Hold all further sends.
+    Hold,
+    /// Says when no call is out any more.
+    Quiet(Sender<()>),
+}
+
+/// The end of a request, on its way to its client.
+#[derive(Clone, Debug)]
+pub struct Ending {
+    pub n: u64,
+    pub id: String,
+    pub note: String,
+    pub deadline: Micros,
+    pub end: End,
+}
+
+struct Peer {
+    name: String,
+    zone: String,
+    mailbox: Sender<ToEndpoint<Conn>>,
+    address: std::net::SocketAddr,
+    /// When the list told that it drains or is gone.
+    drains: Option<Micros>,
+}
+
+pub struct Module {
+    pub shared: Rc<Shared>,
+    pub desk: Desk,
+    pub wal: Wal,
+    pub follow: Sender<()>,
+    /// Where the ends of each front go.
+    pub fronts: BTreeMap<u8, Sender<Ending>>,
+    pub slots: usize,
+    peers: BTreeMap<ReceiverId, Peer>,
+    numbers: BTreeMap<String, ReceiverId>,
+    /// Ends that wait for room in a front's mailbox.
+    waiting: VecDeque<Ending>,
+    quiet: Vec<Sender<()>>,
+    hold: bool,
+}
+
+impl Module {
+    pub fn new(
+        shared: Rc<Shared>, desk: Desk, wal: Wal, follow: Sender<()>, fronts: BTreeMap<u8, Sender<Ending>>,
+        slots: usize,
+    ) -> Module {
+        Module {
+            shared,
+            desk,
+            wal,
+            follow,
+            fronts,
+            slots,
+            peers: BTreeMap::new(),
+            numbers: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            quiet: Vec::new(),
+            hold: false,
+        }
+    }
+
+    /// Takes over what an earlier process owed.
+    pub fn resume(&mut self, owed: impl IntoIterator<Item = Owed>) {
+        for o in owed {
+            self.shared.counters.resumed.up();
+            let now = self.shared.clock.now();
+            let (n, given) = (o.taken.n, o.given);
+            if self.desk.resume(now, o)
+                && let Some(end) = given
+            {
+                self.tell(n, end);
+            }
+        }
+    }
+
+    pub async fn run(mut self, inbox: Receiver<ToModule>) {
+        loop {
+            self.settle();
+            let clock = self.shared.clock;
+            let due = if self.hold { None } else { self.desk.due() };
+            let letter = async { Some(inbox.recv().await) };
+            let wake = async {
+                clock.until(due).await;
+                None
+            };
+            match futures_lite::future::or(letter, wake).await {
+                None => {}
+                Some(Ok(letter)) => {
+                    self.take(letter);
+                    while let Ok(letter) = inbox.try_recv() {
+                        self.take(letter);
+                    }
+                }
+                Some(Err(_)) => return,
+            }
+        }
+    }
+
+    /// Puts records in the log.
+    fn keep(&mut self, records: &[Record]) -> bool {
+        let (desk, before) = (&self.desk, self.wal.compactions);
+        let kept = self.wal.append(records, || Box::new(desk.owed()));
+        if self.wal.compactions != before {
+            self.shared.counters.wal_compactions.up();
+        }
+        match kept {
+            Ok(()) => self.shared.counters.wal_records.up(),
+            Err(e) => {
+                self.shared.counters.wal_refused.up();
+                eprintln!("log: {e}");
+                return false;
+            }
+        }
+        true
+    }
+
+    fn take(&mut self, letter: ToModule) {
+        let now = self.shared.clock.now();
+        match letter {
+            ToModule::HandIn(h) => self.hand_in(now, h),
+            ToModule::Unheard(n) => {
+                let record = self.desk.withdraw(now, n);
+                self.keep(record.as_slice());
+            }
+            ToModule::Writing { n, to, reply } => {
+                let _ = reply.try_send(self.writing(now, n, to));
+            }
+            ToModule::Answered(a) => self.answered(now, &a),
+            ToModule::List(list) => self.list(now, list),
+            ToModule::ListFailed => self.desk.list(now, Event::ListFailed),
+            ToModule::Told(n) => {
+                let record = self.desk.over(n);
+                self.keep(record.as_slice());
+            }
+            ToModule::Hold => self.hold = true,
+            ToModule::Quiet(reply) => self.quiet.push(reply),
+        }
+    }
+
+    fn hand_in(&mut self, now: Micros, h: HandIn) {
+        let HandIn { mut taken, reply } = h;
+        let counters = &self.shared.counters;
+        if !self.desk.known(&taken.class, &taken.tenant) {
+            let _ = reply.try_send(Reply::Unknown);
+            return;
+        }
+        if self.shared.stopping.get() || self.desk.full() || taken.deadline <= now {
+            counters.fail_fast.up();
+            let _ = reply.try_send(Reply::FailFast(None));
+            return;
+        }
+        taken.n = self.desk.number();
+        let n = taken.n;
+        // What is answered with "taken on" must be in the log by then.
+        if !self.keep(&[Record::Taken(taken.clone())]) {
+            self.shared.counters.fail_fast.up();
+            let _ = reply.try_send(Reply::FailFast(None));
+            return;
+        }
+        self.shared.counters.taken.up();
+        self.desk.take(now, taken);
+        let _ = reply.try_send(Reply::Taken(n));
+    }
+
+    /// The last look before a call is written. It may have waited for a connection meanwhile.
+    fn writing(&mut self, now: Micros, n: u64, to: ReceiverId) -> bool {
+        let Some(peer) = self.peers.get(&to).filter(|_| !self.hold) else { return false };
+        if peer.drains.is_some_and(|t| now.since(t) > DRAIN_GRACE) {
+            return false;
+        }
+        let Some(record) = self.desk.attempt(n, &peer.name, &peer.zone, now) else { return false };
+        // An attempt that is not in the log could be made again after a restart.
+        let kept = self.keep(std::slice::from_ref(&record));
+        if !kept {
+            self.desk.unsent(n);
+        }
+        kept
+    }
+
+    fn answered(&mut self, now: Micros, a: &Answered) {
+        let c = &self.shared.counters;
+        match a.verdict {
+            Verdict::Delivered => &c.delivered,
+            Verdict::Error => &c.error,
+            Verdict::Full(_) => &c.full,
+            Verdict::TimedOut => &c.timed_out,
+            Verdict::ConnectFailed => &c.connect_failed,
+            Verdict::Reset => &c.reset,
+            Verdict::Cancelled => &c.cancelled,
+            Verdict::Moot => &c.moot,
+        }
+        .up();
+        let record = self.desk.answered(now, a);
+        self.keep(record.as_slice());
+    }
+
+    fn list(&mut self, now: Micros, list: List) {
+        let mut entries = Vec::new();
+        if list.whole {
+            let named: Vec<_> = list.entries.iter().map(|l| l.name.as_str()).collect();
+            for p in self.peers.values_mut().filter(|p| !named.contains(&p.name.as_str())) {
+                p.drains.get_or_insert(now);
+                let _ = p.mailbox.try_send(ToEndpoint::CloseIdle);
+            }
+        }
+        for listed in list.entries {
+            let next = ReceiverId(self.numbers.len() as u64 + 1);
+            let to = *self.numbers.entry(listed.name.clone()).or_insert(next);
+            let mut entry = listed.entry;
+            entry.receiver = to;
+            let peer = self.peers.entry(to).or_insert_with(|| Peer {
+                mailbox: endpoint::start(&self.shared, listed.address, self.slots * 2 + 16),
+                name: listed.name,
+                zone: listed.zone.clone(),
+                address: listed.address,
+                drains: None,
+            });
+            if peer.address != listed.address {
+                peer.address = listed.address;
+                let _ = peer.mailbox.try_send(ToEndpoint::Moved(listed.address));
+            }
+            match entry.listing {
+                Listing::Ready => peer.drains = None,
+                Listing::Draining | Listing::Gone => drop(peer.drains.get_or_insert(now)),
+            }
+            entries.push(entry);
+        }
+        let event = if list.whole { Event::FullList(entries) } else { Event::ListChanges(entries) };
+        self.desk.list(now, event);
+    }
+
+    /// The list as it was last held.
+    pub fn known(&mut self, list: List) {
+        let now = self.shared.clock.now();
+        self.list(now, List { whole: true, ..list });
+    }
+
+    fn settle(&mut self) {
+        let now = self.shared.clock.now();
+        if !self.hold && self.desk.due().is_some_and(|t| now.since(t) > Micros(50_000)) {
+            self.shared.counters.late_decisions.up();
+        }
+        let mut steps = Vec::new();
+        self.desk.decide(now, !self.hold, &mut steps);
+        for step in steps {
+            match step {
+                Step::Call { n, attempt, to, patience } => self.call(now, n, attempt, to, patience),
+                Step::End { n, end } => {
+                    if end != End::Delivered {
+                        self.keep(&[Record::Given { n, end }]);
+                    }
+                    self.tell(n, end);
+                }
+                Step::CloseIdle(to) => {
+                    if let Some(p) = self.peers.get(&to) {
+                        let _ = p.mailbox.try_send(ToEndpoint::CloseIdle);
+                    }
+                }
+                Step::Follow => drop(self.follow.try_send(())),
+                Step::Log(text) => eprintln!("module: {text}"),
+            }
+        }
+        while let Some(ending) = self.waiting.pop_front() {
+            if !self.pass(ending) {
+                break;
+            }
+        }
+        if self.desk.out() == 0 {
+            self.quiet.drain(..).for_each(|q| q.try_send(()).unwrap_or_default());
+        }
+    }
+
+    fn call(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, patience: Micros) {
+        let (Some(o), Some(peer)) = (self.desk.get(n), self.peers.get(&to)) else { return };
+        let t = &o.taken;
+        let call = OutboundCall {
+            n,
+            attempt,
+            to,
+            id: t.id.clone(),
+            key: t.key.clone(),
+            class: t.class.clone(),
+            body: t.body.clone(),
+            started: now,
+            patience,
+        };
+        if peer.mailbox.try_send(ToEndpoint::Call(call)).is_err() {
+            // Its mailbox is full: the module is owed an outcome all the same.
+            let elapsed = Micros(0);
+            let limit = (None, None);
+            let verdict = Verdict::Moot;
+            self.answered(now, &Answered { n, attempt, to, verdict, elapsed, finished: false, limit });
+        }
+    }
+
+    fn tell(&mut self, n: u64, end: End) {
+        let Some(o) = self.desk.get(n) else { return };
+        match end {
+            End::Failed => self.shared.counters.failed.up(),
+            End::Returned(_) => self.shared.counters.returned.up(),
+            End::Delivered => {}
+        }
+        let t = &o.taken;
+        let ending = Ending { n, id: t.id.clone(), note: t.note.clone(), deadline: t.deadline, end };
+        self.pass(ending);
+    }
+
+    fn pass(&mut self, ending: Ending) -> bool {
+        let front = self.desk.get(ending.n).map_or(0, |o| o.taken.front);
+        match self.fronts.get(&front).map(|f| f.try_send(ending)) {
+            Some(Err(TrySendError::Full(ending))) => {
+                self.waiting.push_front(ending);
+                false
+            }
+            _ => true,
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/net/buffer.rs
@@ -0,0 +1,74 @@
+//! One buffer a connection: grows as it needs, is compacted in place, and has a cap.
+
+use futures_lite::{AsyncRead, AsyncReadExt};
+use std::io;
+
+const STEP: usize = 4096;
+
+#[derive(Debug)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    start: usize,
+    end: usize,
+    cap: usize,
+}
+
+impl Buffer {
+    pub fn new(cap: usize) -> Buffer {
+        Buffer { bytes: Vec::new(), start: 0, end: 0, cap }
+    }
+    pub fn data(&self) -> &[u8] {
+        &self.bytes[self.start..self.end]
+    }
+    pub fn is_empty(&self) -> bool {
+        self.start == self.end
+    }
+    pub fn consume(&mut self, n: usize) {
+        self.start = (self.start + n).min(self.end);
+        if self.is_empty() {
+            (self.start, self.end) = (0, 0);
+            // A rare large message should not hold its room for the life of a quiet connection.
+            if self.bytes.len() > 4 * STEP {
+                self.bytes = Vec::new();
+            }
+        }
+    }
+    /// Reads once. The bytes read, 0 at the end of the stream; an error when the cap is reached.
+    pub async fn fill(&mut self, from: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
+        if self.end == self.bytes.len() {
+            if self.start > 0 {
+                self.bytes.copy_within(self.start..self.end, 0);
+                (self.start, self.end) = (0, self.end - self.start);
+            } else if self.bytes.len() >= self.cap {
+                return Err(io::Error::new(io::ErrorKind::OutOfMemory, "message over the cap"));
+            } else {
+                let more = self.bytes.len().max(STEP).min(self.cap - self.bytes.len());
+                self.bytes.resize(self.bytes.len() + more, 0);
+            }
+        }
+        let n = from.read(&mut self.bytes[self.end..]).await?;
+        self.end += n;
+        Ok(n)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_lite::future::block_on;
+
+    #[test]
+    fn grows_to_its_cap_and_makes_room_in_place() {
+        let input = vec![7u8; 3 * STEP];
+        let mut from = input.as_slice();
+        let mut b = Buffer::new(2 * STEP);
+        let mut read = 0;
+        while read < 2 * STEP {
+            read += block_on(b.fill(&mut from)).unwrap();
+        }
+        assert!(block_on(b.fill(&mut from)).is_err(), "the cap holds");
+        b.consume(STEP);
+        assert_eq!(block_on(b.fill(&mut from)).unwrap(), STEP, "what was consumed is room again");
+        assert_eq!((b.data().len(), b.bytes.len()), (2 * STEP, 2 * STEP));
+    }
+}
--- /dev/null
+++ b/daemon/src/net/http/endpoint.rs
@@ -0,0 +1,180 @@
+//! One endpoint: its idle connections, and the outbound calls over them.
+
+use super::client::{Answer, Conn};
+use super::{HEAD_MOST, seconds};
+use crate::clock::Clock;
+use crate::module::ToModule;
+use crate::net::{OutboundCall, Shared, ToEndpoint};
+use async_channel::{Receiver, Sender, bounded};
+use onyxrock::core::Answered;
+use onyxrock::interface::{Micros, Verdict};
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// How long the rest of an answer may take before its connection is given up.
+const TAIL: Micros = Micros(1_000_000);
+
+pub type Mailbox = Sender<ToEndpoint<Conn>>;
+
+/// Starts the actor of an endpoint.
+pub fn start(shared: &Rc<Shared>, address: SocketAddr, room: usize) -> Mailbox {
+    let (mailbox, inbox) = bounded(room);
+    let actor = run(shared.clone(), address, inbox, mailbox.downgrade());
+    shared.executor.spawn(actor).detach();
+    mailbox
+}
+
+async fn run(
+    shared: Rc<Shared>, mut address: SocketAddr, inbox: Receiver<ToEndpoint<Conn>>,
+    own: async_channel::WeakSender<ToEndpoint<Conn>>,
+) {
+    let mut idle: Vec<(Micros, Conn)> = Vec::new(); // the longest idle first
+    loop {
+        let oldest = idle.first().and_then(|i| Some(i.0.after(shared.idle_for?)));
+        let next = async { Some(inbox.recv().await) };
+        let retire = async {
+            shared.clock.until(oldest).await;
+            None
+        };
+        let letter = match futures_lite::future::or(next, retire).await {
+            Some(Ok(letter)) => Some(letter),
+            Some(Err(_)) => return,
+            None => None,
+        };
+        let now = shared.clock.now();
+        match letter {
+            None => {}
+            Some(ToEndpoint::Call(call)) => {
+                retire_idle(&shared, &mut idle, now);
+                let conn = idle.pop().map(|i| i.1);
+                let (shared, own) = (shared.clone(), own.clone());
+                let executor = shared.executor.clone();
+                executor.spawn(outbound_call(shared, address, call, conn, own)).detach();
+            }
+            Some(ToEndpoint::CloseIdle) => {
+                idle.drain(..).for_each(|_| shared.counters.outbound_open.down());
+            }
+            Some(ToEndpoint::Moved(to)) => address = to,
+            // Near the bound on descriptors no connection is kept for later.
+            Some(ToEndpoint::Idle(_)) if shared.counters.outbound_open.get() > shared.outbound_most => {
+                shared.counters.outbound_open.down();
+            }
+            Some(ToEndpoint::Idle(conn)) => idle.push((now, conn)),
+        }
+        retire_idle(&shared, &mut idle, now);
+    }
+}
+
+/// An endpoint closes what has been idle for the platform's limit, and a request that crosses that close may
+/// have run: let go well before, and of what the other side has closed already.
+fn retire_idle(shared: &Shared, idle: &mut Vec<(Micros, Conn)>, now: Micros) {
+    idle.retain(|(since, conn)| {
+        let keep = shared.idle_for.is_none_or(|most| now.since(*since) < most) && !conn.stale();
+        if !keep {
+            shared.counters.outbound_open.down();
+        }
+        keep
+    });
+}
+
+async fn outbound_call(
+    shared: Rc<Shared>, address: SocketAddr, call: OutboundCall, conn: Option<Conn>,
+    own: async_channel::WeakSender<ToEndpoint<Conn>>,
+) {
+    let (verdict, answer, conn) = attempt(&shared, address, &call, conn).await;
+    let load = answer.as_ref().and_then(|a| a.load.as_deref()).map(report).unwrap_or_default();
+    let answered = Answered {
+        n: call.n,
+        attempt: call.attempt,
+        to: call.to,
+        verdict,
+        elapsed: shared.clock.now().since(call.started),
+        finished: answer.as_ref().is_some_and(|a| a.status == 410),
+        limit: load,
+    };
+    let _ = shared.module.send(ToModule::Answered(answered)).await;
+    // The verdict needed the first line only; the connection is good for another call after the rest.
+    let tail = shared.clock.now().after(TAIL);
+    if let (Some(answer), Some(mut conn)) = (answer, conn)
+        && let Some(Ok((_, true))) = shared.clock.before(tail, conn.body(&answer)).await
+        && let Some(own) = own.upgrade()
+        && own.try_send(ToEndpoint::Idle(conn)).is_ok()
+    {
+        return;
+    }
+    shared.counters.outbound_open.down();
+}
+
+/// Makes one attempt. A connection that is not handed back is closed, which is how a call is given up.
+async fn attempt(
+    shared: &Shared, address: SocketAddr, call: &OutboundCall, conn: Option<Conn>,
+) -> (Verdict, Option<Answer>, Option<Conn>) {
+    let (clock, counters) = (&shared.clock, &shared.counters);
+    let until = call.until();
+    let mut conn = match conn {
+        Some(conn) => {
+            counters.outbound_reused.up();
+            conn
+        }
+        None => {
+            counters.outbound_open.up();
+            counters.outbound_opened.up();
+            let by = until.min(clock.now().after(shared.connect_timeout));
+            match clock.before(by, Conn::open(address, HEAD_MOST)).await {
+                Some(Ok(conn)) => conn,
+                _ => return (Verdict::ConnectFailed, None, None),
+            }
+        }
+    };
+    // From here on the call may run: the module has it in the log first, or says that it must not go.
+    let (reply, allowed) = bounded(1);
+    let ask = ToModule::Writing { n: call.n, to: call.to, reply };
+    if shared.module.send(ask).await.is_err() || allowed.recv().await != Ok(true) {
+        return (Verdict::Moot, None, None);
+    }
+    let bytes = request(address, call, clock);
+    match clock.before(until, conn.write(&bytes)).await {
+        Some(Ok(())) => {}
+        _ => return (Verdict::ConnectFailed, None, None),
+    }
+    counters.outbound_calls.up();
+    match clock.before(until, conn.head()).await {
+        None => (Verdict::TimedOut, None, None),
+        Some(Err(_)) => (Verdict::Reset, None, None),
+        Some(Ok(answer)) => (verdict(&answer), Some(answer), Some(conn)),
+    }
+}
+
+fn request(address: SocketAddr, call: &OutboundCall, clock: &Clock) -> Vec<u8> {
+    let mut head = format!("POST /inbox HTTP/1.1\r\nHost: {address}\r\nX-Request-Id: {}\r\n", call.id);
+    if !call.key.is_empty() {
+        let _ = write!(head, "Idempotency-Key: {}\r\n", call.key);
+    }
+    let left = call.until().since(clock.now()).secs();
+    let _ = write!(head, "X-Deadline: {left:.3}\r\nContent-Length: {}\r\n\r\n", call.body.len());
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(&call.body);
+    bytes
+}
+
+/// The protocol's table.
+pub fn verdict(answer: &Answer) -> Verdict {
+    let wait = answer.retry_after.as_deref().and_then(seconds).filter(|w| *w > Micros(0));
+    match answer.status {
+        200 => Verdict::Delivered,
+        429 => Verdict::Full(wait),
+        503 if answer.no_slot => Verdict::Moot,
+        503 => Verdict::Full(None),
+        504 | 410 => Verdict::Moot,
+        // Not in the table, or 500: nothing proves that it has not run.
+        _ => Verdict::Error,
+    }
+}
+
+/// The limit in calls a second, and the share of it that is left.
+fn report(load: &str) -> (Option<f64>, Option<f64>) {
+    let v: serde_json::Value = serde_json::from_str(load).unwrap_or_default();
+    let field = |name: &str| v.get(name).and_then(serde_json::Value::as_f64);
+    (field("x1"), field("x0"))
+}
--- /dev/null
+++ b/daemon/src/serve.rs
@@ -0,0 +1,110 @@
+//! Puts a forwarder together, runs it, and ends it in order.
+
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::list::{self, Discovery};
+use crate::module::{Module, ToModule};
+use crate::net::Shared;
+use crate::net::http::inbound;
+use crate::notices;
+use crate::wal::Wal;
+use async_channel::bounded;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::{StreamExt, future};
+use onyxrock::core::{Desk, recover};
+use onyxrock::interface::Micros;
+use onyxrock_config::daemon::Config;
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// After SIGTERM connections still come for a moment; whoever finds the door shut has lost a try.
+const ACCEPT_FOR: Duration = Duration::from_millis(500);
+/// Then calls that are out may end, while nothing new goes.
+const SEND_FOR: Duration = Duration::from_millis(1200);
+const END_BY: Duration = Duration::from_millis(3300);
+
+/// Runs a forwarder until it is told to end.
+pub fn run(config: Config) -> Result<(), String> {
+    let executor = Rc::new(LocalExecutor::new());
+    let served = serve(config, executor.clone());
+    async_io::block_on(executor.run(served))
+}
+
+async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("cannot wait for signals: {e}"))?;
+    let (wal, scan) = Wal::open(&config.state, config.disk_bytes)
+        .map_err(|e| format!("cannot open the log in {}: {e}", config.state.display()))?;
+    if scan.damaged > 0 {
+        eprintln!("log: {} bytes belong to no whole record and are left out", scan.damaged);
+    }
+    let (to_module, module_inbox) = bounded::<ToModule>(4096);
+    let (ending, ended) = bounded(1);
+    let idle = config.settings.connection_idle;
+    let shared = Rc::new(Shared {
+        clock: Clock::default(),
+        counters: Counters::default(),
+        module: to_module.clone(),
+        ending: ended,
+        stopping: Cell::new(false),
+        connect_timeout: config.connect_timeout,
+        idle_for: (idle > Micros(0)).then_some(Micros(idle.0 * 4 / 5)),
+        inbound_most: (config.sockets / 2).max(8) as u64,
+        outbound_most: (config.sockets / 4).max(8) as u64,
+        executor: executor.clone(),
+    });
+    let (follow, wishes) = bounded(4);
+    let (notice, endings) = bounded(1024);
+    let fronts = BTreeMap::from([(inbound::FRONT, notice)]);
+    let slots = (config.settings.slots as usize).min(4096);
+    let ask_every = config.settings.ask_every;
+    let desk = Desk::new(config.settings, config.names.clone(), config.seed);
+    let mut module = Module::new(shared.clone(), desk, wal, follow, fronts, slots);
+    let generation = config.known.generation;
+    module.known(config.known);
+    module.resume(recover(scan.records).into_values());
+    // The new log says what is owed as this process knows it, and nothing of the damage.
+    if let Err(e) = module.wal.compact(module.desk.owed()) {
+        eprintln!("log: {e}");
+    }
+    let wait = if ask_every > Micros(0) { Micros(ask_every.0 / 2) } else { Micros(5_000_000) };
+    let discovery = Discovery {
+        address: config.discovery,
+        names: config.names,
+        generation,
+        wait: wait.clamp(Micros(1_000_000), Micros(20_000_000)),
+    };
+    executor.spawn(list::run(shared.clone(), discovery, wishes)).detach();
+    executor.spawn(notices::run(shared.clone(), config.discovery, endings)).detach();
+    executor.spawn(module.run(module_inbox)).detach();
+
+    let listener = Async::<TcpListener>::bind(config.listen)
+        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let (door, door_shut) = bounded::<()>(1);
+    executor.spawn(inbound::listen(shared.clone(), listener, door_shut)).detach();
+    eprintln!("{} listens on {}", config.name, config.listen);
+
+    let _ = signals.next().await;
+    let told = Instant::now();
+    shared.stopping.set(true);
+    Timer::after(ACCEPT_FOR).await;
+    drop((door, ending));
+    Timer::at(told + SEND_FOR).await;
+    let (quiet, is_quiet) = bounded(1);
+    let _ = to_module.send(ToModule::Hold).await;
+    let _ = to_module.send(ToModule::Quiet(quiet)).await;
+    let calls_end = async { is_quiet.recv().await.unwrap_or_default() };
+    let in_time = async {
+        Timer::at(told + END_BY).await;
+    };
+    future::or(calls_end, in_time).await;
+    // Ends that came last are still on their way to the platform.
+    Timer::after(Duration::from_millis(100)).await;
+    eprintln!("counters {}", shared.counters.json());
+    Ok(())
+}
--- /dev/null
+++ b/daemon/src/wal.rs
@@ -0,0 +1,104 @@
+//! The log in the folder that lasts. What write() has taken survives the process, so nothing is synced.
+
+use onyxrock::core::{Owed, Record, Scan, frames};
+use std::fs::{File, OpenOptions, rename};
+use std::io::{self, ErrorKind, Write};
+use std::path::{Path, PathBuf};
+
+const NAME: &str = "onyxrock.log";
+const NEW: &str = "onyxrock.log.new";
+/// Kept free for the records that follow a request which is already taken on.
+const RESERVE: u64 = 96 * 1024;
+/// A log is rewritten once it holds so much more than what is owed.
+const SLACK: u64 = 256 * 1024;
+
+#[derive(Debug)]
+pub struct Wal {
+    folder: PathBuf,
+    file: File,
+    size: u64,
+    /// Bytes that log and new log may take together.
+    budget: u64,
+    pub compactions: u64,
+}
+
+impl Wal {
+    /// Opens the log, made if there is none, and reads what an earlier process left in it.
+    pub fn open(folder: &Path, budget: u64) -> io::Result<(Wal, Scan)> {
+        // A new log that was not renamed yet says nothing that the old one does not.
+        match std::fs::remove_file(folder.join(NEW)) {
+            Err(e) if e.kind() != ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        let path = folder.join(NAME);
+        let bytes = match std::fs::read(&path) {
+            Err(e) if e.kind() == ErrorKind::NotFound => Vec::new(),
+            other => other?,
+        };
+        let file = OpenOptions::new().append(true).create(true).open(&path)?;
+        let size = bytes.len() as u64;
+        // Files count in whole blocks: keep two of them and a little more out of it.
+        let budget = budget.saturating_sub(4096);
+        Ok((Wal { folder: folder.into(), file, size, budget, compactions: 0 }, frames(&bytes)))
+    }
+
+    pub fn size(&self) -> u64 {
+        self.size
+    }
+
+    /// Appends records as one write. `owed` is all that is owed before them: it is what a new log would hold.
+    /// A request is taken on only where the records that must follow it still fit.
+    pub fn append<'a>(
+        &mut self, records: &[Record], owed: impl Fn() -> Box<dyn Iterator<Item = &'a Owed> + 'a>,
+    ) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        records.iter().for_each(|r| r.write(&mut bytes));
+        let takes_on = records.iter().any(|r| matches!(r, Record::Taken(_)));
+        let more = bytes.len() as u64;
+        let (twice, kept) = if takes_on { (more * 2, RESERVE) } else { (more, 0) };
+        if self.size > SLACK || self.size + twice + kept > self.budget / 2 {
+            let live = live(owed());
+            let tight = self.size + live + twice + kept > self.budget;
+            if tight || self.size > live * 2 + SLACK {
+                self.compact(owed())?;
+            }
+            if self.size + live + twice + kept > self.budget {
+                return Err(io::Error::new(ErrorKind::StorageFull, "the log has no room"));
+            }
+        }
+        if let Err(e) = self.file.write_all(&bytes) {
+            // Half a frame in the middle of the log would be damage: cut it off.
+            self.file.set_len(self.size)?;
+            return Err(e);
+        }
+        self.size += more;
+        Ok(())
+    }
+
+    /// Writes what is owed to a new log, which then takes the place of the old one.
+    pub fn compact<'a>(&mut self, owed: impl Iterator<Item = &'a Owed>) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        owed.flat_map(Owed::records).for_each(|r| r.write(&mut bytes));
+        if self.size + bytes.len() as u64 > self.budget {
+            return Err(io::Error::new(ErrorKind::StorageFull, "no room for a new log beside the old one"));
+        }
+        let (new, path) = (self.folder.join(NEW), self.folder.join(NAME));
+        let mut file = OpenOptions::new().append(true).create_new(true).open(&new)?;
+        if let Err(e) = file.write_all(&bytes).and_then(|()| rename(&new, &path)) {
+            let _ = std::fs::remove_file(&new);
+            return Err(e);
+        }
+        (self.file, self.size) = (file, bytes.len() as u64);
+        self.compactions += 1;
+        Ok(())
+    }
+}
+
+/// About what a new log would hold, rather too much than too little.
+fn live<'a>(owed: impl Iterator<Item = &'a Owed>) -> u64 {
+    let one = |o: &Owed| {
+        let t = &o.taken;
+        t.body.len() + t.id.len() + t.key.len() + t.note.len() + t.class.len() + t.tenant.len() + 320
+    };
+    owed.map(|o| one(o) as u64).sum()
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,4 +1,4 @@
-//! Every decision, table and tuned value of rushhook. Settings, events, actions: `src/interface.rs`.
+//! Every decision, table and tuned value of onyxrock. Settings, events, actions: `src/interface.rs`.
 //!
 //! Each destination (each route where routes are apart) has a `Pace`: Detect its refusals, Update, Restrict.
 //! Departures: health of receivers, the cold ramp, worth order, giving up. `docs/design.md` explains them.
@@ -317,6 +317,7 @@
             Event::ListChanges(entries) => self.on_list(entries, false),
             Event::ListFailed => self.on_list_failed(now),
             Event::Submit(message) => self.on_submit(now, message),
+            Event::Resume(message, past) => self.on_resume(now, message, past, actions),
             Event::Outcome(outcome) => self.on_outcome(now, &outcome, actions),
             Event::Note(data) => self.on_note(now, &data),
             Event::Withdrawn(id) => self.close(id),
@@ -462,6 +463,18 @@
         self.held.insert(m.id, held);
     }
 
+    /// A message of an earlier process: what it may have done there binds as if it were done here.
+    fn on_resume(&mut self, now: Micros, m: Message, past: Past, actions: &mut Vec<Action>) {
+        let id = m.id;
+        self.on_submit(now, m);
+        let Some(held) = self.held.get_mut(&id) else { return };
+        (held.attempts, held.maybe_ran) = (past.attempts, past.maybe_ran);
+        let lost = past.maybe_ran.is_some() && self.set.classes[held.class.0].effect == Effect::Unsafe;
+        if lost || past.attempts >= self.set.max_attempts {
+            self.end(now, id, None, actions);
+        }
+    }
+
     /// Beyond its tenant's share at this sender: a bucket of two seconds' worth.
     fn over_share(&mut self, now: Micros, tenant: TenantId) -> bool {
         let Some(t) = self.set.tenants.get(tenant.0) else { return false };
--- /dev/null
+++ b/src/core/desk.rs
@@ -0,0 +1,273 @@
+//! The requests that are held, and the module that decides on them.
+
+use super::Names;
+use super::record::{CallEnd, End, Record, Taken};
+use super::recovery::Owed;
+use crate::Brain;
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Something for the caller to carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Make an attempt.
+    Call {
+        /// The request.
+        n: u64,
+        /// Which attempt of this process, for its outcome.
+        attempt: u32,
+        /// Where to.
+        to: ReceiverId,
+        /// How long to wait for the answer.
+        patience: Micros,
+    },
+    /// Tell the client that the request has ended undelivered.
+    End {
+        /// The request.
+        n: u64,
+        /// How.
+        end: End,
+    },
+    /// Close the idle connections to an endpoint.
+    CloseIdle(ReceiverId),
+    /// Ask for the list and its changes.
+    Follow,
+    /// Write a line to the log.
+    Log(String),
+}
+
+/// The end of one attempt.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    /// The request.
+    pub n: u64,
+    /// Which attempt.
+    pub attempt: u32,
+    /// Where it went.
+    pub to: ReceiverId,
+    /// How it ended.
+    pub verdict: Verdict,
+    /// Time since it was decided on.
+    pub elapsed: Micros,
+    /// Nothing more is owed.
+    pub finished: bool,
+    /// The limit that the answer told, and what is left of it.
+    pub limit: (Option<f64>, Option<f64>),
+}
+
+/// All requests between being taken on and being over. One clock serves it: wall-clock microseconds that never
+/// run backwards while it lives.
+#[derive(Debug)]
+pub struct Desk {
+    brain: Brain,
+    names: Names,
+    owed: BTreeMap<u64, Owed>,
+    /// Attempts that each request had, as the module counts them.
+    attempts: BTreeMap<u64, u32>,
+    next: u64,
+    most: usize,
+    given: usize,
+    wakes: BTreeSet<Micros>,
+    receipts: Vec<u64>,
+    actions: Vec<Action>,
+}
+
+impl Desk {
+    /// A desk with nothing on it.
+    pub fn new(settings: Settings, names: Names, seed: u64) -> Desk {
+        Desk {
+            most: settings.max_held as usize,
+            brain: Brain::new(settings, seed),
+            names,
+            owed: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            next: 1,
+            given: 0,
+            wakes: BTreeSet::new(),
+            receipts: Vec::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Requests that the module has not ended.
+    pub fn held(&self) -> usize {
+        self.owed.len() - self.given
+    }
+    /// No further request may be taken on.
+    pub fn full(&self) -> bool {
+        self.held() >= self.most
+    }
+    /// Attempts that are out.
+    pub fn out(&self) -> usize {
+        self.owed.values().filter(|o| o.out.is_some()).count()
+    }
+    /// What is owed, for a new log.
+    pub fn owed(&self) -> impl Iterator<Item = &Owed> {
+        self.owed.values()
+    }
+    /// One of them.
+    pub fn get(&self, n: u64) -> Option<&Owed> {
+        self.owed.get(&n)
+    }
+    /// The class and tenant by these names; an empty tenant is none.
+    pub fn known(&self, class: &str, tenant: &str) -> bool {
+        self.names.classes.contains_key(class)
+            && (tenant.is_empty() || self.names.tenants.is_empty() || self.names.tenants.contains_key(tenant))
+    }
+    /// A number for the next request.
+    pub fn number(&mut self) -> u64 {
+        self.next += 1;
+        self.next - 1
+    }
+
+    fn message(&self, now: Micros, t: &Taken) -> Option<Message> {
+        Some(Message {
+            id: MessageId(t.n),
+            class: ClassId(*self.names.classes.get(&t.class)?),
+            tenant: self.names.tenants.get(&t.tenant).map(|i| TenantId(*i)),
+            key: None,
+            destination: DestinationId(t.destination),
+            left: t.deadline.since(now),
+        })
+    }
+
+    /// Takes a request on. The caller has its record in the log.
+    pub fn take(&mut self, now: Micros, taken: Taken) {
+        let Some(m) = self.message(now, &taken) else { return };
+        self.next = self.next.max(taken.n + 1);
+        self.owed.insert(taken.n, Owed { taken, ..Owed::default() });
+        self.brain.on_event(now, Event::Submit(m), &mut self.actions);
+    }
+
+    /// Takes over what an earlier process owed. True if its end was decided there and only needs telling.
+    pub fn resume(&mut self, now: Micros, owed: Owed) -> bool {
+        let n = owed.taken.n;
+        self.next = self.next.max(n + 1);
+        let message = self.message(now, &owed.taken);
+        let zone = |z: &String| ZoneId(self.names.zones.get(z).copied().unwrap_or(usize::MAX));
+        let maybe_ran = owed.maybe_ran.as_ref().map(|(at, z)| (*at, zone(z)));
+        let past = Past { attempts: owed.attempts, maybe_ran };
+        let given = owed.given.is_some();
+        self.attempts.insert(n, owed.attempts);
+        self.owed.insert(n, owed);
+        self.given += usize::from(given);
+        match message {
+            _ if given => {}
+            Some(m) => self.brain.on_event(now, Event::Resume(m, past), &mut self.actions),
+            // Its class has left the settings: nothing can be decided on it any more.
+            None => self.actions.push(Action::Fail(MessageId(n))),
+        }
+        given
+    }
+
+    /// The list, or word that it could not be had.
+    pub fn list(&mut self, now: Micros, event: Event) {
+        self.brain.on_event(now, event, &mut self.actions);
+    }
+
+    /// An attempt is about to be made: its record. None if it must not be, since the request is over.
+    pub fn attempt(&mut self, n: u64, endpoint: &str, zone: &str, at: Micros) -> Option<Record> {
+        let o = self.owed.get_mut(&n).filter(|o| o.out.is_none() && o.given.is_none())?;
+        let record = Record::Attempt { n, endpoint: endpoint.to_owned(), zone: zone.to_owned(), at };
+        o.apply(&record);
+        Some(record)
+    }
+
+    /// The attempt could not be put in the log, and was not made.
+    pub fn unsent(&mut self, n: u64) {
+        if let Some(o) = self.owed.get_mut(&n) {
+            o.attempts = o.attempts.saturating_sub(1);
+            o.out = None;
+        }
+    }
+
+    /// An attempt has ended. The record to keep, if any.
+    pub fn answered(&mut self, now: Micros, a: &Answered) -> Option<Record> {
+        let over = a.finished || a.verdict == Verdict::Delivered;
+        let outcome = Outcome {
+            id: MessageId(a.n),
+            attempt: a.attempt,
+            receiver: a.to,
+            verdict: a.verdict,
+            elapsed: a.elapsed,
+            finished: over,
+            limit: a.limit.0,
+            left: a.limit.1,
+        };
+        self.brain.on_event(now, Event::Outcome(outcome), &mut self.actions);
+        if over {
+            if let Some(o) = self.owed.get_mut(&a.n).filter(|o| o.taken.receipt && o.given.is_none()) {
+                (o.given, o.out) = (Some(End::Delivered), None);
+                self.given += 1;
+                self.receipts.push(a.n);
+                return Some(Record::Given { n: a.n, end: End::Delivered });
+            }
+            return self.over(a.n);
+        }
+        let o = self.owed.get_mut(&a.n).filter(|o| o.out.is_some())?;
+        let record = Record::Outcome { n: a.n, end: CallEnd::from(a.verdict) };
+        o.apply(&record);
+        Some(record)
+    }
+
+    /// Nothing more is owed. The record to keep.
+    pub fn over(&mut self, n: u64) -> Option<Record> {
+        let o = self.owed.remove(&n)?;
+        self.given -= usize::from(o.given.is_some());
+        self.attempts.remove(&n);
+        Some(Record::Over(n))
+    }
+
+    /// Its client never heard that it was taken on.
+    pub fn withdraw(&mut self, now: Micros, n: u64) -> Option<Record> {
+        self.brain.on_event(now, Event::Withdrawn(MessageId(n)), &mut self.actions);
+        self.over(n)
+    }
+
+    /// When [`Desk::decide`] is due at the latest.
+    pub fn due(&self) -> Option<Micros> {
+        self.wakes.first().copied()
+    }
+
+    /// Decides, after all that happened at one moment. With `send` false nothing new goes out.
+    pub fn decide(&mut self, now: Micros, send: bool, steps: &mut Vec<Step>) {
+        while self.wakes.first().is_some_and(|t| *t <= now) {
+            self.wakes.pop_first();
+            self.brain.on_event(now, Event::Wake, &mut self.actions);
+        }
+        if send {
+            self.brain.decide(now, &mut self.actions);
+        }
+        steps.extend(self.receipts.drain(..).map(|n| Step::End { n, end: End::Delivered }));
+        for action in std::mem::take(&mut self.actions) {
+            steps.extend(self.step(now, action));
+        }
+    }
+
+    fn step(&mut self, now: Micros, action: Action) -> Option<Step> {
+        Some(match action {
+            Action::Send { id, receiver, patience } => {
+                let made = self.attempts.entry(id.0).or_insert(0);
+                *made += 1;
+                Step::Call { n: id.0, attempt: *made - 1, to: receiver, patience }
+            }
+            Action::Refuse { id, retry_after } => self.end(id.0, End::Returned(retry_after))?,
+            Action::Fail(id) => self.end(id.0, End::Failed)?,
+            Action::CloseIdle(to) => Step::CloseIdle(to),
+            Action::Follow => Step::Follow,
+            Action::WakeAfter(span) => {
+                self.wakes.insert(now.after(span));
+                return None;
+            }
+            Action::Log(text) => Step::Log(text),
+            Action::Tell(_) => return None, // no wire carries notes between senders
+        })
+    }
+
+    fn end(&mut self, n: u64, end: End) -> Option<Step> {
+        let o = self.owed.get_mut(&n).filter(|o| o.given.is_none())?;
+        o.given = Some(end);
+        self.given += 1;
+        Some(Step::End { n, end })
+    }
+}
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,25 @@
+//! The life of a request around the module: taken on, attempted, ended, and carried over a restart. No I/O,
+//! no clock and no wire: a front hands requests in, a caller carries out [`Step`]s and keeps [`Record`]s.
+
+mod desk;
+mod record;
+mod recovery;
+
+pub use desk::{Answered, Desk, Step};
+pub use record::{CallEnd, End, Record, Scan, Taken, frames};
+pub use recovery::{Owed, recover};
+
+use std::collections::BTreeMap;
+
+/// Names that the wires use and the module knows by place.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// Of classes.
+    pub classes: BTreeMap<String, usize>,
+    /// Of tenants.
+    pub tenants: BTreeMap<String, usize>,
+    /// Of kinds of destination.
+    pub kinds: BTreeMap<String, usize>,
+    /// Of zones.
+    pub zones: BTreeMap<String, usize>,
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -228,6 +228,15 @@
     pub left: Micros,
 }
 
+/// What an earlier process did with a message. An attempt that was out at its death may have run.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Past {
+    /// Attempts made; they count.
+    pub attempts: u32,
+    /// When and where the first attempt went that may have run.
+    pub maybe_ran: Option<(Micros, ZoneId)>,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Verdict {
@@ -283,6 +292,8 @@
     ListFailed,
     /// A message was handed in.
     Submit(Message),
+    /// A message that an earlier process of this sender took on and still owes its end.
+    Resume(Message, Past),
     /// An attempt ended. Exactly one for each send.
     Outcome(Outcome),
     /// Bytes that another sender was asked to [`Action::Tell`]; anything else is ignored.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 //! [`Action::Refuse`] or [`Action::Fail`]. One brain serves one sender process; brains share nothing.
 //!
 //! ```
-//! use rushhook::{Brain, interface::*};
+//! use onyxrock::{Brain, interface::*};
 //!
 //! let settings = Settings {
 //!     classes: vec![ClassSettings {
@@ -79,6 +79,7 @@
 //! ```
 
 pub mod brain;
+pub mod core;
 pub mod interface;
 mod state;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A sender without a network: hands events to the brain and keeps what it decides.
 #![allow(dead_code)] // each test file uses its part
 
-use rushhook::Brain;
-use rushhook::interface::*;
+use onyxrock::Brain;
+use onyxrock::interface::*;
 
 pub const SAFE: usize = 0;
 pub const ORDERED: usize = 1;
--- a/tests/fail_back.rs
+++ b/tests/fail_back.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use rushhook::Brain;
-use rushhook::interface::*;
+use onyxrock::Brain;
+use onyxrock::interface::*;
 
 const SENDERS: u32 = 200;
 const CAPACITY: f64 = 20.0;
@@ -34,7 +34,7 @@
     while rig.now.since(start) < ms(OUTAGE) {
         let gone = rig.now.since(start).0 / 1000;
         // Each sender's first message comes at a moment of its own.
-        if gone >= u64::from(seed) * 10_000 / u64::from(SENDERS) && gone % 500 == 0 {
+        if gone >= u64::from(seed) * 10_000 / u64::from(SENDERS) && gone.is_multiple_of(500) {
             rig.submit(id, SAFE, 1);
             id += 1;
         }
--- a/tests/many_senders.rs
+++ b/tests/many_senders.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use rushhook::Brain;
-use rushhook::interface::*;
+use onyxrock::Brain;
+use onyxrock::interface::*;
 
 fn many() -> Settings {
     Settings { senders: 200, ..settings() }
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use rushhook::Brain;
-use rushhook::interface::*;
+use onyxrock::Brain;
+use onyxrock::interface::*;
 use std::collections::BTreeMap;
 
 struct Dice(u64);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use rushhook::interface::*;
+use onyxrock::interface::*;
 
 #[test]
 fn held_message_is_answered_before_its_deadline() {
