SMPP front and gateways on the same core, shown by scenarios against stand-ins

Decided: a gateway knows no idempotency key, so a keyed message that may have run there would run twice if it were repeated inside its window. The desk therefore treats keyed classes as unsafe for a gateway's destination.

Not there: passwords, TLS, data_sm, submit_multi, query_sm, cancel_sm.

--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod daemon;
 pub mod list;
 pub mod settings;
+pub mod smpp;
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -44,5 +44,5 @@
     // the log
     wal_records, wal_refused, wal_compactions,
     // SMPP
-    smpp_sessions, smpp_bad_pdus, smpp_receipts,
+    smpp_sessions, smpp_bad_pdus, smpp_receipts, smpp_receipts_lost,
 }
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -1,13 +1,16 @@
 //! The actor round the module: one letter after the other, then one decision, then its steps.
 
-use crate::net::http::client::Conn;
 use crate::net::http::endpoint;
+use crate::net::smpp::gateway;
 use crate::net::{OutboundCall, Shared, ToEndpoint};
 use crate::wal::Wal;
 use async_channel::{Receiver, Sender, TrySendError};
 use onyxrock::core::{Answered, Desk, End, Owed, Record, Step, Taken};
-use onyxrock::interface::{Event, Listing, Micros, ReceiverId, Verdict};
+use onyxrock::interface::{
+    DestinationId, Entry, Event, KindId, Listing, Micros, ReceiverId, Verdict, ZoneId,
+};
 use onyxrock_config::list::List;
+use onyxrock_config::smpp::Gateway;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -24,6 +27,8 @@
 pub enum Reply {
     Taken(u64),
     FailFast(Option<Micros>),
+    /// The same, since no more can be held.
+    Full,
     /// No such class or tenant.
     Unknown,
 }
@@ -64,7 +69,7 @@
 struct Peer {
     name: String,
     zone: String,
-    mailbox: Sender<ToEndpoint<Conn>>,
+    mailbox: Sender<ToEndpoint>,
     address: std::net::SocketAddr,
     /// When the list told that it drains or is gone.
     drains: Option<Micros>,
@@ -84,6 +89,8 @@
     waiting: VecDeque<Ending>,
     quiet: Vec<Sender<()>>,
     hold: bool,
+    /// Endpoints that no discovery lists.
+    gateways: Vec<Entry>,
 }
 
 impl Module {
@@ -103,6 +110,7 @@
             waiting: VecDeque::new(),
             quiet: Vec::new(),
             hold: false,
+            gateways: Vec::new(),
         }
     }
 
@@ -191,9 +199,10 @@
             let _ = reply.try_send(Reply::Unknown);
             return;
         }
-        if self.shared.stopping.get() || self.desk.full() || taken.deadline <= now {
+        let full = self.desk.full();
+        if full || self.shared.stopping.get() || taken.deadline <= now {
             counters.fail_fast.up();
-            let _ = reply.try_send(Reply::FailFast(None));
+            let _ = reply.try_send(if full { Reply::Full } else { Reply::FailFast(None) });
             return;
         }
         taken.n = self.desk.number();
@@ -201,7 +210,7 @@
         // What is answered with "taken on" must be in the log by then.
         if !self.keep(&[Record::Taken(taken.clone())]) {
             self.shared.counters.fail_fast.up();
-            let _ = reply.try_send(Reply::FailFast(None));
+            let _ = reply.try_send(Reply::Full);
             return;
         }
         self.shared.counters.taken.up();
@@ -241,11 +250,38 @@
         self.keep(record.as_slice());
     }
 
+    /// A gateway is an endpoint of its destination, and stays one.
+    pub fn gateway(&mut self, g: Gateway) {
+        let receiver = ReceiverId(self.numbers.len() as u64 + 1);
+        self.numbers.insert(format!("gateway {}", g.name), receiver);
+        self.gateways.push(Entry {
+            receiver,
+            listing: Listing::Ready,
+            destination: DestinationId(g.destination),
+            kind: KindId(g.kind),
+            zone: ZoneId(g.zone_at),
+            weight: g.weight,
+        });
+        let peer = Peer {
+            name: g.name.clone(),
+            zone: g.zone.clone(),
+            address: g.address,
+            mailbox: gateway::start(&self.shared, g, self.slots * 2 + 16),
+            drains: None,
+        };
+        self.peers.insert(receiver, peer);
+    }
+
     fn list(&mut self, now: Micros, list: List) {
         let mut entries = Vec::new();
         if list.whole {
-            let named: Vec<_> = list.entries.iter().map(|l| l.name.as_str()).collect();
-            for p in self.peers.values_mut().filter(|p| !named.contains(&p.name.as_str())) {
+            entries.extend(self.gateways.iter().cloned());
+            let mut named: Vec<_> = list.entries.iter().map(|l| l.name.as_str()).collect();
+            named.sort_unstable();
+            let fixed = |to: &ReceiverId| self.gateways.iter().any(|g| g.receiver == *to);
+            let gone =
+                |to: &ReceiverId, p: &Peer| !fixed(to) && named.binary_search(&p.name.as_str()).is_err();
+            for (_, p) in self.peers.iter_mut().filter(|(to, p)| gone(to, p)) {
                 p.drains.get_or_insert(now);
                 let _ = p.mailbox.try_send(ToEndpoint::CloseIdle);
             }
@@ -326,7 +362,7 @@
             to,
             id: t.id.clone(),
             key: t.key.clone(),
-            class: t.class.clone(),
+            note: t.note.clone(),
             body: t.body.clone(),
             started: now,
             patience,
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::module::ToModule;
 use crate::net::{OutboundCall, Shared, ToEndpoint};
 use async_channel::{Receiver, Sender, bounded};
+use futures_lite::future;
 use onyxrock::core::Answered;
 use onyxrock::interface::{Micros, Verdict};
 use std::fmt::Write;
@@ -15,52 +16,49 @@
 /// How long the rest of an answer may take before its connection is given up.
 const TAIL: Micros = Micros(1_000_000);
 
-pub type Mailbox = Sender<ToEndpoint<Conn>>;
-
 /// Starts the actor of an endpoint.
-pub fn start(shared: &Rc<Shared>, address: SocketAddr, room: usize) -> Mailbox {
+pub fn start(shared: &Rc<Shared>, address: SocketAddr, room: usize) -> Sender<ToEndpoint> {
     let (mailbox, inbox) = bounded(room);
-    let actor = run(shared.clone(), address, inbox, mailbox.downgrade());
+    let actor = run(shared.clone(), address, inbox, room);
     shared.executor.spawn(actor).detach();
     mailbox
 }
 
-async fn run(
-    shared: Rc<Shared>, mut address: SocketAddr, inbox: Receiver<ToEndpoint<Conn>>,
-    own: async_channel::WeakSender<ToEndpoint<Conn>>,
-) {
+async fn run(shared: Rc<Shared>, mut address: SocketAddr, inbox: Receiver<ToEndpoint>, room: usize) {
+    let (give_back, given_back) = bounded(room); // connections that have done their call
     let mut idle: Vec<(Micros, Conn)> = Vec::new(); // the longest idle first
     loop {
         let oldest = idle.first().and_then(|i| Some(i.0.after(shared.idle_for?)));
-        let next = async { Some(inbox.recv().await) };
+        let back = async { (None, given_back.recv().await.ok()) };
+        let next = async { (Some(inbox.recv().await), None) };
         let retire = async {
             shared.clock.until(oldest).await;
-            None
-        };
-        let letter = match futures_lite::future::or(next, retire).await {
-            Some(Ok(letter)) => Some(letter),
-            Some(Err(_)) => return,
-            None => None,
+            (None, None)
         };
+        let (letter, back) = future::or(future::or(back, next), retire).await;
         let now = shared.clock.now();
+        // Near the bound on descriptors no connection is kept for later.
+        match back {
+            Some(_) if shared.counters.outbound_open.get() > shared.outbound_most => {
+                shared.counters.outbound_open.down();
+            }
+            Some(conn) => idle.push((now, conn)),
+            None => {}
+        }
         match letter {
             None => {}
-            Some(ToEndpoint::Call(call)) => {
+            Some(Err(_)) => return,
+            Some(Ok(ToEndpoint::Call(call))) => {
                 retire_idle(&shared, &mut idle, now);
                 let conn = idle.pop().map(|i| i.1);
-                let (shared, own) = (shared.clone(), own.clone());
+                let (shared, give_back) = (shared.clone(), give_back.clone());
                 let executor = shared.executor.clone();
-                executor.spawn(outbound_call(shared, address, call, conn, own)).detach();
+                executor.spawn(outbound_call(shared, address, call, conn, give_back)).detach();
             }
-            Some(ToEndpoint::CloseIdle) => {
+            Some(Ok(ToEndpoint::CloseIdle)) => {
                 idle.drain(..).for_each(|_| shared.counters.outbound_open.down());
             }
-            Some(ToEndpoint::Moved(to)) => address = to,
-            // Near the bound on descriptors no connection is kept for later.
-            Some(ToEndpoint::Idle(_)) if shared.counters.outbound_open.get() > shared.outbound_most => {
-                shared.counters.outbound_open.down();
-            }
-            Some(ToEndpoint::Idle(conn)) => idle.push((now, conn)),
+            Some(Ok(ToEndpoint::Moved(to))) => address = to,
         }
         retire_idle(&shared, &mut idle, now);
     }
@@ -79,8 +77,7 @@
 }
 
 async fn outbound_call(
-    shared: Rc<Shared>, address: SocketAddr, call: OutboundCall, conn: Option<Conn>,
-    own: async_channel::WeakSender<ToEndpoint<Conn>>,
+    shared: Rc<Shared>, address: SocketAddr, call: OutboundCall, conn: Option<Conn>, give_back: Sender<Conn>,
 ) {
     let (verdict, answer, conn) = attempt(&shared, address, &call, conn).await;
     let load = answer.as_ref().and_then(|a| a.load.as_deref()).map(report).unwrap_or_default();
@@ -98,8 +95,7 @@
     let tail = shared.clock.now().after(TAIL);
     if let (Some(answer), Some(mut conn)) = (answer, conn)
         && let Some(Ok((_, true))) = shared.clock.before(tail, conn.body(&answer)).await
-        && let Some(own) = own.upgrade()
-        && own.try_send(ToEndpoint::Idle(conn)).is_ok()
+        && give_back.try_send(conn).is_ok()
     {
         return;
     }
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -4,6 +4,7 @@
 use crate::module::{HandIn, Reply, ToModule};
 use crate::net::Shared;
 use crate::net::buffer::Buffer;
+use crate::net::smpp::Note;
 use async_channel::bounded;
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, future};
@@ -183,6 +184,7 @@
                 }
                 heard
             }
+            Reply::Full => self.answer(503, None, "", close).await,
             Reply::FailFast(wait) => self.answer(503, wait, "", close).await,
             Reply::Unknown => {
                 self.shared.counters.bad_requests.up();
@@ -269,6 +271,9 @@
         .find_map(|f| f.trim().strip_prefix("dest="))
         .and_then(|d| d.parse().ok())
         .ok_or(Bad(400, "no dest in X-Envelope"))?;
+    // A gateway needs an address, which HTTP clients may give beside the destination.
+    let to = envelope.split([',', ';', ' ']).find_map(|f| f.trim().strip_prefix("to="));
+    let note = to.map_or(String::new(), |to| Note { destination: to.into(), ..Note::default() }.write());
     let margin = MARGIN.min(Micros(left.0 / 8));
     Ok(Ask::HandIn(Box::new(Taken {
         n: 0,
@@ -278,7 +283,7 @@
         tenant: header(h, "x-tenant").unwrap_or("").to_owned(),
         destination,
         key: header(h, "idempotency-key").unwrap_or("").to_owned(),
-        note: String::new(),
+        note,
         receipt: false,
         deadline: at.after(left.since(margin)),
         body: bytes[body_at..].to_vec(),
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod buffer;
 pub mod http;
+pub mod smpp;
 
 use crate::clock::Clock;
 use crate::counters::Counters;
@@ -19,6 +20,9 @@
     pub module: Sender<ToModule>,
     /// Closed when the process begins to end: whoever waits on it wakes.
     pub ending: Receiver<()>,
+    /// Closed when all calls have ended, just before the process does.
+    pub closing: Receiver<()>,
+    pub serials: Cell<u64>,
     pub stopping: Cell<bool>,
     pub connect_timeout: Micros,
     /// When an idle connection is let go; none where the platform names no limit.
@@ -28,6 +32,14 @@
     pub executor: Rc<LocalExecutor<'static>>,
 }
 
+impl Shared {
+    /// A number that no other caller in this process gets.
+    pub fn serial(&self) -> u64 {
+        self.serials.set(self.serials.get() + 1);
+        self.serials.get()
+    }
+}
+
 /// One attempt, on its way to an endpoint.
 #[derive(Clone, Debug)]
 pub struct OutboundCall {
@@ -36,7 +48,8 @@
     pub to: ReceiverId,
     pub id: String,
     pub key: String,
-    pub class: String,
+    /// What its front noted of it.
+    pub note: String,
     pub body: Vec<u8>,
     pub started: Micros,
     pub patience: Micros,
@@ -50,10 +63,8 @@
 
 /// The mailbox of an endpoint.
 #[derive(Debug)]
-pub enum ToEndpoint<C> {
+pub enum ToEndpoint {
     Call(OutboundCall),
     CloseIdle,
     Moved(std::net::SocketAddr),
-    /// A connection that has done its call.
-    Idle(C),
 }
--- /dev/null
+++ b/daemon/src/net/smpp/receipts.rs
@@ -0,0 +1,113 @@
+//! The ends of what came over SMPP: one delivery receipt each, repeated only until its session acknowledges it.
+
+use super::{Note, field, time};
+use crate::module::{Ending, ToModule};
+use crate::net::Shared;
+use async_channel::{Receiver, Sender};
+use futures_lite::future;
+use onyxrock::core::End;
+use onyxrock::interface::Micros;
+use rusmpp::Pdu;
+use rusmpp::pdus::DeliverSm;
+use rusmpp::tlvs::MessageDeliveryRequestTlvValue as Tlv;
+use rusmpp::types::OctetString;
+use rusmpp::values::{DataCoding, EsmClass, MessageState};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// A receipt whose client does not bind is kept so long after the message's time is up.
+const KEEP: Micros = Micros(60_000_000);
+const LOOK_AGAIN: Micros = Micros(250_000);
+
+#[derive(Debug)]
+pub enum ToReceipts {
+    /// A session that takes receipts is bound.
+    Up {
+        session: u64,
+        system_id: String,
+        mailbox: Sender<Ending>,
+    },
+    Down(u64),
+    Acknowledged(u64),
+}
+
+struct Session {
+    system_id: String,
+    mailbox: Sender<Ending>,
+}
+
+pub async fn run(shared: Rc<Shared>, endings: Receiver<Ending>, sessions: Receiver<ToReceipts>) {
+    let mut bound: BTreeMap<u64, Session> = BTreeMap::new();
+    // Each with the session that has it in hand.
+    let mut pending: BTreeMap<u64, (Ending, Option<u64>)> = BTreeMap::new();
+    loop {
+        let ending = async { endings.recv().await.ok().map(|e| (Some(e), None)) };
+        let session = async { sessions.recv().await.ok().map(|s| (None, Some(s))) };
+        let now = shared.clock.now();
+        let again = (!pending.is_empty()).then(|| now.after(LOOK_AGAIN));
+        let look = async {
+            shared.clock.until(again).await;
+            Some((None, None))
+        };
+        let Some((ending, session)) = future::or(future::or(ending, session), look).await else { return };
+        if let Some(e) = ending {
+            pending.insert(e.n, (e, None));
+        }
+        match session {
+            Some(ToReceipts::Up { session, system_id, mailbox }) => {
+                bound.insert(session, Session { system_id, mailbox });
+            }
+            Some(ToReceipts::Down(session)) => {
+                bound.remove(&session);
+                pending.values_mut().filter(|p| p.1 == Some(session)).for_each(|p| p.1 = None);
+            }
+            Some(ToReceipts::Acknowledged(n)) if pending.remove(&n).is_some() => {
+                shared.counters.smpp_receipts.up();
+                let _ = shared.module.send(ToModule::Told(n)).await;
+            }
+            _ => {}
+        }
+        for (e, held) in pending.values_mut().filter(|p| p.1.is_none()) {
+            let system_id = Note::read(&e.note).system_id;
+            let fits = bound.iter().filter(|(_, s)| s.system_id == system_id);
+            *held = fits.into_iter().find(|(_, s)| s.mailbox.try_send(e.clone()).is_ok()).map(|(id, _)| *id);
+        }
+        let now = shared.clock.now();
+        let stale = |p: &(Ending, Option<u64>)| p.1.is_none() && now > p.0.deadline.after(KEEP);
+        let gone: Vec<_> = pending.iter().filter(|(_, p)| stale(p)).map(|(n, _)| *n).collect();
+        for n in gone {
+            eprintln!("smpp: the receipt of {} found no session and is given up", pending[&n].0.id);
+            pending.remove(&n);
+            shared.counters.smpp_receipts_lost.up();
+            let _ = shared.module.send(ToModule::Told(n)).await;
+        }
+    }
+}
+
+/// The receipt as a PDU: from the message's destination to its source.
+pub fn receipt(e: &Ending, now: Micros) -> Pdu {
+    let note = Note::read(&e.note);
+    // REJECTD is the end that says: handing it in again is harmless; the text may say when.
+    let (stat, state, delivered, hint) = match e.end {
+        End::Delivered => ("DELIVRD", MessageState::Delivered, 1, String::new()),
+        End::Failed => ("UNDELIV", MessageState::Undeliverable, 0, String::new()),
+        End::Returned(wait) => {
+            let hint = wait.map_or(String::new(), |w| format!("retry-after-ms={}", w.0.div_ceil(1000)));
+            ("REJECTD", MessageState::Rejected, 0, hint)
+        }
+    };
+    let at = time::receipt(now);
+    let text = format!(
+        "id:{} sub:001 dlvrd:{delivered:03} submit date:{at} done date:{at} stat:{stat} err:000 text:{hint}",
+        e.id
+    );
+    let mut sm = DeliverSm::default();
+    sm.source_addr = field(&note.destination);
+    sm.destination_addr = field(&note.source);
+    sm.esm_class = EsmClass::from(0x04);
+    sm.data_coding = DataCoding::from(0);
+    sm.set_short_message(OctetString::from_vec(text.into_bytes()).unwrap_or_default());
+    sm.push_tlv(Tlv::ReceiptedMessageId(field(&e.id)));
+    sm.push_tlv(Tlv::MessageState(state));
+    sm.into()
+}
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::module::{Module, ToModule};
 use crate::net::Shared;
 use crate::net::http::inbound;
+use crate::net::smpp;
 use crate::notices;
 use crate::wal::Wal;
 use async_channel::bounded;
@@ -14,8 +15,9 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
 use onyxrock::core::{Desk, recover};
-use onyxrock::interface::Micros;
+use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::Config;
+use onyxrock_config::smpp::Smpp;
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
@@ -29,13 +31,15 @@
 const END_BY: Duration = Duration::from_millis(3300);
 
 /// Runs a forwarder until it is told to end.
-pub fn run(config: Config) -> Result<(), String> {
+pub fn run(config: Config, smpp: Option<Smpp>) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
-    let served = serve(config, executor.clone());
+    let served = serve(config, smpp, executor.clone());
     async_io::block_on(executor.run(served))
 }
 
-async fn serve(config: Config, executor: Rc<LocalExecutor<'static>>) -> Result<(), String> {
+async fn serve(
+    config: Config, smpp: Option<Smpp>, executor: Rc<LocalExecutor<'static>>,
+) -> Result<(), String> {
     let mut signals =
         Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("cannot wait for signals: {e}"))?;
     let (wal, scan) = Wal::open(&config.state, config.disk_bytes)
@@ -45,12 +49,15 @@
     }
     let (to_module, module_inbox) = bounded::<ToModule>(4096);
     let (ending, ended) = bounded(1);
+    let (closing, closed) = bounded(1);
     let idle = config.settings.connection_idle;
     let shared = Rc::new(Shared {
         clock: Clock::default(),
         counters: Counters::default(),
         module: to_module.clone(),
         ending: ended,
+        closing: closed,
+        serials: Cell::new(0),
         stopping: Cell::new(false),
         connect_timeout: config.connect_timeout,
         idle_for: (idle > Micros(0)).then_some(Micros(idle.0 * 4 / 5)),
@@ -60,12 +67,19 @@
     });
     let (follow, wishes) = bounded(4);
     let (notice, endings) = bounded(1024);
-    let fronts = BTreeMap::from([(inbound::FRONT, notice)]);
+    let (receipt, smpp_endings) = bounded(1024);
+    let fronts = BTreeMap::from([(inbound::FRONT, notice), (smpp::FRONT, receipt)]);
     let slots = (config.settings.slots as usize).min(4096);
     let ask_every = config.settings.ask_every;
-    let desk = Desk::new(config.settings, config.names.clone(), config.seed);
+    let classes = config.names.classes.iter();
+    let give_up = classes.map(|(c, i)| (c.clone(), config.settings.classes[*i].give_up)).collect();
+    let gateways = smpp.as_ref().map_or(Vec::new(), |s| s.gateways.clone());
+    // A gateway knows no idempotency key: it would carry out a repeat.
+    let plain = gateways.iter().map(|g| DestinationId(g.destination)).collect();
+    let desk = Desk::new(config.settings, config.names.clone(), plain, config.seed);
     let mut module = Module::new(shared.clone(), desk, wal, follow, fronts, slots);
     let generation = config.known.generation;
+    gateways.into_iter().for_each(|g| module.gateway(g));
     module.known(config.known);
     module.resume(recover(scan.records).into_values());
     // The new log says what is owed as this process knows it, and nothing of the damage.
@@ -85,9 +99,21 @@
 
     let listener = Async::<TcpListener>::bind(config.listen)
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
+    let at = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
     let (door, door_shut) = bounded::<()>(1);
-    executor.spawn(inbound::listen(shared.clone(), listener, door_shut)).detach();
-    eprintln!("{} listens on {}", config.name, config.listen);
+    executor.spawn(inbound::listen(shared.clone(), listener, door_shut.clone())).detach();
+    let (receipts, sessions) = bounded(256);
+    executor.spawn(smpp::receipts::run(shared.clone(), smpp_endings, sessions)).detach();
+    if let Some(smpp) = smpp {
+        let address = smpp.listen;
+        let listener = Async::<TcpListener>::bind(address)
+            .map_err(|e| format!("cannot listen on {address} for SMPP: {e}"))?;
+        let at = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
+        let front = Rc::new(smpp::inbound::Front { shared: shared.clone(), smpp, give_up, receipts });
+        executor.spawn(smpp::inbound::listen(front, listener, door_shut)).detach();
+        eprintln!("{} listens on {at} for SMPP", config.name);
+    }
+    eprintln!("{} listens on {at}", config.name);
 
     let _ = signals.next().await;
     let told = Instant::now();
@@ -103,6 +129,7 @@
         Timer::at(told + END_BY).await;
     };
     future::or(calls_end, in_time).await;
+    drop(closing);
     // Ends that came last are still on their way to the platform.
     Timer::after(Duration::from_millis(100)).await;
     eprintln!("counters {}", shared.counters.json());
--- /dev/null
+++ b/daemon/tests/scenarios.rs
@@ -0,0 +1,23 @@
+//! Plays the scenarios in tests/scenarios against the program itself, on sockets of this machine.
+//!
+//! A scenario is lines of `send WHO ...`, `expect WHO ...`, `close WHO` and `wait MILLISECONDS`, after lines of
+//! `given ...` that name who is there. `expect` waits for the event, however long it takes within a bound; only
+//! `expect WHO nothing MILLISECONDS` looks at the clock, and can pass wrongly but never fail wrongly.
+
+mod stage;
+
+use rstest::rstest;
+use stage::Stage;
+use std::path::PathBuf;
+
+#[rstest]
+fn scenario(#[files("tests/scenarios/*.scn")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).expect("the scenario is there");
+    let mut stage = Stage::default();
+    for (i, line) in text.lines().enumerate() {
+        let words: Vec<&str> = line.split('#').next().unwrap_or("").split_whitespace().collect();
+        if let Err(e) = stage.play(&words) {
+            panic!("{}:{}: {line}\n{e}\nlog:\n{}", path.display(), i + 1, stage.log());
+        }
+    }
+}
--- /dev/null
+++ b/daemon/tests/stage/http.rs
@@ -0,0 +1,150 @@
+//! Clients, endpoints and the platform over HTTP.
+
+use super::{Done, Inbox, Listing, Post, value, write};
+use serde_json::Value;
+use std::io::{BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// First line, headers in small letters, body.
+type Message = (String, Vec<(String, String)>, Vec<u8>);
+
+fn message(from: &mut BufReader<TcpStream>) -> Option<Message> {
+    let mut line = || {
+        let mut l = String::new();
+        from.read_line(&mut l).ok().filter(|n| *n > 0).map(|_| l.trim_end().to_owned())
+    };
+    let first = line()?;
+    let mut headers = Vec::new();
+    loop {
+        let l = line()?;
+        let Some((k, v)) = l.split_once(':') else { break };
+        headers.push((k.to_lowercase(), v.trim().to_owned()));
+    }
+    let length = header(&headers, "content-length").parse().unwrap_or(0);
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((first, headers, body))
+}
+
+fn header<'a>(headers: &'a [(String, String)], name: &str) -> &'a str {
+    headers.iter().find(|h| h.0 == name).map_or("", |h| &h.1)
+}
+
+fn serve(each: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let each = Arc::new(each);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let each = each.clone();
+            std::thread::spawn(move || each(stream));
+        }
+    });
+    address
+}
+
+/// Tells of each call as `ID key=KEY body=BODY`, and keeps its connection for the answer.
+pub fn endpoint(post: Post) -> SocketAddr {
+    serve(move |stream| {
+        let mut from = BufReader::new(stream.try_clone().unwrap());
+        while let Some((_, headers, body)) = message(&mut from) {
+            let id = header(&headers, "x-request-id");
+            post.keep(id, &stream);
+            let key = header(&headers, "idempotency-key");
+            post.tell(format!("{id} key={key} body={}", String::from_utf8_lossy(&body)));
+        }
+    })
+}
+
+/// `ID STATUS [Header=value ...]`, or `ID reset`.
+pub fn answer(to: &Inbox, words: &[&str]) -> Done {
+    let [id, status, headers @ ..] = words else { return Err("ID STATUS".into()) };
+    let mut stream = to.stream(id)?;
+    if *status == "reset" {
+        return stream.shutdown(std::net::Shutdown::Both).map_err(|e| e.to_string());
+    }
+    let headers: String = headers.iter().map(|h| h.replacen('=', ": ", 1) + "\r\n").collect();
+    write(&mut stream, format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: 2\r\n\r\nok").as_bytes())
+}
+
+/// Tells of each notice as `ID STATE [MILLISECONDS]`. A watch waits for news for as long as it asks to.
+pub fn platform(post: Post, listing: Arc<Mutex<Listing>>) -> SocketAddr {
+    serve(move |mut stream| {
+        let mut from = BufReader::new(stream.try_clone().unwrap());
+        while let Some((first, _, body)) = message(&mut from) {
+            if first.starts_with("POST /v1/outcomes ") {
+                for line in String::from_utf8_lossy(&body).lines() {
+                    let v: Value = serde_json::from_str(line).unwrap();
+                    let text = |k: &str| v[k].as_str().unwrap_or("").to_owned();
+                    post.tell(format!("{} {} {}", text("id"), text("state"), v["after_ms"]));
+                }
+                let _ = write(&mut stream, b"HTTP/1.1 204 No Content\r\n\r\n");
+                continue;
+            }
+            let number = |key: &str| {
+                let rest = first.split_once(key)?.1;
+                rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
+            };
+            let (since, ms) = (number("since="), number("timeout_ms=").unwrap_or(0));
+            let mut waited = 0;
+            while since.is_some_and(|s| s >= listing.lock().unwrap().generation) && waited < ms {
+                std::thread::sleep(Duration::from_millis(10));
+                waited += 10;
+            }
+            let body = listing.lock().unwrap().json().to_string();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            if write(&mut stream, (head + &body).as_bytes()).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// Tells of each answer as its status, and of the connection's end as `closed`.
+pub fn client(post: Post, to: SocketAddr, who: &str) {
+    let stream = TcpStream::connect(to).unwrap();
+    post.keep(who, &stream);
+    std::thread::spawn(move || {
+        let mut from = BufReader::new(stream);
+        while let Some((first, headers, _)) = message(&mut from) {
+            let wait = header(&headers, "retry-after");
+            post.tell(format!("{} {wait}", first.split(' ').nth(1).unwrap_or("")));
+        }
+        post.tell("closed");
+    });
+}
+
+/// `CLASS id=ID [dest=N deadline=S key=K body=TEXT size=N]`, or `raw TEXT` with `\r`, `\n` and `_` for a blank.
+pub fn send(from: &Inbox, who: &str, words: &[&str]) -> Done {
+    let mut stream = from.streams.lock().unwrap().get(who).ok_or("closed")?.try_clone().unwrap();
+    if let ["raw", text] = words {
+        let text = text.replace("\\r", "\r").replace("\\n", "\n").replace('_', " ");
+        return write(&mut stream, text.as_bytes());
+    }
+    let class = words.first().ok_or("which class?")?;
+    let or = |key: &str, or: &'static str| value(words, key).unwrap_or(or).to_owned();
+    let body = match value(words, "size") {
+        Some(n) => "x".repeat(n.parse().map_err(|_| "what size?")?),
+        None => or("body", "hello"),
+    };
+    let head = format!(
+        "POST /{class} HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: {}\r\nX-Class: {class}\r\n\
+        X-Tenant: khangai-clubs\r\nX-Deadline: {}\r\nIdempotency-Key: {}\r\nContent-Length: {}\r\n\
+        X-Envelope: dest={}\r\n\r\n",
+        or("id", ""),
+        or("deadline", "4"),
+        or("key", "k"),
+        body.len(),
+        or("dest", "1")
+    );
+    write(&mut stream, (head + &body).as_bytes())
+}
+
+pub fn counters(at: SocketAddr) -> Result<Value, String> {
+    let mut stream = TcpStream::connect(at).map_err(|e| e.to_string())?;
+    write(&mut stream, b"GET /counters HTTP/1.1\r\n\r\n")?;
+    let (_, _, body) = message(&mut BufReader::new(stream)).ok_or("no counters")?;
+    serde_json::from_slice(&body).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/daemon/tests/stage/mod.rs
@@ -0,0 +1,335 @@
+//! Stand-ins for clients, endpoints, the platform and SMPP peers, and the program between them.
+
+mod http;
+mod smpp;
+
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Far more than anything here takes: it only bounds a test that fails.
+const BOUND: Duration = Duration::from_secs(20);
+static FOLDERS: AtomicU64 = AtomicU64::new(0);
+
+pub type Done = Result<(), String>;
+
+/// What has come in at somebody, in order, and the connections to answer over.
+pub struct Inbox {
+    events: Receiver<String>,
+    pub streams: Arc<Mutex<BTreeMap<String, TcpStream>>>,
+    pub address: Option<SocketAddr>,
+}
+
+/// Hands events of one stand-in to the scenario.
+#[derive(Clone)]
+pub struct Post {
+    pub events: Sender<String>,
+    pub streams: Arc<Mutex<BTreeMap<String, TcpStream>>>,
+}
+
+impl Post {
+    pub fn tell(&self, event: impl Into<String>) {
+        let _ = self.events.send(event.into());
+    }
+    pub fn keep(&self, name: &str, stream: &TcpStream) {
+        let stream = stream.try_clone().expect("a stream can be cloned");
+        self.streams.lock().unwrap().insert(name.to_owned(), stream);
+    }
+}
+
+pub fn inbox() -> (Inbox, Post) {
+    let (tx, events) = channel();
+    let streams = Arc::new(Mutex::new(BTreeMap::new()));
+    (Inbox { events, streams: streams.clone(), address: None }, Post { events: tx, streams })
+}
+
+impl Inbox {
+    /// The next event must be these words; a word that ends in `*` stands for all with that beginning.
+    fn expect(&self, words: &[&str]) -> Done {
+        if let ["nothing", ms] = words {
+            let span = Duration::from_millis(ms.parse().map_err(|_| "nothing for how long?")?);
+            return match self.events.recv_timeout(span) {
+                Ok(event) => Err(format!("got: {event}")),
+                Err(_) => Ok(()),
+            };
+        }
+        let event = self.events.recv_timeout(BOUND).map_err(|_| "nothing came")?;
+        let got: Vec<&str> = event.split_whitespace().collect();
+        let fits = |(want, got): (&&str, &&str)| match want.strip_suffix('*') {
+            Some(start) => got.starts_with(start),
+            None => want == got,
+        };
+        let all = words.len() <= got.len() && words.iter().zip(&got).all(fits);
+        if all { Ok(()) } else { Err(format!("got: {event}")) }
+    }
+    pub fn stream(&self, name: &str) -> Result<TcpStream, String> {
+        self.streams.lock().unwrap().remove(name).ok_or_else(|| format!("no connection {name}"))
+    }
+}
+
+/// `key=value` words.
+pub fn value<'a>(words: &[&'a str], key: &str) -> Option<&'a str> {
+    words.iter().find_map(|w| w.strip_prefix(key)?.strip_prefix('='))
+}
+
+struct Entry {
+    name: String,
+    address: SocketAddr,
+    words: String,
+    state: String,
+}
+
+/// What discovery lists now, and how often that has changed.
+#[derive(Default)]
+pub struct Listing {
+    entries: Vec<Entry>,
+    pub generation: u64,
+}
+
+impl Listing {
+    pub fn json(&self) -> Value {
+        let entry = |e: &Entry| {
+            let words: Vec<&str> = e.words.split(' ').collect();
+            let cell: u64 = value(&words, "dest").unwrap_or("1").parse().unwrap();
+            json!({"instanceId": e.name, "hostPort": e.address.to_string(), "cell": cell,
+                "zone": value(&words, "zone").unwrap_or("floor-2"), "machineType": "club",
+                "lifecycle": e.state, "weight": 50.0, "startedAtMs": 0})
+        };
+        json!({"generation": self.generation, "reset": true,
+            "instances": self.entries.iter().map(entry).collect::<Vec<_>>()})
+    }
+}
+
+pub struct Stage {
+    folder: PathBuf,
+    who: BTreeMap<String, Inbox>,
+    gateways: Vec<(String, SocketAddr, String)>,
+    listing: Arc<Mutex<Listing>>,
+    child: Option<Child>,
+    limits: Value,
+    http: Option<SocketAddr>,
+    smpp: Option<SocketAddr>,
+    seen: Arc<Mutex<String>>,
+}
+
+impl Default for Stage {
+    fn default() -> Stage {
+        let n = FOLDERS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("onyxrock-{}-{n}", std::process::id()));
+        std::fs::create_dir_all(folder.join("state")).unwrap();
+        let (mut platform, post) = inbox();
+        let listing = Arc::new(Mutex::new(Listing { generation: 1, ..Listing::default() }));
+        platform.address = Some(http::platform(post, listing.clone()));
+        let limits = json!({"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3});
+        let (child, http, smpp, seen) = Default::default();
+        let who = BTreeMap::from([("platform".to_owned(), platform)]);
+        Stage { folder, who, gateways: Vec::new(), listing, child, limits, http, smpp, seen }
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Stage {
+    pub fn log(&self) -> String {
+        self.seen.lock().unwrap().clone()
+    }
+
+    pub fn play(&mut self, words: &[&str]) -> Done {
+        match words {
+            [] => Ok(()),
+            ["given", "endpoint", name, rest @ ..] => {
+                let (mut inbox, post) = inbox();
+                let address = http::endpoint(post);
+                inbox.address = Some(address);
+                self.who.insert((*name).to_owned(), inbox);
+                let (words, state) = (rest.join(" "), "Ready".to_owned());
+                let entry = Entry { name: (*name).to_owned(), address, words, state };
+                self.listing.lock().unwrap().entries.push(entry);
+                Ok(())
+            }
+            // A port where nobody listens.
+            ["given", "nobody", name, rest @ ..] => {
+                let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+                let (words, state) = (rest.join(" "), "Ready".to_owned());
+                let entry = Entry { name: (*name).to_owned(), address, words, state };
+                self.listing.lock().unwrap().entries.push(entry);
+                Ok(())
+            }
+            ["given", "gateway", name, rest @ ..] => {
+                let (inbox, post) = inbox();
+                self.gateways.push(((*name).to_owned(), smpp::gateway(post), rest.join(" ")));
+                self.who.insert((*name).to_owned(), inbox);
+                Ok(())
+            }
+            ["given", "limit", limit] => {
+                let (key, n) = limit.split_once('=').ok_or("limit=number")?;
+                self.limits[key] = json!(n.parse::<f64>().map_err(|e| e.to_string())?);
+                Ok(())
+            }
+            ["given", "log", "damaged"] => {
+                let path = self.folder.join("state/onyxrock.log");
+                let mut bytes = std::fs::read(&path).map_err(|e| e.to_string())?;
+                bytes.splice(0..0, *b"no record \xa7\x1e at all");
+                bytes.extend([0xa7, 0x1e, 200, 0, 0, 0, 1, 2, 3]);
+                std::fs::write(path, bytes).map_err(|e| e.to_string())
+            }
+            ["wait", ms] => {
+                std::thread::sleep(Duration::from_millis(ms.parse().map_err(|_| "wait how long?")?));
+                Ok(())
+            }
+            ["send", "daemon", signal] => self.daemon(signal),
+            ["expect", "daemon", "exit", code] => {
+                let status = self.child.as_mut().ok_or("no daemon")?.wait().map_err(|e| e.to_string())?;
+                let got = status.code().map_or("signal".to_owned(), |c| c.to_string());
+                if got == *code { Ok(()) } else { Err(format!("it ended with {got}")) }
+            }
+            ["expect", "counter", count] => self.counter(count),
+            ["send", "list", name, state] => {
+                let mut l = self.listing.lock().unwrap();
+                l.generation += 1;
+                let entry = l.entries.iter_mut().find(|e| e.name == *name).ok_or("no such endpoint")?;
+                entry.state = (*state).to_owned();
+                Ok(())
+            }
+            ["send", who, rest @ ..] if rest.first() == Some(&"bind") && !self.who.contains_key(*who) => {
+                let (inbox, post) = inbox();
+                smpp::client(post, self.smpp.ok_or("no SMPP")?, who);
+                self.who.insert((*who).to_owned(), inbox);
+                smpp::send(&self.who[*who], who, rest)
+            }
+            ["send", who, rest @ ..] if self.is_smpp(who) => smpp::send(&self.who[*who], who, rest),
+            ["send", who, rest @ ..] if self.who.get(*who).is_some_and(|w| w.address.is_some()) => {
+                http::answer(&self.who[*who], rest)
+            }
+            ["send", who, rest @ ..] => {
+                if !self.who.contains_key(*who) {
+                    let (inbox, post) = inbox();
+                    http::client(post, self.http.ok_or("no daemon")?, who);
+                    self.who.insert((*who).to_owned(), inbox);
+                }
+                http::send(&self.who[*who], who, rest)
+            }
+            ["expect", who, rest @ ..] => {
+                self.who.get(*who).ok_or_else(|| format!("who is {who}?"))?.expect(rest)
+            }
+            // Forgets the peer; a stand-in that is closed is a new one when it is named again.
+            ["close", who] => {
+                let inbox = self.who.get(*who).ok_or_else(|| format!("who is {who}?"))?;
+                for (_, s) in std::mem::take(&mut *inbox.streams.lock().unwrap()) {
+                    let _ = s.shutdown(std::net::Shutdown::Both);
+                }
+                if inbox.address.is_none() && !self.gateways.iter().any(|g| g.0 == *who) {
+                    self.who.remove(*who);
+                }
+                Ok(())
+            }
+            _ => Err("not a line of this language".to_owned()),
+        }
+    }
+
+    fn is_smpp(&self, who: &str) -> bool {
+        who.starts_with("esme") || self.gateways.iter().any(|g| g.0 == who)
+    }
+
+    fn counter(&self, count: &str) -> Done {
+        let until = std::time::Instant::now() + BOUND;
+        let (name, want) = count.split_once('=').ok_or("counter=number")?;
+        loop {
+            let got = http::counters(self.http.ok_or("no daemon")?)?;
+            let now = got[name].to_string();
+            if now == want {
+                return Ok(());
+            }
+            if std::time::Instant::now() > until {
+                return Err(format!("{name} is {now}"));
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn daemon(&mut self, signal: &str) -> Done {
+        if signal == "start" {
+            return self.start();
+        }
+        let child = self.child.as_mut().ok_or("no daemon")?;
+        if signal == "KILL" {
+            child.kill().map_err(|e| e.to_string())?;
+            return child.wait().map(drop).map_err(|e| e.to_string());
+        }
+        let id = child.id().to_string();
+        let done = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+        done.map(drop).map_err(|e| e.to_string())
+    }
+
+    fn start(&mut self) -> Done {
+        let settings: Value = serde_json::from_str(include_str!("settings.json")).unwrap();
+        let config = json!({"name": "n1", "seed": "1f", "limits": self.limits,
+            "known": self.listing.lock().unwrap().json(), "settings": settings});
+        let file = self.folder.join("config.json");
+        std::fs::write(&file, config.to_string()).unwrap();
+        let mut toml = "listen = \"127.0.0.1:0\"\nsystem_id = \"onyxrock\"\nenquire_link_s = 1\nwindow = 4\n\
+            [[client]]\nsystem_id = \"office\"\ntenant = \"khangai-clubs\"\n\
+            [[class]]\nclass = \"status\"\n[[class]]\nservice_type = \"BOOK\"\nclass = \"booking\"\n\
+            [[class]]\nservice_type = \"PAY\"\nclass = \"payment\"\n\
+            [[route]]\nprefix = \"97\"\ndestination = 90\n[[route]]\nprefix = \"1\"\ndestination = 1\n"
+            .to_owned();
+        for (name, address, words) in &self.gateways {
+            toml += &format!(
+                "[[gateway]]\nname = \"{name}\"\naddress = \"{address}\"\ndestination = 90\nkind = \"club\"\n\
+                zone = \"floor-2\"\nwait_tlv = 0x1403\n{}\n",
+                words.replace(' ', "\n")
+            );
+        }
+        let smpp = self.folder.join("smpp.toml");
+        std::fs::write(&smpp, toml).unwrap();
+        let platform = self.who["platform"].address.unwrap().to_string();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_onyxrock"))
+            .args(["serve", "--config", file.to_str().unwrap(), "--smpp", smpp.to_str().unwrap()])
+            .env("GW_LISTEN", "127.0.0.1:0")
+            .env("GW_DISCOVERY", platform)
+            .env("GW_STATE", self.folder.join("state"))
+            .stderr(Stdio::piped())
+            .spawn()
+            .map_err(|e| e.to_string())?;
+        let (tx, lines) = channel();
+        let (err, seen) = (child.stderr.take().unwrap(), self.seen.clone());
+        std::thread::spawn(move || {
+            for line in BufReader::new(err).lines().map_while(Result::ok) {
+                *seen.lock().unwrap() += &format!("{line}\n");
+                let _ = tx.send(line);
+            }
+        });
+        self.child = Some(child);
+        (self.http, self.smpp) = (None, None);
+        while self.http.is_none() || self.smpp.is_none() {
+            let line = lines.recv_timeout(BOUND).map_err(|_| "it does not start")?;
+            if let Some(at) = line.strip_prefix("n1 listens on ") {
+                match at.strip_suffix(" for SMPP") {
+                    Some(at) => self.smpp = at.parse().ok(),
+                    None => self.http = at.parse().ok(),
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Writes all bytes, or says why not.
+pub fn write(stream: &mut TcpStream, bytes: &[u8]) -> Done {
+    stream.write_all(bytes).map_err(|e| e.to_string())
+}
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -61,6 +61,9 @@
 pub struct Desk {
     brain: Brain,
     names: Names,
+    /// Destinations that drop no repeats, and where the class of a keyed message stands for them.
+    plain: BTreeSet<DestinationId>,
+    unsafe_class: BTreeMap<usize, usize>,
     owed: BTreeMap<u64, Owed>,
     /// Attempts that each request had, as the module counts them.
     attempts: BTreeMap<u64, u32>,
@@ -74,11 +77,24 @@
 
 impl Desk {
     /// A desk with nothing on it.
-    pub fn new(settings: Settings, names: Names, seed: u64) -> Desk {
+    ///
+    /// The `plain` destinations drop no repeat of a keyed message: there it is treated as an unsafe one.
+    pub fn new(mut settings: Settings, names: Names, plain: BTreeSet<DestinationId>, seed: u64) -> Desk {
+        let mut unsafe_class = BTreeMap::new();
+        for i in (0..settings.classes.len()).filter(|_| !plain.is_empty()) {
+            if matches!(settings.classes[i].effect, Effect::Keyed { .. }) {
+                unsafe_class.insert(i, settings.classes.len());
+                settings
+                    .classes
+                    .push(ClassSettings { effect: Effect::Unsafe, ..settings.classes[i].clone() });
+            }
+        }
         Desk {
             most: settings.max_held as usize,
             brain: Brain::new(settings, seed),
             names,
+            plain,
+            unsafe_class,
             owed: BTreeMap::new(),
             attempts: BTreeMap::new(),
             next: 1,
@@ -121,9 +137,12 @@
     }
 
     fn message(&self, now: Micros, t: &Taken) -> Option<Message> {
+        let class = *self.names.classes.get(&t.class)?;
+        let stricter = self.unsafe_class.get(&class);
+        let stricter = stricter.filter(|_| self.plain.contains(&DestinationId(t.destination)));
         Some(Message {
             id: MessageId(t.n),
-            class: ClassId(*self.names.classes.get(&t.class)?),
+            class: ClassId(stricter.copied().unwrap_or(class)),
             tenant: self.names.tenants.get(&t.tenant).map(|i| TenantId(*i)),
             key: None,
             destination: DestinationId(t.destination),
