--- a/config/src/daemon.rs
+++ b/config/src/daemon.rs
@@ -37,7 +37,9 @@
         t.parse().map_err(|_| format!("{key} is not an address with a port: \"{t}\""))
     };
     let setup = v.get("settings").ok_or_else(|| format!("{shown}: no \"settings\""))?;
-    let (settings, names) = settings::read(setup)?;
+    let (mut settings, names) = settings::read(setup)?;
+    // On sockets an end may always say when to come back: who does not follow it loses nothing.
+    settings.retry_after = true;
     if settings.classes.is_empty() {
         return Err(format!("{shown}: the settings name no class"));
     }
--- /dev/null
+++ b/daemon/src/list/dns.rs
@@ -0,0 +1,118 @@
+//! The list out of a zone file, kept up by dynamic updates that come to a socket of ours.
+
+use super::zone::Zone;
+use crate::module::ToModule;
+use crate::net::Shared;
+use async_channel::Receiver;
+use async_io::Async;
+use futures_lite::future;
+use hickory_proto::op::{Message, OpCode, ResponseCode};
+use onyxrock::core::Names;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::PathBuf;
+use std::rc::Rc;
+
+/// The largest zone that is kept in the folder that lasts.
+pub const KEPT_MOST: usize = 64 * 1024;
+const NAME: &str = "onyxrock.zone";
+
+pub struct Dns {
+    pub zone: Zone,
+    pub names: Names,
+    pub socket: Async<UdpSocket>,
+    folder: PathBuf,
+}
+
+impl Dns {
+    /// The zone as an earlier process kept it, where that is later than the file.
+    pub fn open(
+        text: &str, origin: &str, listen: SocketAddr, folder: PathBuf, names: Names,
+    ) -> Result<Dns, String> {
+        let mut zone = Zone::parse(text, origin)?;
+        if let Ok(kept) = std::fs::read_to_string(folder.join(NAME)) {
+            match Zone::parse(&kept, origin) {
+                Ok(kept) if (kept.serial().wrapping_sub(zone.serial()) as i32) > 0 => zone = kept,
+                Ok(_) => {}
+                Err(e) => eprintln!("dns: the kept zone cannot be read and is left out: {e}"),
+            }
+        }
+        let socket = Async::<UdpSocket>::bind(listen)
+            .map_err(|e| format!("cannot listen on {listen} for DNS: {e}"))?;
+        Ok(Dns { zone, names, socket, folder })
+    }
+
+    /// An update is answered once it would survive this process.
+    fn keep(&self) -> std::io::Result<()> {
+        let text = self.zone.text();
+        if text.len() > KEPT_MOST {
+            return Err(std::io::Error::other("the zone is too large to be kept"));
+        }
+        let new = self.folder.join("onyxrock.zone.new");
+        std::fs::write(&new, text)?;
+        std::fs::rename(new, self.folder.join(NAME))
+    }
+
+    /// The answer to a message, and whether the list is another one now. None for what is no question.
+    pub fn answer(&mut self, bytes: &[u8]) -> Option<(Vec<u8>, bool)> {
+        let m = match Message::from_vec(bytes) {
+            Ok(m) if m.metadata.message_type == hickory_proto::op::MessageType::Query => m,
+            Ok(_) => return None,
+            Err(_) => {
+                let id = u16::from_be_bytes(bytes.get(..2)?.try_into().ok()?);
+                let reply = Message::error_msg(id, OpCode::Update, ResponseCode::FormErr);
+                return Some((reply.to_vec().ok()?, false));
+            }
+        };
+        let (code, changed) = match m.metadata.op_code {
+            OpCode::Update => {
+                let before = self.zone.clone();
+                let (code, changed) = self.zone.update(&m);
+                match changed.then(|| self.keep()) {
+                    Some(Err(e)) => {
+                        eprintln!("dns: {e}");
+                        self.zone = before;
+                        (ResponseCode::ServFail, false)
+                    }
+                    _ => (code, changed),
+                }
+            }
+            OpCode::Query => (ResponseCode::Refused, false),
+            _ => (ResponseCode::NotImp, false),
+        };
+        let reply = Message::error_msg(m.metadata.id, m.metadata.op_code, code);
+        Some((reply.to_vec().ok()?, changed))
+    }
+}
+
+/// Each wish of the module, and each update, is answered with the whole list.
+pub async fn run(shared: Rc<Shared>, mut dns: Dns, wishes: Receiver<()>) {
+    let mut bytes = vec![0; 64 * 1024];
+    loop {
+        let wish = async { wishes.recv().await.ok().map(|()| None) };
+        let message = async { Some(Some(dns.socket.recv_from(&mut bytes).await)) };
+        let tell = match future::or(wish, message).await {
+            None => return,
+            Some(None) => true,
+            Some(Some(Err(e))) => {
+                eprintln!("dns: {e}");
+                false
+            }
+            Some(Some(Ok((n, from)))) => match dns.answer(&bytes[..n]) {
+                Some((reply, changed)) => {
+                    shared.counters.dns_messages.up();
+                    let _ = dns.socket.send_to(&reply, from).await;
+                    changed
+                }
+                None => false,
+            },
+        };
+        if tell {
+            shared.counters.list_answers.up();
+            let (list, wrong) = dns.zone.list(&dns.names);
+            wrong.iter().for_each(|w| eprintln!("dns: {w}"));
+            if shared.module.send(ToModule::List(list)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/daemon/src/list.rs
+++ b/daemon/src/list/mod.rs
@@ -1,5 +1,8 @@
 //! The list: follows discovery for as long as that works, and says when it does not.
 
+pub mod dns;
+pub mod zone;
+
 use crate::module::ToModule;
 use crate::net::Shared;
 use crate::net::http::client::Conn;
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -39,10 +39,13 @@
         let now = shared.clock.now();
         // Near the bound on descriptors no connection is kept for later.
         match back {
-            Some(_) if shared.counters.outbound_open.get() > shared.outbound_most => {
+            Some(Back::Sound(_)) if shared.counters.outbound_open.get() > shared.outbound_most => {
                 shared.counters.outbound_open.down();
             }
-            Some(conn) => idle.push((now, conn)),
+            Some(Back::Sound(conn)) => idle.push((now, conn)),
+            // A machine that vanished leaves its connections open and silent: a call over one would time out and
+            // may have run, where a new connection that does not come up proves that it has not.
+            Some(Back::Suspect) => close_all(&shared, &mut idle),
             None => {}
         }
         match letter {
@@ -55,15 +58,23 @@
                 let executor = shared.executor.clone();
                 executor.spawn(outbound_call(shared, address, call, conn, give_back)).detach();
             }
-            Some(Ok(ToEndpoint::CloseIdle)) => {
-                idle.drain(..).for_each(|_| shared.counters.outbound_open.down());
-            }
+            Some(Ok(ToEndpoint::CloseIdle)) => close_all(&shared, &mut idle),
             Some(Ok(ToEndpoint::Moved(to))) => address = to,
         }
         retire_idle(&shared, &mut idle, now);
     }
 }
 
+/// What a call says of the connection that it used.
+enum Back {
+    Sound(Conn),
+    Suspect,
+}
+
+fn close_all(shared: &Shared, idle: &mut Vec<(Micros, Conn)>) {
+    idle.drain(..).for_each(|_| shared.counters.outbound_open.down());
+}
+
 /// An endpoint closes what has been idle for the platform's limit, and a request that crosses that close may
 /// have run: let go well before, and of what the other side has closed already.
 fn retire_idle(shared: &Shared, idle: &mut Vec<(Micros, Conn)>, now: Micros) {
@@ -77,7 +88,7 @@
 }
 
 async fn outbound_call(
-    shared: Rc<Shared>, address: SocketAddr, call: OutboundCall, conn: Option<Conn>, give_back: Sender<Conn>,
+    shared: Rc<Shared>, address: SocketAddr, call: OutboundCall, conn: Option<Conn>, give_back: Sender<Back>,
 ) {
     let (verdict, answer, conn) = attempt(&shared, address, &call, conn).await;
     let load = answer.as_ref().and_then(|a| a.load.as_deref()).map(report).unwrap_or_default();
@@ -90,12 +101,15 @@
         finished: answer.as_ref().is_some_and(|a| a.status == 410),
         limit: load,
     };
+    if matches!(verdict, Verdict::TimedOut | Verdict::Reset) {
+        let _ = give_back.try_send(Back::Suspect);
+    }
     let _ = shared.module.send(ToModule::Answered(answered)).await;
     // The verdict needed the first line only; the connection is good for another call after the rest.
     let tail = shared.clock.now().after(TAIL);
     if let (Some(answer), Some(mut conn)) = (answer, conn)
         && let Some(Ok((_, true))) = shared.clock.before(tail, conn.body(&answer)).await
-        && give_back.try_send(conn).is_ok()
+        && give_back.try_send(Back::Sound(conn)).is_ok()
     {
         return;
     }
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -20,12 +20,26 @@
 /// A deadline counts from the client's sending, which lies a little before it is read here; and a notice
 /// needs its way too.
 const MARGIN: Micros = Micros(100_000);
+/// When to come back to a forwarder that holds as much as it may.
+const FULL_WAIT: Micros = Micros(1_000_000);
 /// With so large a part of the room for connections taken, one that falls idle is closed.
 const CROWDED: f64 = 0.8;
+/// Beyond the room there is still enough to say no; but descriptors for the endpoints must be left.
+const MORE: f64 = 1.25;
+const FULL_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
 
 /// Accepts until `stop` is closed.
 pub async fn listen(shared: Rc<Shared>, listener: Async<TcpListener>, stop: async_channel::Receiver<()>) {
+    let most = (shared.inbound_most as f64 * MORE) as u64;
     loop {
+        let open = shared.counters.inbound_open.get();
+        if open as f64 > CROWDED * shared.inbound_most as f64 {
+            let _ = shared.crowd.try_send(());
+        }
+        if open >= most && !stop.is_closed() {
+            async_io::Timer::after(FULL_PAUSE).await;
+            continue;
+        }
         let accepted = async { Some(listener.accept().await) };
         let stopped = async {
             let _ = stop.recv().await;
@@ -48,7 +62,7 @@
             Some(Err(e)) => {
                 // Out of descriptors: accept again when some have been closed, rather than spin.
                 eprintln!("accept: {e}");
-                async_io::Timer::after(std::time::Duration::from_millis(20)).await;
+                async_io::Timer::after(FULL_PAUSE).await;
             }
         }
     }
@@ -145,7 +159,11 @@
             let give_up = async {
                 match since {
                     Some(at) => shared.clock.until(Some(at.after(WHOLE))).await,
-                    None => drop(shared.ending.recv().await),
+                    None => {
+                        let ending = async { shared.ending.recv().await.unwrap_or_default() };
+                        let crowded = async { shared.make_room.recv().await.unwrap_or_default() };
+                        future::or(ending, crowded).await;
+                    }
                 }
                 None
             };
@@ -184,7 +202,7 @@
                 }
                 heard
             }
-            Reply::Full => self.answer(503, None, "", close).await,
+            Reply::Full => self.answer(503, Some(FULL_WAIT), "", close).await,
             Reply::FailFast(wait) => self.answer(503, wait, "", close).await,
             Reply::Unknown => {
                 self.shared.counters.bad_requests.up();
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -23,6 +23,9 @@
     /// Closed when all calls have ended, just before the process does.
     pub closing: Receiver<()>,
     pub serials: Cell<u64>,
+    /// One letter makes one idle inbound connection close.
+    pub crowd: Sender<()>,
+    pub make_room: Receiver<()>,
     pub stopping: Cell<bool>,
     pub connect_timeout: Micros,
     /// When an idle connection is let go; none where the platform names no limit.
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::list::{self, Discovery};
+use crate::list::{self, Discovery, dns};
 use crate::module::{Module, ToModule};
 use crate::net::Shared;
 use crate::net::http::inbound;
@@ -17,6 +17,7 @@
 use onyxrock::core::{Desk, recover};
 use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::Config;
+use onyxrock_config::dns::Dns;
 use onyxrock_config::smpp::Smpp;
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -31,18 +32,20 @@
 const END_BY: Duration = Duration::from_millis(3300);
 
 /// Runs a forwarder until it is told to end.
-pub fn run(config: Config, smpp: Option<Smpp>) -> Result<(), String> {
+pub fn run(config: Config, smpp: Option<Smpp>, dns: Option<Dns>) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
-    let served = serve(config, smpp, executor.clone());
+    let served = serve(config, smpp, dns, executor.clone());
     async_io::block_on(executor.run(served))
 }
 
 async fn serve(
-    config: Config, smpp: Option<Smpp>, executor: Rc<LocalExecutor<'static>>,
+    config: Config, smpp: Option<Smpp>, dns: Option<Dns>, executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), String> {
     let mut signals =
         Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("cannot wait for signals: {e}"))?;
-    let (wal, scan) = Wal::open(&config.state, config.disk_bytes)
+    // The kept zone, old and new, shares the folder with the log.
+    let zones = if dns.is_some() { 2 * dns::KEPT_MOST as u64 } else { 0 };
+    let (wal, scan) = Wal::open(&config.state, config.disk_bytes.saturating_sub(zones))
         .map_err(|e| format!("cannot open the log in {}: {e}", config.state.display()))?;
     if scan.damaged > 0 {
         eprintln!("log: {} bytes belong to no whole record and are left out", scan.damaged);
@@ -50,6 +53,7 @@
     let (to_module, module_inbox) = bounded::<ToModule>(4096);
     let (ending, ended) = bounded(1);
     let (closing, closed) = bounded(1);
+    let (crowd, make_room) = bounded(1);
     let idle = config.settings.connection_idle;
     let shared = Rc::new(Shared {
         clock: Clock::default(),
@@ -57,6 +61,8 @@
         module: to_module.clone(),
         ending: ended,
         closing: closed,
+        crowd,
+        make_room,
         serials: Cell::new(0),
         stopping: Cell::new(false),
         connect_timeout: config.connect_timeout,
@@ -80,7 +86,10 @@
     let mut module = Module::new(shared.clone(), desk, wal, follow, fronts, slots);
     let generation = config.known.generation;
     gateways.into_iter().for_each(|g| module.gateway(g));
-    module.known(config.known);
+    // A zone of our own is later than what discovery last told.
+    let zone = dns.map(|d| dns::Dns::open(&d.zone, &d.origin, d.listen, config.state, config.names.clone()));
+    let zone = zone.transpose()?;
+    module.known(zone.as_ref().map_or(config.known, |z| z.zone.list(&z.names).0));
     module.resume(recover(scan.records).into_values());
     // The new log says what is owed as this process knows it, and nothing of the damage.
     if let Err(e) = module.wal.compact(module.desk.owed()) {
@@ -93,7 +102,13 @@
         generation,
         wait: wait.clamp(Micros(1_000_000), Micros(20_000_000)),
     };
-    executor.spawn(list::run(shared.clone(), discovery, wishes)).detach();
+    if let Some(dns) = zone {
+        let at = dns.socket.get_ref().local_addr().map_err(|e| e.to_string())?;
+        eprintln!("{} listens on {at} for DNS", config.name);
+        executor.spawn(dns::run(shared.clone(), dns, wishes)).detach();
+    } else {
+        executor.spawn(list::run(shared.clone(), discovery, wishes)).detach();
+    }
     executor.spawn(notices::run(shared.clone(), config.discovery, endings)).detach();
     executor.spawn(module.run(module_inbox)).detach();
 
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for clients, endpoints, the platform and SMPP peers, and the program between them.
 
+mod dns;
 mod http;
 mod smpp;
 
@@ -111,6 +112,9 @@
     folder: PathBuf,
     who: BTreeMap<String, Inbox>,
     gateways: Vec<(String, SocketAddr, String)>,
+    /// The list comes out of a zone file.
+    dns: bool,
+    dns_at: Option<SocketAddr>,
     listing: Arc<Mutex<Listing>>,
     child: Option<Child>,
     limits: Value,
@@ -128,9 +132,9 @@
         let listing = Arc::new(Mutex::new(Listing { generation: 1, ..Listing::default() }));
         platform.address = Some(http::platform(post, listing.clone()));
         let limits = json!({"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3});
-        let (child, http, smpp, seen) = Default::default();
+        let (child, http, smpp, seen, dns, dns_at) = Default::default();
         let who = BTreeMap::from([("platform".to_owned(), platform)]);
-        Stage { folder, who, gateways: Vec::new(), listing, child, limits, http, smpp, seen }
+        Stage { folder, who, gateways: Vec::new(), dns, dns_at, listing, child, limits, http, smpp, seen }
     }
 }
 
@@ -181,6 +185,31 @@
                 self.limits[key] = json!(n.parse::<f64>().map_err(|e| e.to_string())?);
                 Ok(())
             }
+            ["given", "dns"] => {
+                self.dns = true;
+                Ok(())
+            }
+            // Crowds of clients that connect, say one whole thing, and stay.
+            ["given", "clients", n] => {
+                for i in 0..n.parse().map_err(|_| "how many?")? {
+                    let who = format!("crowd{i}");
+                    let (inbox, post) = inbox();
+                    http::client(post, self.http.ok_or("no daemon")?, &who);
+                    http::send(&inbox, &who, &["raw", "GET_/ready_HTTP/1.1\\r\\n\\r\\n"])?;
+                    inbox.expect(&["200"])?;
+                    self.who.insert(who, inbox);
+                }
+                Ok(())
+            }
+            ["send", "dns", rest @ ..] => {
+                let code = dns::update(self.dns_at.ok_or("no DNS")?, rest)?;
+                self.who.entry("dns".to_owned()).or_insert_with(|| inbox().0).events = {
+                    let (tx, rx) = channel();
+                    let _ = tx.send(code);
+                    rx
+                };
+                Ok(())
+            }
             ["given", "log", "damaged"] => {
                 let path = self.folder.join("state/onyxrock.log");
                 let mut bytes = std::fs::read(&path).map_err(|e| e.to_string())?;
@@ -297,9 +326,19 @@
         }
         let smpp = self.folder.join("smpp.toml");
         std::fs::write(&smpp, toml).unwrap();
+        let mut files = vec!["--smpp", smpp.to_str().unwrap()];
+        let dns = self.folder.join("dns.toml");
+        if self.dns {
+            let zone = dns::zone(self.listing.lock().unwrap().entries.iter().map(|e| (&e.name, e.address)));
+            std::fs::write(self.folder.join("zone"), zone).unwrap();
+            let toml = "listen = \"127.0.0.1:0\"\norigin = \"p.example.\"\nzone = \"zone\"\n";
+            std::fs::write(&dns, toml).unwrap();
+            files.extend(["--dns", dns.to_str().unwrap()]);
+        }
         let platform = self.who["platform"].address.unwrap().to_string();
         let mut child = Command::new(env!("CARGO_BIN_EXE_onyxrock"))
-            .args(["serve", "--config", file.to_str().unwrap(), "--smpp", smpp.to_str().unwrap()])
+            .args(["serve", "--config", file.to_str().unwrap()])
+            .args(files)
             .env("GW_LISTEN", "127.0.0.1:0")
             .env("GW_DISCOVERY", platform)
             .env("GW_STATE", self.folder.join("state"))
@@ -316,13 +355,16 @@
         });
         self.child = Some(child);
         (self.http, self.smpp) = (None, None);
-        while self.http.is_none() || self.smpp.is_none() {
+        self.dns_at = None;
+        while self.http.is_none() || self.smpp.is_none() || self.dns && self.dns_at.is_none() {
             let line = lines.recv_timeout(BOUND).map_err(|_| "it does not start")?;
             if let Some(at) = line.strip_prefix("n1 listens on ") {
-                match at.strip_suffix(" for SMPP") {
-                    Some(at) => self.smpp = at.parse().ok(),
-                    None => self.http = at.parse().ok(),
-                }
+                let (at, of) = at.split_once(" for ").unwrap_or((at, "HTTP"));
+                *match of {
+                    "SMPP" => &mut self.smpp,
+                    "DNS" => &mut self.dns_at,
+                    _ => &mut self.http,
+                } = at.parse().ok();
             }
         }
         Ok(())
--- /dev/null
+++ b/tests/core.rs
@@ -0,0 +1,231 @@
+//! The life of a request without a wire, on a clock that the test moves.
+
+mod common;
+use common::*;
+use onyxrock::core::*;
+use onyxrock::interface::*;
+
+struct Table {
+    desk: Desk,
+    now: Micros,
+    log: Vec<Record>,
+}
+
+fn names() -> Names {
+    let named = |all: &[(&str, usize)]| all.iter().map(|(n, i)| ((*n).to_owned(), *i)).collect();
+    let classes = named(&[("safe", SAFE), ("unsafe", UNSAFE), ("zoned", ZONED)]);
+    Names { classes, zones: named(&[("a", 0), ("b", 1)]), ..Names::default() }
+}
+
+impl Table {
+    fn new(plain: &[u64]) -> Table {
+        let plain = plain.iter().map(|d| DestinationId(*d)).collect();
+        let mut desk = Desk::new(settings(), names(), plain, 5);
+        let list = vec![entry(1, 1, 0, 0), entry(2, 1, 0, 1)];
+        desk.list(ms(1000), Event::FullList(list));
+        Table { desk, now: ms(1000), log: Vec::new() }
+    }
+    fn take(&mut self, class: &str, left: u64) -> u64 {
+        let n = self.desk.number();
+        let deadline = self.now.after(ms(left));
+        let taken = Taken {
+            n,
+            id: format!("m{n}"),
+            class: class.into(),
+            destination: 1,
+            deadline,
+            ..Taken::default()
+        };
+        self.log.push(Record::Taken(taken.clone()));
+        self.desk.take(self.now, taken);
+        n
+    }
+    fn steps(&mut self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        self.desk.decide(self.now, true, &mut steps);
+        steps.retain(|s| !matches!(s, Step::Log(_)));
+        for s in &steps {
+            if let Step::End { n, end } = s {
+                self.log.push(Record::Given { n: *n, end: *end });
+            }
+        }
+        steps
+    }
+    /// Writes the call that the last steps ask for.
+    fn call(&mut self) -> (u64, u32, ReceiverId) {
+        let call = self.steps().into_iter().find_map(|s| match s {
+            Step::Call { n, attempt, to, .. } => Some((n, attempt, to)),
+            _ => None,
+        });
+        let call = call.expect("a call is asked for");
+        let zone = if call.2 == ReceiverId(1) { "a" } else { "b" };
+        self.log.extend(self.desk.attempt(call.0, "e", zone, self.now));
+        call
+    }
+    fn answer(&mut self, (n, attempt, to): (u64, u32, ReceiverId), verdict: Verdict) {
+        let elapsed = ms(100);
+        self.now = self.now.after(elapsed);
+        let a = Answered { n, attempt, to, verdict, elapsed, finished: false, limit: (None, None) };
+        self.log.extend(self.desk.answered(self.now, &a));
+    }
+    /// Another process, from what the log holds.
+    fn restart(&mut self, pause: u64, plain: &[u64]) -> usize {
+        let mut bytes = Vec::new();
+        self.log.iter().for_each(|r| r.write(&mut bytes));
+        let owed = recover(frames(&bytes).records);
+        let (now, log) = (self.now.after(ms(pause)), std::mem::take(&mut self.log));
+        *self = Table { now, log, ..Table::new(plain) };
+        let count = owed.len();
+        for o in owed.into_values() {
+            self.desk.resume(now, o);
+        }
+        count
+    }
+    fn ends(&mut self, span: u64) -> Vec<(u64, End)> {
+        let mut ends = Vec::new();
+        for _ in 0..span / 10 {
+            let steps = self.steps();
+            ends.extend(steps.iter().filter_map(|s| match s {
+                Step::End { n, end } => Some((*n, *end)),
+                _ => None,
+            }));
+            self.now = self.now.after(ms(10));
+        }
+        ends
+    }
+}
+
+#[test]
+fn a_delivery_ends_a_request_and_leaves_nothing_owed() {
+    let mut t = Table::new(&[]);
+    t.take("safe", 5000);
+    let call = t.call();
+    t.answer(call, Verdict::Delivered);
+    assert_eq!((t.desk.held(), t.desk.owed().count()), (0, 0));
+    assert_eq!(t.restart(100, &[]), 0);
+}
+
+#[test]
+fn an_unsafe_call_out_at_death_ends_by_failed_at_once() {
+    let mut t = Table::new(&[]);
+    let n = t.take("unsafe", 20_000);
+    t.call();
+    assert_eq!(t.restart(700, &[]), 1);
+    assert_eq!(t.steps(), [Step::End { n, end: End::Failed }]);
+}
+
+#[test]
+fn what_was_turned_away_before_death_may_go_again() {
+    let mut t = Table::new(&[]);
+    t.take("unsafe", 20_000);
+    let call = t.call();
+    t.answer(call, Verdict::Full(None));
+    t.restart(700, &[]);
+    assert_eq!(t.call().1, 1, "the attempt before counts");
+}
+
+#[test]
+fn a_keyed_call_out_at_death_goes_to_its_zone_within_its_window() {
+    let mut t = Table::new(&[]);
+    t.take("zoned", 20_000);
+    let first = t.call();
+    t.restart(700, &[]);
+    assert_eq!(t.call().2, first.2);
+    // And not at all once the window, counted from the first send, has passed.
+    let mut t = Table::new(&[]);
+    let n = t.take("zoned", 20_000);
+    t.call();
+    t.restart(5000, &[]);
+    assert_eq!(t.steps(), [Step::End { n, end: End::Failed }]);
+}
+
+#[test]
+fn a_destination_that_drops_no_repeats_gets_none_of_a_keyed_message() {
+    let mut t = Table::new(&[1]);
+    let n = t.take("zoned", 20_000);
+    let call = t.call();
+    t.answer(call, Verdict::Reset);
+    assert_eq!(t.ends(100), [(n, End::Failed)]);
+}
+
+#[test]
+fn an_end_that_was_given_is_only_told_after_a_restart() {
+    let mut t = Table::new(&[]);
+    let n = t.take("unsafe", 20_000);
+    let call = t.call();
+    t.answer(call, Verdict::Error);
+    assert_eq!(t.ends(10), [(n, End::Failed)]);
+    let mut bytes = Vec::new();
+    t.log.iter().for_each(|r| r.write(&mut bytes));
+    let owed = recover(frames(&bytes).records);
+    assert_eq!(owed[&n].given, Some(End::Failed));
+    t.restart(10, &[]);
+    assert_eq!((t.ends(3000), t.desk.held()), (vec![], 0), "it is not decided on again");
+    t.desk.over(n);
+    assert_eq!(t.desk.owed().count(), 0);
+}
+
+#[test]
+fn a_client_that_wants_a_receipt_is_told_of_the_delivery() {
+    let mut t = Table::new(&[]);
+    let n = t.take("safe", 5000);
+    let Some(Record::Taken(taken)) = t.log.first().cloned() else { panic!("it is in the log") };
+    t.desk.withdraw(t.now, n);
+    t.desk.take(t.now, Taken { receipt: true, n: n + 1, ..taken });
+    let call = (n + 1, 0, t.call().2);
+    t.answer(call, Verdict::Delivered);
+    assert_eq!(t.ends(10), [(n + 1, End::Delivered)]);
+}
+
+#[test]
+fn an_attempt_is_not_written_for_a_request_that_is_over() {
+    let mut t = Table::new(&[]);
+    let n = t.take("safe", 5000);
+    let steps = t.steps();
+    assert!(matches!(steps[0], Step::Call { .. }));
+    t.desk.withdraw(t.now, n);
+    assert_eq!(t.desk.attempt(n, "e", "a", t.now), None);
+}
+
+#[test]
+fn damage_costs_only_the_records_that_it_hits() {
+    let over = |n| Record::Over(n);
+    let mut bytes = Vec::new();
+    (1..=3).for_each(|n| over(n).write(&mut bytes));
+    let one = bytes.len() / 3;
+    for cut in 0..one {
+        let scan = frames(&bytes[..2 * one + cut]);
+        assert_eq!((scan.records, scan.damaged), (vec![over(1), over(2)], cut), "a torn tail");
+    }
+    for hit in 0..one {
+        let mut bad = bytes.clone();
+        bad[one + hit] ^= 0x55;
+        let scan = frames(&bad);
+        assert_eq!((scan.records, scan.damaged), (vec![over(1), over(3)], one), "a bad byte");
+    }
+    assert_eq!(frames(&[0xa7; 64]).damaged, 64);
+}
+
+#[test]
+fn a_new_log_says_what_the_old_one_said() {
+    let mut t = Table::new(&[]);
+    for (class, verdict) in
+        [("safe", Verdict::TimedOut), ("zoned", Verdict::Reset), ("unsafe", Verdict::Error)]
+    {
+        t.take(class, 20_000);
+        let call = t.call();
+        t.answer(call, verdict);
+    }
+    t.ends(10);
+    t.take("unsafe", 20_000);
+    t.now = t.now.after(ms(3000));
+    t.call();
+    let read = |records: &[Record]| {
+        let mut bytes = Vec::new();
+        records.iter().for_each(|r| r.write(&mut bytes));
+        recover(frames(&bytes).records)
+    };
+    let compact: Vec<Record> = t.desk.owed().flat_map(Owed::records).collect();
+    assert_eq!(read(&t.log), read(&compact));
+    assert_eq!(t.desk.owed().count(), 4);
+}
