--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -367,12 +367,10 @@
             started: now,
             patience,
         };
+        let answered = call.answered(now, Verdict::Moot);
         if peer.mailbox.try_send(ToEndpoint::Call(call)).is_err() {
             // Its mailbox is full: the module is owed an outcome all the same.
-            let elapsed = Micros(0);
-            let limit = (None, None);
-            let verdict = Verdict::Moot;
-            self.answered(now, &Answered { n, attempt, to, verdict, elapsed, finished: false, limit });
+            self.answered(now, &answered);
         }
     }
 
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -93,13 +93,9 @@
     let (verdict, answer, conn) = attempt(&shared, address, &call, conn).await;
     let load = answer.as_ref().and_then(|a| a.load.as_deref()).map(report).unwrap_or_default();
     let answered = Answered {
-        n: call.n,
-        attempt: call.attempt,
-        to: call.to,
-        verdict,
-        elapsed: shared.clock.now().since(call.started),
         finished: answer.as_ref().is_some_and(|a| a.status == 410),
         limit: load,
+        ..call.answered(shared.clock.now(), verdict)
     };
     if matches!(verdict, Verdict::TimedOut | Verdict::Reset) {
         let _ = give_back.try_send(Back::Suspect);
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -217,6 +217,11 @@
         let reason = match status {
             200 => "OK",
             202 => "Accepted",
+            404 => "Not Found",
+            408 => "Request Timeout",
+            411 => "Length Required",
+            413 => "Content Too Large",
+            431 => "Request Header Fields Too Large",
             503 => "Service Unavailable",
             _ => "Bad Request",
         };
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -9,7 +9,8 @@
 use crate::module::ToModule;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use onyxrock::interface::{Micros, ReceiverId};
+use onyxrock::core::Answered;
+use onyxrock::interface::{Micros, ReceiverId, Verdict};
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -62,6 +63,18 @@
     pub fn until(&self) -> Micros {
         self.started.after(self.patience)
     }
+    /// Its end, at `now`.
+    pub fn answered(&self, now: Micros, verdict: Verdict) -> Answered {
+        Answered {
+            n: self.n,
+            attempt: self.attempt,
+            to: self.to,
+            verdict,
+            elapsed: now.since(self.started),
+            finished: false,
+            limit: (None, None),
+        }
+    }
 }
 
 /// The mailbox of an endpoint.
--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -7,7 +7,6 @@
 use async_channel::{Receiver, Sender, bounded};
 use async_io::Async;
 use futures_lite::future;
-use onyxrock::core::Answered;
 use onyxrock::interface::{Micros, Verdict};
 use onyxrock_config::smpp::Gateway;
 use rusmpp::pdus::{BindTransceiver, DeliverSmResp, SubmitSm};
@@ -66,15 +65,7 @@
 }
 
 async fn end(shared: &Shared, call: &OutboundCall, verdict: Verdict) {
-    let answered = Answered {
-        n: call.n,
-        attempt: call.attempt,
-        to: call.to,
-        verdict,
-        elapsed: shared.clock.now().since(call.started),
-        finished: false,
-        limit: (None, None),
-    };
+    let answered = call.answered(shared.clock.now(), verdict);
     let _ = shared.module.send(ToModule::Answered(answered)).await;
 }
 
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -16,6 +16,7 @@
 const BATCH: usize = 64;
 const PATIENCE: Micros = Micros(400_000);
 const PAUSE: Duration = Duration::from_millis(50);
+const PAUSE_MOST: Duration = Duration::from_millis(400);
 
 pub async fn run(shared: Rc<Shared>, to: SocketAddr, endings: Receiver<Ending>) {
     let mut conn = None;
@@ -46,6 +47,7 @@
     let body: String = batch.iter().map(|e| line(e) + "\n").collect();
     let head = format!("POST /v1/outcomes HTTP/1.1\r\nHost: {to}\r\nContent-Length: {}\r\n\r\n", body.len());
     let bytes = head + &body;
+    let mut pause = PAUSE;
     loop {
         let by = shared.clock.now().after(PATIENCE);
         match shared.clock.before(by, post(to, conn, &bytes)).await {
@@ -57,7 +59,8 @@
             _ => *conn = None,
         }
         shared.counters.notices_retried.up();
-        Timer::after(PAUSE).await;
+        Timer::after(pause).await;
+        pause = (pause * 2).min(PAUSE_MOST);
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,7 @@
 //! Every decision, table and tuned value of onyxrock. Settings, events, actions: `src/interface.rs`.
 //!
 //! Each destination (each route where routes are apart) has a `Pace`: Detect its refusals, Update, Restrict.
-//! Departures: health of receivers, the cold ramp, worth order, giving up. `docs/design.md` explains them.
+//! Departures: health of receivers, the cold ramp, worth order, giving up. README.md says where they stand.
 
 use crate::interface::*;
 use crate::state::*;
