--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -397,3 +397,93 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::clock::Clock;
+    use async_channel::bounded;
+    use onyxrock::interface::{ClassSettings, Effect, KindSettings, Settings};
+    use onyxrock_config::list::Listed;
+    use std::cell::Cell;
+
+    fn module(folder: &std::path::Path) -> Module {
+        let (module, _) = bounded(8);
+        let (_, closed) = bounded(1);
+        let (crowd, make_room) = bounded(1);
+        let shared = Rc::new(Shared {
+            clock: Clock::default(),
+            counters: Default::default(),
+            module,
+            ending: closed.clone(),
+            closing: closed,
+            serials: Cell::new(0),
+            crowd,
+            make_room,
+            stopping: Cell::new(false),
+            connect_timeout: Micros(1_000_000),
+            idle_for: None,
+            inbound_most: 10,
+            outbound_most: 10,
+            executor: Rc::new(async_executor::LocalExecutor::new()),
+        });
+        let class =
+            ClassSettings { give_up: Micros(9_000_000), effect: Effect::Unsafe, ..Default::default() };
+        let settings = Settings {
+            classes: vec![class],
+            kinds: vec![KindSettings { apart: false, batch: 1 }],
+            slots: 4,
+            max_held: 9,
+            max_attempts: 3,
+            ..Settings::default()
+        };
+        let classes = [("a".to_owned(), 0)].into_iter().collect();
+        let names = onyxrock::core::Names { classes, ..Default::default() };
+        let desk = Desk::new(settings, names, Default::default(), 1);
+        let wal = Wal::open(folder, 1_000_000).unwrap().0;
+        Module::new(shared, desk, wal, bounded(1).0, BTreeMap::new(), 4)
+    }
+
+    fn list(listing: Listing) -> List {
+        let entry = Entry {
+            receiver: ReceiverId(0),
+            listing,
+            destination: DestinationId(1),
+            kind: KindId(0),
+            zone: ZoneId(0),
+            weight: 9.0,
+        };
+        let address = "127.0.0.1:1".parse().unwrap();
+        let listed = Listed { name: "e".into(), address, zone: "z".into(), entry };
+        List { generation: 1, whole: false, entries: vec![listed] }
+    }
+
+    /// A call may wait for its connection for longer than a drain leaves time to send.
+    #[test]
+    fn a_queued_call_is_not_written_once_its_endpoint_drains() {
+        let folder = std::env::temp_dir().join(format!("onyxrock-module-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut m = module(&folder);
+        let now = m.shared.clock.now();
+        m.list(now, list(Listing::Ready));
+        let taken = Taken {
+            n: 1,
+            class: "a".into(),
+            destination: 1,
+            deadline: now.after(Micros(5_000_000)),
+            ..Taken::default()
+        };
+        m.desk.take(now, taken);
+        let mut steps = Vec::new();
+        m.desk.decide(now, true, &mut steps);
+        assert!(matches!(steps[0], Step::Call { n: 1, .. }));
+        m.list(now, list(Listing::Draining));
+        let to = ReceiverId(1);
+        assert!(!m.writing(now.after(Micros(900_000)), 1, to), "too late");
+        assert!(m.writing(now.after(Micros(400_000)), 1, to), "there is time");
+        assert!(!m.writing(now.after(Micros(400_000)), 1, to), "one attempt is out already");
+        m.hold = true;
+        assert!(!m.writing(now, 1, to), "the process ends");
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
