Gateways are unbound at the end; scenarios for owed notices, SIGTERM with work held, HTTP to SMPP

Seen: a gateway's session ended with the process, without unbind; gateway.rs now leaves when the process closes. Checked in smpp_end_to_end, which waited in vain for the unbind before. The other scenarios passed at once; they pin what was only claimed: an end that was logged and could not be told is told after a restart, what is held at SIGTERM is owed after it.

--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -114,6 +114,7 @@
     Letter(Option<ToEndpoint>),
     Pdu(Option<Read>),
     Time,
+    Closing,
 }
 
 struct Session<'a> {
@@ -149,7 +150,11 @@
                     clock.until(Some(due)).await;
                     Event::Time
                 };
-                future::or(future::or(pdu, letter), time).await
+                let closing = async {
+                    let _ = self.shared.closing.recv().await;
+                    Event::Closing
+                };
+                future::or(future::or(pdu, letter), future::or(time, closing)).await
             };
             sound = match event {
                 Event::Letter(Some(ToEndpoint::Call(call))) => {
@@ -175,6 +180,7 @@
                     self.say(CommandStatus::EsmeRinvcmdlen, 0, Pdu::GenericNack).await;
                     false
                 }
+                Event::Closing => break,
                 Event::Time => self.on_time(clock.now(), silence).await,
             };
         }
--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -74,6 +74,10 @@
     serve(move |mut stream| {
         let mut from = BufReader::new(stream.try_clone().unwrap());
         while let Some((first, _, body)) = message(&mut from) {
+            if listing.lock().unwrap().mute {
+                let _ = write(&mut stream, b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
             if first.starts_with("POST /v1/outcomes ") {
                 for line in String::from_utf8_lossy(&body).lines() {
                     let v: Value = serde_json::from_str(line).unwrap();
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -92,6 +92,8 @@
 pub struct Listing {
     entries: Vec<Entry>,
     pub generation: u64,
+    /// The platform answers no notice and no question about the list.
+    pub mute: bool,
 }
 
 impl Listing {
@@ -221,6 +223,10 @@
                 std::thread::sleep(Duration::from_millis(ms.parse().map_err(|_| "wait how long?")?));
                 Ok(())
             }
+            ["send", "platform", what @ ("mute" | "speak")] => {
+                self.listing.lock().unwrap().mute = *what == "mute";
+                Ok(())
+            }
             ["send", "daemon", signal] => self.daemon(signal),
             ["expect", "daemon", "exit", code] => {
                 let status = self.child.as_mut().ok_or("no daemon")?.wait().map_err(|e| e.to_string())?;
