A connection that has not spoken yet is not closed to make room

At fault: inbound.rs offered every connection without bytes for closing, the newest too. Now one has two seconds for its first request.

--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -22,6 +22,8 @@
 const MARGIN: Micros = Micros(100_000);
 /// When to come back to a forwarder that holds as much as it may.
 const FULL_WAIT: Micros = Micros(1_000_000);
+/// A connection that has not said anything yet may have its request on the way.
+const FIRST: Micros = Micros(2_000_000);
 /// With so large a part of the room for connections taken, one that falls idle is closed.
 const CROWDED: f64 = 0.8;
 /// Beyond the room there is still enough to say no; but descriptors for the endpoints must be left.
@@ -83,6 +85,8 @@
     shared: &'a Shared,
     stream: Async<TcpStream>,
     buffer: Buffer,
+    /// When it may be closed for others: not before its first request has had time to come.
+    spare_from: Micros,
 }
 
 enum Next {
@@ -94,7 +98,8 @@
 impl<'a> Inbound<'a> {
     fn new(shared: &'a Shared, stream: Async<TcpStream>) -> Inbound<'a> {
         let _ = stream.get_ref().set_nodelay(true);
-        Inbound { shared, stream, buffer: Buffer::new(HEAD_MOST + BODY_MOST) }
+        let spare_from = shared.clock.now().after(FIRST);
+        Inbound { shared, stream, buffer: Buffer::new(HEAD_MOST + BODY_MOST), spare_from }
     }
 
     async fn run(mut self) {
@@ -148,6 +153,7 @@
                     Ok(Some((body_at, end, f))) => {
                         let bytes = self.buffer.data()[..end].to_vec();
                         self.buffer.consume(end);
+                        self.spare_from = at;
                         return Next::Request(bytes, body_at, f, at);
                     }
                     Ok(None) => {}
@@ -161,7 +167,11 @@
                     Some(at) => shared.clock.until(Some(at.after(WHOLE))).await,
                     None => {
                         let ending = async { shared.ending.recv().await.unwrap_or_default() };
-                        let crowded = async { shared.make_room.recv().await.unwrap_or_default() };
+                        let spare_from = self.spare_from;
+                        let crowded = async {
+                            shared.clock.until(Some(spare_from)).await;
+                            shared.make_room.recv().await.unwrap_or_default();
+                        };
                         future::or(ending, crowded).await;
                     }
                 }
