A receipt that is never acknowledged is given up a minute past its time

Seen on reading: receipts.rs kept what a bound session never acknowledged for as long as that session lived, and its record with it. Not tested: it would take more than a minute of real time.

--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -110,9 +110,10 @@
             let event = {
                 let pdu = async { Event::Pdu(next(&mut self.buffer, &mut self.stream).await) };
                 let receipt = async {
-                    match receipts.recv().await {
-                        Ok(e) if room => Event::Receipt(e),
-                        _ => future::pending().await,
+                    match room {
+                        // This session holds a sender itself, so the mailbox stays open.
+                        true => receipts.recv().await.map_or(Event::Closing, Event::Receipt),
+                        false => future::pending().await,
                     }
                 };
                 let quiet = async {
@@ -123,11 +124,7 @@
                     let _ = self.front.shared.closing.recv().await;
                     Event::Closing
                 };
-                if room {
-                    future::or(future::or(pdu, receipt), future::or(quiet, closing)).await
-                } else {
-                    future::or(pdu, future::or(quiet, closing)).await
-                }
+                future::or(future::or(pdu, receipt), future::or(quiet, closing)).await
             };
             let sound = match event {
                 Event::Pdu(None) => false,
--- a/daemon/src/net/smpp/receipts.rs
+++ b/daemon/src/net/smpp/receipts.rs
@@ -15,7 +15,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// A receipt whose client does not bind is kept so long after the message's time is up.
+/// A receipt whose client does not bind, or does not acknowledge it, is kept so long after the message's time is up.
 const KEEP: Micros = Micros(60_000_000);
 const LOOK_AGAIN: Micros = Micros(250_000);
 
@@ -73,10 +73,11 @@
             *held = fits.into_iter().find(|(_, s)| s.mailbox.try_send(e.clone()).is_ok()).map(|(id, _)| *id);
         }
         let now = shared.clock.now();
-        let stale = |p: &(Ending, Option<u64>)| p.1.is_none() && now > p.0.deadline.after(KEEP);
+        // Also where a session has it and never acknowledges it: nothing else would let go of it.
+        let stale = |p: &(Ending, Option<u64>)| now > p.0.deadline.after(KEEP);
         let gone: Vec<_> = pending.iter().filter(|(_, p)| stale(p)).map(|(n, _)| *n).collect();
         for n in gone {
-            eprintln!("smpp: the receipt of {} found no session and is given up", pending[&n].0.id);
+            eprintln!("smpp: the receipt of {} was not acknowledged and is given up", pending[&n].0.id);
             pending.remove(&n);
             shared.counters.smpp_receipts_lost.up();
             let _ = shared.module.send(ToModule::Told(n)).await;
