An endpoint that goes gets its idle connections closed; an unknown one gets no actor

Seen on reading module.rs: a change that names an endpoint as gone started an actor for it if it was never here, and idle connections to one that went stayed until they were too old.

--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -287,6 +287,10 @@
             }
         }
         for listed in list.entries {
+            // Word that an endpoint is gone which was never here needs no actor.
+            if listed.entry.listing == Listing::Gone && !self.numbers.contains_key(&listed.name) {
+                continue;
+            }
             let next = ReceiverId(self.numbers.len() as u64 + 1);
             let to = *self.numbers.entry(listed.name.clone()).or_insert(next);
             let mut entry = listed.entry;
@@ -304,7 +308,11 @@
             }
             match entry.listing {
                 Listing::Ready => peer.drains = None,
-                Listing::Draining | Listing::Gone => drop(peer.drains.get_or_insert(now)),
+                Listing::Draining => drop(peer.drains.get_or_insert(now)),
+                Listing::Gone => {
+                    peer.drains.get_or_insert(now);
+                    let _ = peer.mailbox.try_send(ToEndpoint::CloseIdle);
+                }
             }
             entries.push(entry);
         }
@@ -458,6 +466,20 @@
         List { generation: 1, whole: false, entries: vec![listed] }
     }
 
+    #[test]
+    fn an_endpoint_that_was_never_here_may_be_gone() {
+        let folder = std::env::temp_dir().join(format!("onyxrock-gone-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut m = module(&folder);
+        let now = m.shared.clock.now();
+        m.list(now, list(Listing::Gone));
+        assert!(m.peers.is_empty());
+        m.list(now, list(Listing::Ready));
+        m.list(now, list(Listing::Gone));
+        assert_eq!(m.peers.values().map(|p| p.drains).collect::<Vec<_>>(), [Some(now)]);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
     /// A call may wait for its connection for longer than a drain leaves time to send.
     #[test]
     fn a_queued_call_is_not_written_once_its_endpoint_drains() {
