--- a/config/src/daemon.rs
+++ b/config/src/daemon.rs
@@ -23,7 +23,22 @@
     pub known: Option<list::List>,
 }
 
-/// Reads the file; `var` gives the platform's variables, which stand above it.
+impl Config {
+    /// What another reading of the file says otherwise and only a new start can take over.
+    pub fn differs(&self, new: &Config) -> Vec<&'static str> {
+        let limits = |c: &Config| (c.sockets, c.disk_bytes);
+        let all = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits", limits(self) != limits(new)),
+            ("settings", self.settings != new.settings || self.connect_timeout != new.connect_timeout),
+        ];
+        all.into_iter().filter(|d| d.1).map(|d| d.0).collect()
+    }
+}
+
+/// Reads the file; `var` gives the platform's variables, which stand above it. Only discovery's address stands in
+/// the file first: the file may be replaced while the variables stay.
 pub fn read(path: &Path, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let shown = path.display();
     let text = std::fs::read(path).map_err(|e| format!("cannot read {shown}: {e}"))?;
@@ -33,8 +48,7 @@
             .or_else(|| v.get(key).and_then(Value::as_str).map(str::to_owned))
             .ok_or_else(|| format!("{shown}: no \"{key}\" and no ${name}"))
     };
-    let address = |name: &str, key: &str| {
-        let t = text(name, key)?;
+    let parse = |key: &str, t: String| -> Result<SocketAddr, String> {
         t.parse().map_err(|_| format!("{key} is not an address with a port: \"{t}\""))
     };
     let setup = v.get("settings").ok_or_else(|| format!("{shown}: no \"settings\""))?;
@@ -55,8 +69,11 @@
     };
     Ok(Config {
         name: text("GW_NAME", "name")?,
-        listen: address("GW_LISTEN", "listen")?,
-        discovery: address("GW_DISCOVERY", "discovery")?,
+        listen: parse("listen", text("GW_LISTEN", "listen")?)?,
+        discovery: match v.get("discovery").and_then(Value::as_str) {
+            Some(t) => parse("discovery", t.to_owned())?,
+            None => parse("discovery", text("GW_DISCOVERY", "discovery")?)?,
+        },
         state: PathBuf::from(var("GW_STATE").ok_or("no $GW_STATE, the folder that lasts")?),
         seed: seed.unwrap_or(0),
         sockets: limit("/limits/sockets", 1024.0) as usize,
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -8,6 +8,7 @@
 use crate::net::http::client::Conn;
 use async_channel::Receiver;
 use async_io::Timer;
+use futures_lite::future;
 use onyxrock::core::Names;
 use onyxrock::interface::Micros;
 use onyxrock_config::list::{self, List};
@@ -22,25 +23,50 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 pub struct Discovery {
-    pub address: SocketAddr,
     pub names: Names,
-    /// The version that is held; none before the first list. Versions begin at 0, which is not the same.
+    /// The version that is held; none before the first list. Versions begin at 0, which is not the same. The list
+    /// that a start finds in the file may have been told by another discovery: its version means nothing here.
     pub generation: Option<u64>,
     /// How long a call may wait for news. Shorter than discovery would allow: on a connection that has gone
     /// silent nothing else tells that news is missed.
     pub wait: Micros,
 }
 
-/// Each letter is the module's wish to follow the list.
-pub async fn run(shared: Rc<Shared>, mut discovery: Discovery, wishes: Receiver<()>) {
+enum Heard {
+    Answer(Result<List, String>),
+    /// There is another discovery now.
+    Moved,
+}
+
+/// Each wish is the module's, to follow the list. Where discovery has moved it is followed there at once.
+pub async fn run(shared: Rc<Shared>, mut discovery: Discovery, wishes: Receiver<()>, moves: Receiver<()>) {
     let mut conn = None;
-    while wishes.recv().await.is_ok() {
+    loop {
+        let wish = async { wishes.recv().await.is_ok() };
+        let moved = async { moves.recv().await.is_ok() };
+        if !future::or(moved, wish).await {
+            return;
+        }
         loop {
             let asked = shared.clock.now();
             let by = asked.after(discovery.wait).after(GRACE);
-            let answer = shared.clock.before(by, ask(&discovery, &mut conn)).await;
-            match answer.unwrap_or_else(|| Err("no answer in time".into())) {
-                Ok(list) => {
+            let address = shared.discovery.get();
+            let heard = async {
+                let answer = shared.clock.before(by, ask(&discovery, address, &mut conn)).await;
+                Heard::Answer(answer.unwrap_or_else(|| Err("no answer in time".into())))
+            };
+            let moved = async {
+                match moves.recv().await {
+                    Ok(()) => Heard::Moved,
+                    Err(_) => future::pending().await,
+                }
+            };
+            match future::or(moved, heard).await {
+                Heard::Moved => {
+                    // Versions of the old one mean nothing to the new one.
+                    (conn, discovery.generation) = (None, None);
+                }
+                Heard::Answer(Ok(list)) => {
                     shared.counters.list_answers.up();
                     let quick = shared.clock.now().since(asked) < Micros(20_000);
                     discovery.generation = Some(list.generation);
@@ -52,7 +78,7 @@
                         Timer::after(PAUSE).await;
                     }
                 }
-                Err(why) => {
+                Heard::Answer(Err(why)) => {
                     shared.counters.list_failures.up();
                     eprintln!("list: {why}");
                     conn = None;
@@ -66,17 +92,17 @@
     }
 }
 
-async fn ask(d: &Discovery, kept: &mut Option<Conn>) -> Result<List, String> {
+async fn ask(d: &Discovery, address: SocketAddr, kept: &mut Option<Conn>) -> Result<List, String> {
     let fail = |e: std::io::Error| e.to_string();
     let mut conn = match kept.take().filter(|c| !c.stale()) {
         Some(conn) => conn,
-        None => Conn::open(d.address, LIST_MOST).await.map_err(fail)?,
+        None => Conn::open(address, LIST_MOST).await.map_err(fail)?,
     };
     let query = match d.generation {
         None => String::new(),
         Some(g) => format!("?since={g}&timeout_ms={}", d.wait.0 / 1000),
     };
-    let request = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {}\r\n\r\n", d.address);
+    let request = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     conn.write(request.as_bytes()).await.map_err(fail)?;
     let answer = conn.head().await.map_err(fail)?;
     let (body, again) = conn.body(&answer).await.map_err(fail)?;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -47,7 +47,10 @@
         Ok::<_, String>((config, smpp, dns))
     };
     match line.command.as_str() {
-        "serve" => read().and_then(|(config, smpp, dns)| onyxrock_daemon::serve::run(config, smpp, dns)),
+        "serve" => {
+            let (config, smpp, dns) = read()?;
+            onyxrock_daemon::serve::run(config, smpp, dns, &|| Ok(read()?.0))
+        }
         "check" => {
             let (c, smpp, dns) = read()?;
             let (classes, known) =
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -429,6 +429,7 @@
             crowd,
             make_room,
             stopping: Cell::new(false),
+            discovery: Cell::new("127.0.0.1:1".parse().unwrap()),
             connect_timeout: Micros(1_000_000),
             idle_for: None,
             inbound_most: 10,
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -28,6 +28,8 @@
     pub crowd: Sender<()>,
     pub make_room: Receiver<()>,
     pub stopping: Cell<bool>,
+    /// Where the list comes from and ends are told; the file that names it may be replaced.
+    pub discovery: Cell<std::net::SocketAddr>,
     pub connect_timeout: Micros,
     /// When an idle connection is let go; none where the platform names no limit.
     pub idle_for: Option<Micros>,
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -6,6 +6,7 @@
 use crate::net::http::client::Conn;
 use async_channel::Receiver;
 use async_io::Timer;
+use futures_lite::future;
 use onyxrock::core::End;
 use onyxrock::interface::Micros;
 use serde_json::json;
@@ -18,8 +19,9 @@
 const PAUSE: Duration = Duration::from_millis(50);
 const PAUSE_MOST: Duration = Duration::from_millis(400);
 
-pub async fn run(shared: Rc<Shared>, to: SocketAddr, endings: Receiver<Ending>) {
-    let mut conn = None;
+/// Each move is word that they go elsewhere from now on, those too that are out and not acknowledged.
+pub async fn run(shared: Rc<Shared>, endings: Receiver<Ending>, moves: Receiver<()>) {
+    let mut line = Line { shared: &shared, conn: None, moves };
     while let Ok(first) = endings.recv().await {
         let mut batch = vec![first];
         while batch.len() < BATCH
@@ -28,9 +30,9 @@
             batch.push(next);
         }
         // One that the platform cannot read must not hold up the others: then each goes alone.
-        if tell(&shared, to, &mut conn, &batch).await == 400 && batch.len() > 1 {
+        if line.tell(&batch).await == 400 && batch.len() > 1 {
             for one in &batch {
-                tell(&shared, to, &mut conn, std::slice::from_ref(one)).await;
+                line.tell(std::slice::from_ref(one)).await;
             }
         }
         for ending in batch {
@@ -42,25 +44,58 @@
     }
 }
 
-/// Sends until there is an answer; its status.
-async fn tell(shared: &Shared, to: SocketAddr, conn: &mut Option<Conn>, batch: &[Ending]) -> u16 {
-    let body: String = batch.iter().map(|e| line(e) + "\n").collect();
-    let head = format!("POST /v1/outcomes HTTP/1.1\r\nHost: {to}\r\nContent-Length: {}\r\n\r\n", body.len());
-    let bytes = head + &body;
-    let mut pause = PAUSE;
-    loop {
-        let by = shared.clock.now().after(PATIENCE);
-        match shared.clock.before(by, post(to, conn, &bytes)).await {
-            Some(Ok(status @ (204 | 200))) => return status,
-            Some(Ok(400)) => {
-                eprintln!("notices: the platform cannot read {body}");
-                return 400;
+/// The way to the platform.
+struct Line<'a> {
+    shared: &'a Shared,
+    conn: Option<Conn>,
+    moves: Receiver<()>,
+}
+
+impl Line<'_> {
+    /// Sends until there is an answer; its status.
+    async fn tell(&mut self, batch: &[Ending]) -> u16 {
+        let body: String = batch.iter().map(|e| line(e) + "\n").collect();
+        let mut pause = PAUSE;
+        loop {
+            let (clock, to) = (self.shared.clock, self.shared.discovery.get());
+            let n = body.len();
+            let bytes =
+                format!("POST /v1/outcomes HTTP/1.1\r\nHost: {to}\r\nContent-Length: {n}\r\n\r\n{body}");
+            let by = clock.now().after(PATIENCE);
+            let posted = clock.before(by, post(to, &mut self.conn, &bytes));
+            // Only what has gone wrong waits: who has moved hears of it at once.
+            let moves = async {
+                moved(&self.moves).await;
+                Err(())
+            };
+            match future::or(async { Ok(posted.await) }, moves).await {
+                Ok(Some(Ok(status @ (204 | 200)))) => return status,
+                Ok(Some(Ok(400))) => {
+                    eprintln!("notices: the platform cannot read {body}");
+                    return 400;
+                }
+                Ok(_) => {
+                    self.conn = None;
+                    self.shared.counters.notices_retried.up();
+                    let wait = async {
+                        Timer::after(pause).await;
+                        (pause * 2).min(PAUSE_MOST)
+                    };
+                    let moved = async {
+                        moved(&self.moves).await;
+                        PAUSE
+                    };
+                    pause = future::or(wait, moved).await;
+                }
+                Err(()) => (self.conn, pause) = (None, PAUSE),
             }
-            _ => *conn = None,
         }
-        shared.counters.notices_retried.up();
-        Timer::after(pause).await;
-        pause = (pause * 2).min(PAUSE_MOST);
+    }
+}
+
+async fn moved(moves: &Receiver<()>) {
+    if moves.recv().await.is_err() {
+        future::pending().await
     }
 }
 
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -31,18 +31,23 @@
 const SEND_FOR: Duration = Duration::from_millis(1200);
 const END_BY: Duration = Duration::from_millis(3300);
 
+type Reread<'a> = &'a dyn Fn() -> Result<Config, String>;
+
 /// Runs a forwarder until it is told to end.
-pub fn run(config: Config, smpp: Option<Smpp>, dns: Option<Dns>) -> Result<(), String> {
+/// `reread` reads the configuration anew when SIGHUP comes.
+pub fn run(config: Config, smpp: Option<Smpp>, dns: Option<Dns>, reread: Reread) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
-    let served = serve(config, smpp, dns, executor.clone());
+    let served = serve(config, smpp, dns, reread, executor.clone());
     async_io::block_on(executor.run(served))
 }
 
 async fn serve(
-    config: Config, smpp: Option<Smpp>, dns: Option<Dns>, executor: Rc<LocalExecutor<'static>>,
+    config: Config, smpp: Option<Smpp>, dns: Option<Dns>, reread: Reread<'_>,
+    executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), String> {
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("cannot wait for signals: {e}"))?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .map_err(|e| format!("cannot wait for signals: {e}"))?;
+    let started = config.clone();
     // The kept zone, old and new, shares the folder with the log.
     let zones = if dns.is_some() { 2 * dns::KEPT_MOST as u64 } else { 0 };
     let (wal, scan) = Wal::open(&config.state, config.disk_bytes.saturating_sub(zones))
@@ -65,6 +70,7 @@
         make_room,
         serials: Cell::new(0),
         stopping: Cell::new(false),
+        discovery: Cell::new(config.discovery),
         connect_timeout: config.connect_timeout,
         idle_for: (idle > Micros(0)).then_some(Micros(idle.0 * 4 / 5)),
         inbound_most: (config.sockets / 2).max(8) as u64,
@@ -72,6 +78,8 @@
         executor: executor.clone(),
     });
     let (follow, wishes) = bounded(4);
+    let (move_list, list_moves) = bounded(1);
+    let (move_notices, notice_moves) = bounded(1);
     let (notice, endings) = bounded(1024);
     let (receipt, smpp_endings) = bounded(1024);
     let fronts = BTreeMap::from([(inbound::FRONT, notice), (smpp::FRONT, receipt)]);
@@ -84,7 +92,6 @@
     let plain = gateways.iter().map(|g| DestinationId(g.destination)).collect();
     let desk = Desk::new(config.settings, config.names.clone(), plain, config.seed);
     let mut module = Module::new(shared.clone(), desk, wal, follow, fronts, slots);
-    let generation = config.known.as_ref().map(|k| k.generation);
     gateways.into_iter().for_each(|g| module.gateway(g));
     // A zone of our own is later than what discovery last told.
     let zone = dns.map(|d| dns::Dns::open(&d.zone, &d.origin, d.listen, config.state, config.names.clone()));
@@ -99,9 +106,8 @@
     }
     let wait = if ask_every > Micros(0) { Micros(ask_every.0 / 2) } else { Micros(5_000_000) };
     let discovery = Discovery {
-        address: config.discovery,
         names: config.names,
-        generation,
+        generation: None,
         wait: wait.clamp(Micros(1_000_000), Micros(20_000_000)),
     };
     if let Some(dns) = zone {
@@ -109,9 +115,9 @@
         eprintln!("{} listens on {at} for DNS", config.name);
         executor.spawn(dns::run(shared.clone(), dns, wishes)).detach();
     } else {
-        executor.spawn(list::run(shared.clone(), discovery, wishes)).detach();
+        executor.spawn(list::run(shared.clone(), discovery, wishes, list_moves)).detach();
     }
-    executor.spawn(notices::run(shared.clone(), config.discovery, endings)).detach();
+    executor.spawn(notices::run(shared.clone(), endings, notice_moves)).detach();
     executor.spawn(module.run(module_inbox)).detach();
 
     let listener = Async::<TcpListener>::bind(config.listen)
@@ -132,7 +138,12 @@
     }
     eprintln!("{} listens on {at}", config.name);
 
-    let _ = signals.next().await;
+    while let Some(Ok(Signal::Hup)) = signals.next().await {
+        if reload(&shared, &started, reread) {
+            let _ = move_list.try_send(());
+            let _ = move_notices.try_send(());
+        }
+    }
     let told = Instant::now();
     shared.stopping.set(true);
     Timer::after(ACCEPT_FOR).await;
@@ -152,3 +163,24 @@
     eprintln!("counters {}", shared.counters.json());
     Ok(())
 }
+
+/// Reads the file again. True if discovery has moved. What cannot be read changes nothing.
+fn reload(shared: &Shared, started: &Config, reread: Reread) -> bool {
+    let new = match reread() {
+        Ok(new) => new,
+        Err(e) => {
+            shared.counters.reloads_refused.up();
+            eprintln!("reload: {e}; the old settings stay");
+            return false;
+        }
+    };
+    shared.counters.reloads.up();
+    let late = started.differs(&new);
+    if !late.is_empty() {
+        eprintln!("reload: {} will hold from the next start on", late.join(", "));
+    }
+    // The same address may be another discovery, too.
+    shared.discovery.set(new.discovery);
+    eprintln!("reload: discovery is at {}", new.discovery);
+    true
+}
--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -73,7 +73,11 @@
 pub fn platform(post: Post, listing: Arc<Mutex<Listing>>) -> SocketAddr {
     serve(move |mut stream| {
         let mut from = BufReader::new(stream.try_clone().unwrap());
+        let here = stream.local_addr().ok();
         while let Some((first, _, body)) = message(&mut from) {
+            if listing.lock().unwrap().at != here {
+                return;
+            }
             if listing.lock().unwrap().mute {
                 let _ = write(&mut stream, b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
                 continue;
@@ -93,7 +97,10 @@
             };
             let (since, ms) = (number("since="), number("timeout_ms=").unwrap_or(0));
             let mut waited = 0;
-            while since.is_some_and(|s| s >= listing.lock().unwrap().generation) && waited < ms {
+            while since.is_some_and(|s| s >= listing.lock().unwrap().generation)
+                && waited < ms
+                && listing.lock().unwrap().at == here
+            {
                 std::thread::sleep(Duration::from_millis(10));
                 waited += 10;
             }
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -94,6 +94,8 @@
     pub generation: u64,
     /// The platform answers no notice and no question about the list.
     pub mute: bool,
+    /// Where the platform is; the stand-in at another address closes all it has.
+    pub at: Option<SocketAddr>,
 }
 
 impl Listing {
@@ -133,6 +135,7 @@
         let (mut platform, post) = inbox();
         let listing = Arc::new(Mutex::new(Listing::default()));
         platform.address = Some(http::platform(post, listing.clone()));
+        listing.lock().unwrap().at = platform.address;
         let limits = json!({"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3});
         let (child, http, smpp, seen, dns, dns_at) = Default::default();
         let who = BTreeMap::from([("platform".to_owned(), platform)]);
@@ -227,6 +230,21 @@
                 self.listing.lock().unwrap().mute = *what == "mute";
                 Ok(())
             }
+            // Another platform takes its place: its address, and its count of versions, are new.
+            ["send", "platform", "move"] => {
+                let (mut platform, post) = inbox();
+                platform.address = Some(http::platform(post, self.listing.clone()));
+                let mut l = self.listing.lock().unwrap();
+                (l.at, l.generation) = (platform.address, 0);
+                drop(l);
+                self.who.insert("platform".to_owned(), platform);
+                self.configure();
+                Ok(())
+            }
+            ["given", "file", "broken"] => {
+                std::fs::write(self.folder.join("config.json"), "{\"name\": ").map_err(|e| e.to_string())
+            }
+            ["expect", "log", words @ ..] => self.logged(&words.join(" ")),
             ["send", "daemon", signal] => self.daemon(signal),
             ["expect", "daemon", "exit", code] => {
                 let status = self.child.as_mut().ok_or("no daemon")?.wait().map_err(|e| e.to_string())?;
@@ -297,6 +315,17 @@
         }
     }
 
+    fn logged(&self, words: &str) -> Done {
+        let until = std::time::Instant::now() + BOUND;
+        while !self.log().contains(words) {
+            if std::time::Instant::now() > until {
+                return Err("no such line".to_owned());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        Ok(())
+    }
+
     fn daemon(&mut self, signal: &str) -> Done {
         if signal == "start" {
             return self.start();
@@ -311,12 +340,18 @@
         done.map(drop).map_err(|e| e.to_string())
     }
 
-    fn start(&mut self) -> Done {
+    fn configure(&self) -> PathBuf {
         let settings: Value = serde_json::from_str(include_str!("settings.json")).unwrap();
-        let config = json!({"name": "n1", "seed": "1f", "limits": self.limits,
+        let platform = self.who["platform"].address.unwrap().to_string();
+        let config = json!({"name": "n1", "seed": "1f", "limits": self.limits, "discovery": platform,
             "known": self.listing.lock().unwrap().json(), "settings": settings});
         let file = self.folder.join("config.json");
         std::fs::write(&file, config.to_string()).unwrap();
+        file
+    }
+
+    fn start(&mut self) -> Done {
+        let file = self.configure();
         let mut toml = "listen = \"127.0.0.1:0\"\nsystem_id = \"onyxrock\"\nenquire_link_s = 1\nwindow = 4\n\
             [[client]]\nsystem_id = \"office\"\ntenant = \"khangai-clubs\"\n\
             [[class]]\nclass = \"status\"\n[[class]]\nservice_type = \"BOOK\"\nclass = \"booking\"\n\
@@ -341,12 +376,12 @@
             std::fs::write(&dns, toml).unwrap();
             files.extend(["--dns", dns.to_str().unwrap()]);
         }
-        let platform = self.who["platform"].address.unwrap().to_string();
         let mut child = Command::new(env!("CARGO_BIN_EXE_onyxrock"))
             .args(["serve", "--config", file.to_str().unwrap()])
             .args(files)
             .env("GW_LISTEN", "127.0.0.1:0")
-            .env("GW_DISCOVERY", platform)
+            // The file names the address that holds; the variable may be as old as the process.
+            .env("GW_DISCOVERY", "127.0.0.1:9")
             .env("GW_STATE", self.folder.join("state"))
             .stderr(Stdio::piped())
             .spawn()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -89,7 +89,7 @@
 }
 
 /// A class of messages.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ClassSettings {
     /// Full worth when delivered within this span.
     pub aim: Micros,
@@ -106,14 +106,14 @@
 }
 
 /// A tenant.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TenantSettings {
     /// Messages a second within its share, from all senders together; zero if unbounded.
     pub allowance_per_s: f64,
 }
 
 /// A kind of destination.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct KindSettings {
     /// Its receivers are separate routes, each with a limit and outages of its own.
     pub apart: bool,
@@ -134,7 +134,7 @@
 }
 
 /// Facts stated once, at the start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
     /// Classes of messages.
     pub classes: Vec<ClassSettings>,
