Spoilt answers: a first line with 200 is a delivery, noise is known when it is seen

Checked: client.rs body() kept whatever came (an answer that claims 3 GB), and endpoint.rs ended a 200 with a bad head as Reset, a head without end as TimedOut, which made the other connections suspect.

--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -36,7 +36,7 @@
     inbound_open, inbound_opened, inbound_turned_away, taken, fail_fast, bad_requests, unheard, resumed,
     // the endpoints' side
     outbound_open, outbound_opened, outbound_reused, outbound_calls,
-    delivered, error, full, timed_out, connect_failed, reset, moot, cancelled, late_decisions,
+    delivered, spoilt, error, full, timed_out, connect_failed, reset, moot, cancelled, late_decisions,
     // ends
     failed, returned, notices_sent, notices_retried,
     // the list
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -3,6 +3,7 @@
 pub mod dns;
 pub mod zone;
 
+use crate::clock::Clock;
 use crate::module::ToModule;
 use crate::net::Shared;
 use crate::net::http::client::Conn;
@@ -52,7 +53,8 @@
             let by = asked.after(discovery.wait).after(GRACE);
             let address = shared.discovery.get();
             let heard = async {
-                let answer = shared.clock.before(by, ask(&discovery, address, &mut conn)).await;
+                let answer =
+                    shared.clock.before(by, ask(&shared.clock, &discovery, address, &mut conn)).await;
                 Heard::Answer(answer.unwrap_or_else(|| Err("no answer in time".into())))
             };
             let moved = async {
@@ -92,7 +94,9 @@
     }
 }
 
-async fn ask(d: &Discovery, address: SocketAddr, kept: &mut Option<Conn>) -> Result<List, String> {
+async fn ask(
+    clock: &Clock, d: &Discovery, address: SocketAddr, kept: &mut Option<Conn>,
+) -> Result<List, String> {
     let fail = |e: std::io::Error| e.to_string();
     let mut conn = match kept.take().filter(|c| !c.stale()) {
         Some(conn) => conn,
@@ -104,8 +108,9 @@
     };
     let request = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
     conn.write(request.as_bytes()).await.map_err(fail)?;
-    let answer = conn.head().await.map_err(fail)?;
-    let (body, again) = conn.body(&answer).await.map_err(fail)?;
+    let by = clock.now().after(d.wait).after(GRACE);
+    let answer = conn.answer(clock, by).await.map_err(|e| fail(e.into()))?;
+    let (body, again) = conn.body(&answer, LIST_MOST).await.map_err(fail)?;
     if answer.status != 200 {
         return Err(format!("answer {}", answer.status));
     }
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -376,7 +376,7 @@
             patience,
         };
         let answered = call.answered(now, Verdict::Moot);
-        if peer.mailbox.try_send(ToEndpoint::Call(call)).is_err() {
+        if peer.mailbox.try_send(ToEndpoint::Call(Box::new(call))).is_err() {
             // Its mailbox is full: the module is owed an outcome all the same.
             self.answered(now, &answered);
         }
--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -1,12 +1,19 @@
 //! One connection to a server: calls go over it one at a time.
 
-use super::{Framing, HEADERS, framing, header};
+use super::{BODY_MOST, Framing, HEADERS, framing, header};
+use crate::clock::Clock;
 use crate::net::buffer::Buffer;
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
+use onyxrock::interface::Micros;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 
+/// How long an answer that has begun may take to end.
+pub const TAIL: Micros = Micros(250_000);
+/// Answers of the kind "not yet" that may come ahead of one.
+const INTERIM_MOST: u32 = 32;
+
 #[derive(Debug)]
 pub struct Conn {
     stream: Async<TcpStream>,
@@ -20,13 +27,34 @@
     pub retry_after: Option<String>,
     pub no_slot: bool,
     pub load: Option<String>,
-    framing: Framing,
+    /// None where only the first line could be read: nothing says where such an answer ends.
+    framing: Option<Framing>,
+}
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub enum Lost {
+    TimedOut,
+    /// The connection broke or ended before it.
+    Broken(io::Error),
+    /// Something else came in its place.
+    Spoilt(String),
 }
 
 fn bad(text: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, text)
 }
 
+impl From<Lost> for io::Error {
+    fn from(lost: Lost) -> io::Error {
+        match lost {
+            Lost::TimedOut => io::ErrorKind::TimedOut.into(),
+            Lost::Broken(e) => e,
+            Lost::Spoilt(why) => bad(&why),
+        }
+    }
+}
+
 impl Conn {
     pub async fn open(to: SocketAddr, cap: usize) -> io::Result<Conn> {
         let stream = Async::<TcpStream>::connect(to).await?;
@@ -34,8 +62,8 @@
         Ok(Conn { stream, buffer: Buffer::new(cap) })
     }
 
-    /// The server has closed it or has said something unasked: no call may go over it. Looking costs one call
-    /// of the system; not looking costs a request that may have run.
+    /// The server has closed it or has said something unasked: no call may go over it, and what is there must
+    /// not answer the next one. Looking costs one call of the system.
     pub fn stale(&self) -> bool {
         let mut byte = [0];
         let silent = matches!(self.stream.get_ref().peek(&mut byte),
@@ -47,58 +75,110 @@
         self.stream.write_all(bytes).await
     }
 
-    pub async fn head(&mut self) -> io::Result<Answer> {
+    /// Reads the head of the answer. Its first byte may come until `until`; what has begun must end soon, or it
+    /// is no answer. One whose first line says 200 is true, whatever follows that line.
+    pub async fn answer(&mut self, clock: &Clock, until: Micros) -> Result<Answer, Lost> {
+        for _ in 0..=INTERIM_MOST {
+            if self.buffer.is_empty() {
+                clock.before(until, self.more()).await.unwrap_or(Err(Lost::TimedOut))?;
+            }
+            let soon = clock.now().after(TAIL);
+            let read = clock.before(soon, self.head()).await;
+            match read.unwrap_or(Err(Lost::Spoilt("a head without end".into()))) {
+                Ok(interim) if (100..200).contains(&interim.status) => {}
+                Ok(answer) => return Ok(answer),
+                Err(lost) => return self.first_line().ok_or(lost),
+            }
+        }
+        Err(Lost::Spoilt("interim answers without end".into()))
+    }
+
+    async fn more(&mut self) -> Result<(), Lost> {
+        match self.buffer.fill(&mut self.stream).await {
+            Ok(0) => Err(Lost::Broken(io::ErrorKind::UnexpectedEof.into())),
+            Ok(_) => Ok(()),
+            Err(e) if e.kind() == io::ErrorKind::OutOfMemory => Err(Lost::Spoilt("a head too long".into())),
+            Err(e) => Err(Lost::Broken(e)),
+        }
+    }
+
+    async fn head(&mut self) -> Result<Answer, Lost> {
         loop {
             let mut headers = [httparse::EMPTY_HEADER; HEADERS];
             let mut answer = httparse::Response::new(&mut headers);
             match answer.parse(self.buffer.data()) {
                 Ok(httparse::Status::Complete(n)) => {
                     let h = &*answer.headers;
-                    let status = answer.code.unwrap_or(0);
                     let text = |name| header(h, name).map(str::to_owned);
                     let read = Answer {
-                        status,
+                        status: answer.code.unwrap_or(0),
                         retry_after: text("retry-after"),
                         no_slot: header(h, "x-no-slot") == Some("1"),
                         load: text("x-load"),
-                        framing: framing(answer.version, h).map_err(bad)?,
+                        framing: Some(framing(answer.version, h).map_err(|e| Lost::Spoilt(e.into()))?),
                     };
                     self.buffer.consume(n);
-                    if !(100..200).contains(&status) {
-                        return Ok(read);
-                    }
+                    return Ok(read);
                 }
-                Ok(httparse::Status::Partial) => {
-                    if self.buffer.fill(&mut self.stream).await? == 0 {
-                        return Err(io::ErrorKind::UnexpectedEof.into());
-                    }
-                }
-                Err(e) => return Err(bad(&e.to_string())),
+                Ok(httparse::Status::Partial) => self.more().await?,
+                Err(e) => return Err(Lost::Spoilt(e.to_string())),
             }
         }
     }
 
-    /// Reads the rest of an answer. The body, and whether the connection can take another call.
-    pub async fn body(&mut self, answer: &Answer) -> io::Result<(Vec<u8>, bool)> {
-        let f = answer.framing;
+    /// An answer of which only the first line can be read, if that line is whole and says 200.
+    fn first_line(&self) -> Option<Answer> {
+        let data = self.buffer.data();
+        let line = std::str::from_utf8(&data[..data.iter().position(|b| *b == b'\n')?]).ok()?;
+        let status = line.strip_prefix("HTTP/1.")?.trim_end_matches('\r').get(1..)?;
+        let ok = status == " 200" || status.starts_with(" 200 ");
+        ok.then_some(Answer { status: 200, retry_after: None, no_slot: false, load: None, framing: None })
+    }
+
+    /// Reads the rest of an answer and keeps nothing of it. Whether the connection can take another call; an
+    /// error where the answer does not end as its head says. Reading again reads nothing.
+    pub async fn rest(&mut self, answer: &mut Answer) -> io::Result<bool> {
+        let again = self.each(answer, BODY_MOST, |_| ()).await?;
+        answer.framing = Some(Framing { length: Some(0), chunked: false, close: !again });
+        Ok(again)
+    }
+
+    /// The same, for a body that somebody wants.
+    pub async fn body(&mut self, answer: &Answer, most: usize) -> io::Result<(Vec<u8>, bool)> {
+        let mut body = Vec::new();
+        let again = self.each(answer, most, |part| body.extend_from_slice(part)).await?;
+        Ok((body, again))
+    }
+
+    async fn each(&mut self, answer: &Answer, most: usize, mut part: impl FnMut(&[u8])) -> io::Result<bool> {
+        let f = answer.framing.ok_or_else(|| bad("only its first line can be read"))?;
         if matches!(answer.status, 204 | 304) {
-            return Ok((Vec::new(), !f.close));
+            return Ok(!f.close);
         }
         if f.chunked {
             return Err(bad("chunked answers are not read"));
         }
-        let mut body = Vec::new();
+        let mut read = 0;
         loop {
-            let left = f.length.map_or(usize::MAX, |l| l - body.len());
+            // More than anybody may send is not waited for.
+            if f.length.is_some_and(|l| l > most) || read > most {
+                return Err(bad("body too long"));
+            }
+            let left = f.length.map_or(usize::MAX, |l| l - read);
             let n = left.min(self.buffer.data().len());
-            body.extend_from_slice(&self.buffer.data()[..n]);
+            part(&self.buffer.data()[..n]);
             self.buffer.consume(n);
+            read += n;
             if n == left {
-                return Ok((body, !f.close));
+                return Ok(!f.close);
             }
-            if self.buffer.fill(&mut self.stream).await? == 0 {
+            match self.more().await {
+                Ok(()) => {}
                 // Without a length the end of the connection is the end of the body.
-                return if f.length.is_none() { Ok((body, false)) } else { Err(bad("body cut short")) };
+                Err(Lost::Broken(e)) if f.length.is_none() && e.kind() == io::ErrorKind::UnexpectedEof => {
+                    return Ok(false);
+                }
+                Err(lost) => return Err(lost.into()),
             }
         }
     }
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -1,6 +1,6 @@
 //! One endpoint: its idle connections, and the outbound calls over them.
 
-use super::client::{Answer, Conn};
+use super::client::{Answer, Conn, Lost, TAIL};
 use super::{HEAD_MOST, seconds};
 use crate::clock::Clock;
 use crate::module::ToModule;
@@ -13,8 +13,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// How long the rest of an answer may take before its connection is given up.
-const TAIL: Micros = Micros(1_000_000);
+/// What an endpoint says behind its answer shows within this, if it says anything: only then may the connection
+/// take the next call.
+const SETTLE: Micros = Micros(3_000);
+
+/// So many of them are logged; all are counted.
+const LOGGED: u64 = 20;
 
 /// Starts the actor of an endpoint.
 pub fn start(shared: &Rc<Shared>, address: SocketAddr, room: usize) -> Sender<ToEndpoint> {
@@ -26,9 +30,9 @@
 
 async fn run(shared: Rc<Shared>, mut address: SocketAddr, inbox: Receiver<ToEndpoint>, room: usize) {
     let (give_back, given_back) = bounded(room); // connections that have done their call
-    let mut idle: Vec<(Micros, Conn)> = Vec::new(); // the longest idle first
+    let mut idle: Vec<Idle> = Vec::new(); // the longest idle first
     loop {
-        let oldest = idle.first().and_then(|i| Some(i.0.after(shared.idle_for?)));
+        let oldest = idle.first().and_then(|i| Some(i.since.after(shared.idle_for?)));
         let back = async { (None, given_back.recv().await.ok()) };
         let next = async { (Some(inbox.recv().await), None) };
         let retire = async {
@@ -37,12 +41,15 @@
         };
         let (letter, back) = future::or(future::or(back, next), retire).await;
         let now = shared.clock.now();
-        // Near the bound on descriptors no connection is kept for later.
         match back {
-            Some(Back::Sound(_)) if shared.counters.outbound_open.get() > shared.outbound_most => {
-                shared.counters.outbound_open.down();
+            // Near the bound on descriptors no connection is kept for later; none outlives its address.
+            Some(Back::Sound(conn, to)) => {
+                if to != address || shared.counters.outbound_open.get() > shared.outbound_most {
+                    shared.counters.outbound_open.down();
+                } else {
+                    idle.push(Idle { since: now, conn });
+                }
             }
-            Some(Back::Sound(conn)) => idle.push((now, conn)),
             // A machine that vanished leaves its connections open and silent: a call over one would time out and
             // may have run, where a new connection that does not come up proves that it has not.
             Some(Back::Suspect) => close_all(&shared, &mut idle),
@@ -50,36 +57,46 @@
         }
         match letter {
             None => {}
-            Some(Err(_)) => return,
+            // The endpoint is gone, and nothing is out to it.
+            Some(Err(_)) => return close_all(&shared, &mut idle),
             Some(Ok(ToEndpoint::Call(call))) => {
                 retire_idle(&shared, &mut idle, now);
-                let conn = idle.pop().map(|i| i.1);
+                let conn = idle.pop();
                 let (shared, give_back) = (shared.clone(), give_back.clone());
                 let executor = shared.executor.clone();
-                executor.spawn(outbound_call(shared, address, call, conn, give_back)).detach();
+                executor.spawn(outbound_call(shared, address, *call, conn, give_back)).detach();
             }
             Some(Ok(ToEndpoint::CloseIdle)) => close_all(&shared, &mut idle),
-            Some(Ok(ToEndpoint::Moved(to))) => address = to,
+            Some(Ok(ToEndpoint::Moved(to))) => {
+                address = to;
+                close_all(&shared, &mut idle);
+            }
         }
         retire_idle(&shared, &mut idle, now);
     }
 }
 
+/// A connection that waits for its next call.
+struct Idle {
+    since: Micros,
+    conn: Conn,
+}
+
 /// What a call says of the connection that it used.
 enum Back {
-    Sound(Conn),
+    Sound(Conn, SocketAddr),
     Suspect,
 }
 
-fn close_all(shared: &Shared, idle: &mut Vec<(Micros, Conn)>) {
+fn close_all(shared: &Shared, idle: &mut Vec<Idle>) {
     idle.drain(..).for_each(|_| shared.counters.outbound_open.down());
 }
 
 /// An endpoint closes what has been idle for the platform's limit, and a request that crosses that close may
 /// have run: let go well before, and of what the other side has closed already.
-fn retire_idle(shared: &Shared, idle: &mut Vec<(Micros, Conn)>, now: Micros) {
-    idle.retain(|(since, conn)| {
-        let keep = shared.idle_for.is_none_or(|most| now.since(*since) < most) && !conn.stale();
+fn retire_idle(shared: &Shared, idle: &mut Vec<Idle>, now: Micros) {
+    idle.retain(|i| {
+        let keep = shared.idle_for.is_none_or(|most| now.since(i.since) < most) && !i.conn.stale();
         if !keep {
             shared.counters.outbound_open.down();
         }
@@ -88,9 +105,9 @@
 }
 
 async fn outbound_call(
-    shared: Rc<Shared>, address: SocketAddr, call: OutboundCall, conn: Option<Conn>, give_back: Sender<Back>,
+    shared: Rc<Shared>, address: SocketAddr, call: OutboundCall, idle: Option<Idle>, give_back: Sender<Back>,
 ) {
-    let (verdict, answer, conn) = attempt(&shared, address, &call, conn).await;
+    let (verdict, answer, conn) = attempt(&shared, address, &call, idle).await;
     let load = answer.as_ref().and_then(|a| a.load.as_deref()).map(report).unwrap_or_default();
     let answered = Answered {
         finished: answer.as_ref().is_some_and(|a| a.status == 410),
@@ -101,11 +118,11 @@
         let _ = give_back.try_send(Back::Suspect);
     }
     let _ = shared.module.send(ToModule::Answered(answered)).await;
-    // The verdict needed the first line only; the connection is good for another call after the rest.
+    // A delivery needed the first line only; the connection is good for another call after the rest.
     let tail = shared.clock.now().after(TAIL);
-    if let (Some(answer), Some(mut conn)) = (answer, conn)
-        && let Some(Ok((_, true))) = shared.clock.before(tail, conn.body(&answer)).await
-        && give_back.try_send(Back::Sound(conn)).is_ok()
+    if let (Some(mut answer), Some(mut conn)) = (answer, conn)
+        && let Some(Ok(true)) = shared.clock.before(tail, conn.rest(&mut answer)).await
+        && give_back.try_send(Back::Sound(conn, address)).is_ok()
     {
         return;
     }
@@ -114,11 +131,22 @@
 
 /// Makes one attempt. A connection that is not handed back is closed, which is how a call is given up.
 async fn attempt(
-    shared: &Shared, address: SocketAddr, call: &OutboundCall, conn: Option<Conn>,
+    shared: &Shared, address: SocketAddr, call: &OutboundCall, idle: Option<Idle>,
 ) -> (Verdict, Option<Answer>, Option<Conn>) {
     let (clock, counters) = (&shared.clock, &shared.counters);
     let until = call.until();
-    let mut conn = match conn {
+    let mut kept = None;
+    if let Some(Idle { since, conn }) = idle {
+        let settled = since.after(SETTLE);
+        if settled > clock.now() {
+            clock.until(Some(settled)).await;
+        }
+        kept = Some(conn).filter(|c| !c.stale());
+        if kept.is_none() {
+            counters.outbound_open.down();
+        }
+    }
+    let mut conn = match kept {
         Some(conn) => {
             counters.outbound_reused.up();
             conn
@@ -145,11 +173,33 @@
         _ => return (Verdict::ConnectFailed, None, None),
     }
     counters.outbound_calls.up();
-    match clock.before(until, conn.head()).await {
-        None => (Verdict::TimedOut, None, None),
-        Some(Err(_)) => (Verdict::Reset, None, None),
-        Some(Ok(answer)) => (verdict(&answer), Some(answer), Some(conn)),
+    let mut answer = match conn.answer(clock, until).await {
+        Ok(answer) => answer,
+        Err(Lost::TimedOut) => return (Verdict::TimedOut, None, None),
+        Err(Lost::Broken(_)) => return (Verdict::Reset, None, None),
+        Err(Lost::Spoilt(why)) => return spoilt(shared, address, &why),
+    };
+    // That a call has not run is believed only of an answer that is whole.
+    if answer.status != 200 {
+        let tail = clock.now().after(TAIL);
+        match clock.before(tail, conn.rest(&mut answer)).await {
+            Some(Ok(_)) => {}
+            Some(Err(e)) => return spoilt(shared, address, &e.to_string()),
+            None => return spoilt(shared, address, "a body without end"),
+        }
     }
+    (verdict(&answer), Some(answer), Some(conn))
+}
+
+/// Something came that is no answer: the call may have run. The endpoint is there, so its other connections are
+/// as good as before.
+fn spoilt(shared: &Shared, address: SocketAddr, why: &str) -> (Verdict, Option<Answer>, Option<Conn>) {
+    let n = &shared.counters.spoilt;
+    n.up();
+    if n.get() <= LOGGED {
+        eprintln!("endpoint {address}: an answer that cannot be read: {why}");
+    }
+    (Verdict::Error, None, None)
 }
 
 fn request(address: SocketAddr, call: &OutboundCall, clock: &Clock) -> Vec<u8> {
@@ -181,6 +231,13 @@
 /// The limit in calls a second, and the share of it that is left.
 fn report(load: &str) -> (Option<f64>, Option<f64>) {
     let v: serde_json::Value = serde_json::from_str(load).unwrap_or_default();
-    let field = |name: &str| v.get(name).and_then(serde_json::Value::as_f64);
-    (field("x1"), field("x0"))
+    let field = |name: &str, most: f64| {
+        let x = v.get(name).and_then(serde_json::Value::as_f64);
+        x.filter(|x| (0.0..=most).contains(x))
+    };
+    // Half of a report is none.
+    match (field("x1", 1e9), field("x0", 1.0)) {
+        (Some(limit), Some(left)) => (Some(limit), Some(left)),
+        _ => (None, None),
+    }
 }
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -82,7 +82,8 @@
 /// The mailbox of an endpoint.
 #[derive(Debug)]
 pub enum ToEndpoint {
-    Call(OutboundCall),
+    /// Boxed: a mailbox holds room for many.
+    Call(Box<OutboundCall>),
     CloseIdle,
     Moved(std::net::SocketAddr),
 }
--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -37,7 +37,7 @@
         shared.counters.outbound_opened.up();
         match shared.clock.before(by, bind(&shared, &gateway)).await {
             Some(Some(link)) => {
-                let waiting = VecDeque::from([call]);
+                let waiting = VecDeque::from([*call]);
                 let session = Session {
                     shared: &shared,
                     gateway: &gateway,
@@ -158,7 +158,7 @@
             };
             sound = match event {
                 Event::Letter(Some(ToEndpoint::Call(call))) => {
-                    self.waiting.push_back(call);
+                    self.waiting.push_back(*call);
                     true
                 }
                 Event::Letter(Some(ToEndpoint::CloseIdle)) => {
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -1,5 +1,6 @@
 //! Ends that the platform is told of: sent again until it has heard.
 
+use crate::clock::Clock;
 use crate::module::{Ending, ToModule};
 use crate::net::Shared;
 use crate::net::http::HEAD_MOST;
@@ -62,7 +63,7 @@
             let bytes =
                 format!("POST /v1/outcomes HTTP/1.1\r\nHost: {to}\r\nContent-Length: {n}\r\n\r\n{body}");
             let by = clock.now().after(PATIENCE);
-            let posted = clock.before(by, post(to, &mut self.conn, &bytes));
+            let posted = clock.before(by, post(&clock, to, &mut self.conn, &bytes));
             // Only what has gone wrong waits: who has moved hears of it at once.
             let moves = async {
                 moved(&self.moves).await;
@@ -99,14 +100,14 @@
     }
 }
 
-async fn post(to: SocketAddr, kept: &mut Option<Conn>, bytes: &str) -> std::io::Result<u16> {
+async fn post(clock: &Clock, to: SocketAddr, kept: &mut Option<Conn>, bytes: &str) -> std::io::Result<u16> {
     let mut conn = match kept.take().filter(|c| !c.stale()) {
         Some(conn) => conn,
         None => Conn::open(to, HEAD_MOST).await?,
     };
     conn.write(bytes.as_bytes()).await?;
-    let answer = conn.head().await?;
-    let (_, again) = conn.body(&answer).await?;
+    let mut answer = conn.answer(clock, clock.now().after(PATIENCE)).await?;
+    let again = conn.rest(&mut answer).await?;
     *kept = again.then_some(conn);
     Ok(answer.status)
 }
--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -58,13 +58,17 @@
     })
 }
 
-/// `ID STATUS [Header=value ...]`, or `ID reset`.
+/// `ID STATUS [Header=value ...]`, `ID reset`, or `ID raw TEXT`, which leaves the connection open.
 pub fn answer(to: &Inbox, words: &[&str]) -> Done {
     let [id, status, headers @ ..] = words else { return Err("ID STATUS".into()) };
     let mut stream = to.stream(id)?;
     if *status == "reset" {
         return stream.shutdown(std::net::Shutdown::Both).map_err(|e| e.to_string());
     }
+    if *status == "raw" {
+        to.streams.lock().unwrap().insert((*id).to_owned(), stream.try_clone().unwrap());
+        return write(&mut stream, plain(headers.first().unwrap_or(&"")).as_bytes());
+    }
     let headers: String = headers.iter().map(|h| h.replacen('=', ": ", 1) + "\r\n").collect();
     write(&mut stream, format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: 2\r\n\r\nok").as_bytes())
 }
@@ -131,8 +135,7 @@
 pub fn send(from: &Inbox, who: &str, words: &[&str]) -> Done {
     let mut stream = from.streams.lock().unwrap().get(who).ok_or("closed")?.try_clone().unwrap();
     if let ["raw", text] = words {
-        let text = text.replace("\\r", "\r").replace("\\n", "\n").replace('_', " ");
-        return write(&mut stream, text.as_bytes());
+        return write(&mut stream, plain(text).as_bytes());
     }
     let class = words.first().ok_or("which class?")?;
     let or = |key: &str, or: &'static str| value(words, key).unwrap_or(or).to_owned();
@@ -153,6 +156,15 @@
     write(&mut stream, (head + &body).as_bytes())
 }
 
+/// One word of a scenario as the bytes that it stands for; `TEXT*N` is so many of it.
+fn plain(word: &str) -> String {
+    let text = |t: &str| t.replace("\\r", "\r").replace("\\n", "\n").replace('_', " ");
+    match word.rsplit_once('*').and_then(|(t, n)| Some((t, n.parse().ok()?))) {
+        Some((t, n)) => text(t).repeat(n),
+        None => text(word),
+    }
+}
+
 pub fn counters(at: SocketAddr) -> Result<Value, String> {
     let mut stream = TcpStream::connect(at).map_err(|e| e.to_string())?;
     write(&mut stream, b"GET /counters HTTP/1.1\r\n\r\n")?;
