Bad clients get an error or a close in time, an id comes once, the oldest silent go first

Read and confirmed: a silent connection stayed for ever, half a request for 10 s (inbound.rs, WHOLE); the same id was taken on twice and a destination never listed was taken on (module.rs, hand_in); seconds() took 1e9, +1 and inf only by luck; a full gate waited for usual clients (listen()). Now: 2.2 s for a first request, 5 s of quiet after an answer; the oldest silent connection goes first when the room is full; ids of hand-ins are remembered for the longest give-up, 16,384 at most, over a restart too (409); 404 for a destination the list has never named; a header twice or unprintable is 400; wrong requests are read again after 100 ms, eight times; 128 KiB at most are read behind an answer that closes. silent.scn and rude.scn fail on the old program (503, and 202 for a used id).

--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -31,6 +31,10 @@
     Full,
     /// No such class or tenant.
     Unknown,
+    /// The list has never named its destination.
+    Nowhere,
+    /// Its id has been used, and that request could still run.
+    Again,
 }
 
 /// The module's mailbox.
@@ -199,6 +203,16 @@
             let _ = reply.try_send(Reply::Unknown);
             return;
         }
+        if !self.desk.listed(taken.destination) {
+            let _ = reply.try_send(Reply::Nowhere);
+            return;
+        }
+        if !self.desk.fresh(now, &taken.id) {
+            counters.ids_again.up();
+            let _ = reply.try_send(Reply::Again);
+            return;
+        }
+        taken.deadline = taken.deadline.min(self.desk.latest(now, &taken.class));
         let full = self.desk.full();
         if full || self.shared.stopping.get() || taken.deadline <= now {
             counters.fail_fast.up();
@@ -418,7 +432,6 @@
     fn module(folder: &std::path::Path) -> Module {
         let (module, _) = bounded(8);
         let (_, closed) = bounded(1);
-        let (crowd, make_room) = bounded(1);
         let shared = Rc::new(Shared {
             clock: Clock::default(),
             counters: Default::default(),
@@ -426,8 +439,7 @@
             ending: closed.clone(),
             closing: closed,
             serials: Cell::new(0),
-            crowd,
-            make_room,
+            crowd: Default::default(),
             stopping: Cell::new(false),
             discovery: Cell::new("127.0.0.1:1".parse().unwrap()),
             connect_timeout: Micros(1_000_000),
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -1,11 +1,11 @@
 //! The clients' side: one actor a connection.
 
-use super::{BODY_MOST, Framing, HEAD_MOST, HEADERS, framing, header, seconds};
+use super::{BODY_MOST, Framing, HEAD_MOST, HEADERS, framing, seconds};
 use crate::module::{HandIn, Reply, ToModule};
 use crate::net::Shared;
 use crate::net::buffer::Buffer;
 use crate::net::smpp::Note;
-use async_channel::bounded;
+use async_channel::{Receiver, Sender, bounded};
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, future};
 use onyxrock::core::Taken;
@@ -15,31 +15,45 @@
 
 /// The number of this front in the log.
 pub const FRONT: u8 = 0;
-/// A request that has begun must be whole within this.
-const WHOLE: Micros = Micros(10_000_000);
+/// A connection that is new must have said something within this, and its first request must be whole; one that has
+/// begun a further request must end it.
+const WHOLE: Micros = Micros(2_200_000);
+/// A connection without a request is closed so long after its last answer ...
+const QUIET: Micros = Micros(5_000_000);
+/// ... or to make room for others, if it has been quiet for this.
+const SPARE: Micros = Micros(2_000_000);
+/// A client that does not read its answer is not waited for.
+const ANSWER: Micros = Micros(2_000_000);
+/// A client whose requests are turned away as wrong is read again after a pause, and so often.
+const WRONG_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+const WRONG_MOST: u32 = 8;
+/// Of what nobody wants so much is read, so that the answer ahead of the close is not lost.
+const SINK: usize = 128 * 1024;
+const SINK_FOR: Micros = Micros(200_000);
 /// A deadline counts from the client's sending, which lies a little before it is read here; and a notice
 /// needs its way too.
 const MARGIN: Micros = Micros(100_000);
 /// When to come back to a forwarder that holds as much as it may.
 const FULL_WAIT: Micros = Micros(1_000_000);
-/// A connection that has not said anything yet may have its request on the way.
-const FIRST: Micros = Micros(2_000_000);
-/// With so large a part of the room for connections taken, one that falls idle is closed.
-const CROWDED: f64 = 0.8;
-/// Beyond the room there is still enough to say no; but descriptors for the endpoints must be left.
-const MORE: f64 = 1.25;
+/// Connections that wait to be accepted. A crowd must not fill the row.
+const BACKLOG: i32 = 1024;
 const FULL_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+const NAME_MOST: usize = 256;
 
 /// Accepts until `stop` is closed.
 pub async fn listen(shared: Rc<Shared>, listener: Async<TcpListener>, stop: async_channel::Receiver<()>) {
-    let most = (shared.inbound_most as f64 * MORE) as u64;
+    if let Err(e) = rustix::net::listen(&listener, BACKLOG) {
+        eprintln!("listen: {e}");
+    }
     loop {
-        let open = shared.counters.inbound_open.get();
-        if open as f64 > CROWDED * shared.inbound_most as f64 {
-            let _ = shared.crowd.try_send(());
-        }
-        if open >= most && !stop.is_closed() {
-            async_io::Timer::after(FULL_PAUSE).await;
+        // Who has said nothing makes room for who comes, the oldest first.
+        if shared.counters.inbound_open.get() >= shared.inbound_most && !stop.is_closed() {
+            if shared.crowd.make_room(shared.clock.now(), SPARE) {
+                shared.counters.inbound_sent_off.up();
+                future::yield_now().await;
+            } else {
+                async_io::Timer::after(FULL_PAUSE).await;
+            }
             continue;
         }
         let accepted = async { Some(listener.accept().await) };
@@ -85,8 +99,14 @@
     shared: &'a Shared,
     stream: Async<TcpStream>,
     buffer: Buffer,
-    /// When it may be closed for others: not before its first request has had time to come.
-    spare_from: Micros,
+    serial: u64,
+    /// Since when it has been quiet: accepted, or answered.
+    since: Micros,
+    answered: bool,
+    /// Requests that were turned away as wrong.
+    wrong: u32,
+    /// Word that it is to make room.
+    go: (Sender<()>, Receiver<()>),
 }
 
 enum Next {
@@ -98,52 +118,63 @@
 impl<'a> Inbound<'a> {
     fn new(shared: &'a Shared, stream: Async<TcpStream>) -> Inbound<'a> {
         let _ = stream.get_ref().set_nodelay(true);
-        let spare_from = shared.clock.now().after(FIRST);
-        Inbound { shared, stream, buffer: Buffer::new(HEAD_MOST + BODY_MOST), spare_from }
+        Inbound {
+            shared,
+            stream,
+            buffer: Buffer::new(HEAD_MOST + BODY_MOST),
+            serial: shared.serial(),
+            since: shared.clock.now(),
+            answered: false,
+            wrong: 0,
+            go: bounded(1),
+        }
     }
 
     async fn run(mut self) {
         let counters = &self.shared.counters;
-        if counters.inbound_open.get() > self.shared.inbound_most {
-            counters.inbound_turned_away.up();
-        }
         loop {
-            let next = match self.next().await {
+            let place = (self.answered, self.since, self.serial);
+            // What was told before, when a request was on its way, holds no more.
+            while self.go.1.try_recv().is_ok() {}
+            self.shared.crowd.join(place, self.go.0.clone());
+            let next = self.next().await;
+            self.shared.crowd.leave(place);
+            let (bytes, body_at, f, at) = match next {
                 Next::Closed => return,
                 Next::Broken(Bad(status, why)) => {
                     counters.bad_requests.up();
                     let _ = self.answer(status, None, why, true).await;
-                    return;
+                    return self.sink().await;
                 }
                 Next::Request(head, body_at, f, at) => (head, body_at, f, at),
             };
-            let (bytes, body_at, f, at) = next;
-            let full = counters.inbound_open.get() > self.shared.inbound_most;
-            let crowded = counters.inbound_open.get() as f64 > CROWDED * self.shared.inbound_most as f64;
-            let close = f.close || crowded || self.shared.stopping.get();
+            let close = f.close || self.shared.stopping.get() || self.wrong + 1 >= WRONG_MOST;
+            let wrong = self.wrong;
             let done = match parse(&bytes, body_at, at) {
-                Err(Bad(status, why)) => {
-                    counters.bad_requests.up();
-                    self.answer(status, None, why, close).await
-                }
+                Err(bad) => self.turn_away(bad, close).await,
                 Ok(Ask::Ready) => self.answer(200, None, "ready", close).await,
                 Ok(Ask::Counters) => {
                     let text = counters.json().to_string();
                     self.answer(200, None, &text, close).await
                 }
-                Ok(Ask::HandIn(_)) if full => {
-                    counters.fail_fast.up();
-                    self.answer(503, None, "too many connections", true).await
-                }
                 Ok(Ask::HandIn(taken)) => self.hand_in(*taken, close).await,
             };
-            if done.is_err() || close {
+            drop(bytes);
+            if done.is_err() {
                 return;
             }
+            if close {
+                return self.sink().await;
+            }
+            // At full speed such a client would have the processor for itself.
+            if self.wrong > wrong {
+                async_io::Timer::after(WRONG_PAUSE).await;
+            }
+            (self.answered, self.since) = (true, self.shared.clock.now());
         }
     }
 
-    /// Reads one request. Between requests it waits for as long as the process wants connections.
+    /// Reads one request.
     async fn next(&mut self) -> Next {
         let mut since = None;
         loop {
@@ -153,33 +184,41 @@
                     Ok(Some((body_at, end, f))) => {
                         let bytes = self.buffer.data()[..end].to_vec();
                         self.buffer.consume(end);
-                        self.spare_from = at;
                         return Next::Request(bytes, body_at, f, at);
                     }
                     Ok(None) => {}
                     Err(bad) => return Next::Broken(bad),
                 }
             }
-            let fill = async { Some(self.buffer.fill(&mut self.stream).await) };
+            // Time counts from the connection for its first request, and from the first byte for later ones.
+            let until = match (self.answered, since) {
+                (false, _) => self.since.after(WHOLE),
+                (true, Some(at)) => at.after(WHOLE),
+                (true, None) => self.since.after(QUIET),
+            };
             let shared = self.shared;
+            let fill = async { Some(self.buffer.fill(&mut self.stream).await) };
             let give_up = async {
-                match since {
-                    Some(at) => shared.clock.until(Some(at.after(WHOLE))).await,
-                    None => {
-                        let ending = async { shared.ending.recv().await.unwrap_or_default() };
-                        let spare_from = self.spare_from;
-                        let crowded = async {
-                            shared.clock.until(Some(spare_from)).await;
-                            shared.make_room.recv().await.unwrap_or_default();
-                        };
-                        future::or(ending, crowded).await;
+                let late = shared.clock.until(Some(until));
+                let go = async { self.go.1.recv().await.unwrap_or_default() };
+                let ending = async {
+                    match since {
+                        None => shared.ending.recv().await.unwrap_or_default(),
+                        Some(_) => future::pending().await,
                     }
-                }
+                };
+                future::or(late, future::or(go, ending)).await;
                 None
             };
             match future::or(fill, give_up).await {
                 Some(Ok(n)) if n > 0 => {}
                 None if since.is_some() => return Next::Broken(Bad(408, "request took too long")),
+                None => {
+                    if !self.answered {
+                        shared.counters.inbound_silent.up();
+                    }
+                    return Next::Closed;
+                }
                 Some(Err(e)) if e.kind() == std::io::ErrorKind::OutOfMemory => {
                     return Next::Broken(Bad(431, "head too large"));
                 }
@@ -188,6 +227,31 @@
         }
     }
 
+    /// Closing with unread bytes would reset the connection under the answer. But what is sent on and on is not
+    /// read to its end.
+    async fn sink(&mut self) {
+        let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
+        let until = self.shared.clock.now().after(SINK_FOR);
+        let mut sink = Buffer::new(HEAD_MOST);
+        let mut left = SINK;
+        let drain = async {
+            while let Ok(n) = sink.fill(&mut self.stream).await {
+                sink.consume(usize::MAX);
+                left = left.saturating_sub(n);
+                if n == 0 || left == 0 {
+                    return;
+                }
+            }
+        };
+        self.shared.clock.before(until, drain).await;
+    }
+
+    async fn turn_away(&mut self, Bad(status, why): Bad, close: bool) -> std::io::Result<()> {
+        self.shared.counters.bad_requests.up();
+        self.wrong += 1;
+        self.answer(status, None, why, close).await
+    }
+
     async fn hand_in(&mut self, taken: Taken, close: bool) -> std::io::Result<()> {
         let (reply, answer) = bounded(1);
         let letter = ToModule::HandIn(HandIn { taken, reply });
@@ -214,10 +278,9 @@
             }
             Reply::Full => self.answer(503, Some(FULL_WAIT), "", close).await,
             Reply::FailFast(wait) => self.answer(503, wait, "", close).await,
-            Reply::Unknown => {
-                self.shared.counters.bad_requests.up();
-                self.answer(400, None, "unknown class or tenant", close).await
-            }
+            Reply::Unknown => self.turn_away(Bad(400, "unknown class or tenant"), close).await,
+            Reply::Nowhere => self.turn_away(Bad(404, "no such destination"), close).await,
+            Reply::Again => self.turn_away(Bad(409, "this id has been used"), close).await,
         }
     }
 
@@ -228,6 +291,7 @@
             200 => "OK",
             202 => "Accepted",
             404 => "Not Found",
+            409 => "Conflict",
             408 => "Request Timeout",
             411 => "Length Required",
             413 => "Content Too Large",
@@ -239,20 +303,9 @@
         let end = if close { "Connection: close\r\n" } else { "" };
         let n = text.len();
         let bytes = format!("HTTP/1.1 {status} {reason}\r\n{wait}{end}Content-Length: {n}\r\n\r\n{text}");
-        self.stream.write_all(bytes.as_bytes()).await?;
-        if close {
-            // Closing with unread bytes would reset the connection under the answer.
-            let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
-            let until = self.shared.clock.now().after(Micros(200_000));
-            let mut sink = Buffer::new(HEAD_MOST);
-            let drain = async {
-                while sink.fill(&mut self.stream).await.is_ok_and(|n| n > 0) {
-                    sink.consume(usize::MAX);
-                }
-            };
-            self.shared.clock.before(until, drain).await;
-        }
-        Ok(())
+        let clock = self.shared.clock;
+        let written = clock.before(clock.now().after(ANSWER), self.stream.write_all(bytes.as_bytes())).await;
+        written.unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))
     }
 }
 
@@ -278,6 +331,19 @@
     Ok((data.len() >= end).then_some((body_at, end, f)))
 }
 
+/// A header that says one thing, or is not there. Twice, or with bytes that nobody prints, it could mean one thing
+/// here and another at the endpoint.
+fn only<'h>(headers: &'h [httparse::Header], name: &str) -> Result<Option<&'h str>, Bad> {
+    let mut all = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
+    let Some(h) = all.next() else { return Ok(None) };
+    let text = std::str::from_utf8(h.value).ok().map(str::trim);
+    let printed = |t: &&str| t.len() <= NAME_MOST && t.bytes().all(|b| b == b' ' || b.is_ascii_graphic());
+    match (text.filter(printed), all.next()) {
+        (Some(text), None) => Ok(Some(text)),
+        _ => Err(Bad(400, "a header that cannot be used")),
+    }
+}
+
 fn parse(bytes: &[u8], body_at: usize, at: Micros) -> Result<Ask, Bad> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS];
     let mut request = httparse::Request::new(&mut headers);
@@ -292,16 +358,19 @@
         _ => return Err(Bad(404, "nothing here")),
     }
     let in_path = path.trim_start_matches('/').split('/').next().unwrap_or("");
-    let class = header(h, "x-class").unwrap_or(in_path);
+    let class = only(h, "x-class")?.unwrap_or(in_path);
     if !in_path.is_empty() && class != in_path {
         return Err(Bad(400, "class in path and header differ"));
     }
-    let id = header(h, "x-request-id").filter(|i| !i.is_empty()).ok_or(Bad(400, "no X-Request-Id"))?;
-    let left = header(h, "x-deadline").and_then(seconds).ok_or(Bad(400, "bad X-Deadline"))?;
-    let envelope = header(h, "x-envelope").unwrap_or("");
+    let id = only(h, "x-request-id")?.filter(|i| !i.is_empty()).ok_or(Bad(400, "no X-Request-Id"))?;
+    let key = only(h, "idempotency-key")?.unwrap_or("");
+    let left = only(h, "x-deadline")?.and_then(seconds).ok_or(Bad(400, "bad X-Deadline"))?;
+    let envelope = only(h, "x-envelope")?.unwrap_or("");
+    let digits = |d: &&str| !d.is_empty() && d.bytes().all(|b| b.is_ascii_digit());
     let destination = envelope
         .split([',', ';', ' '])
         .find_map(|f| f.trim().strip_prefix("dest="))
+        .filter(digits)
         .and_then(|d| d.parse().ok())
         .ok_or(Bad(400, "no dest in X-Envelope"))?;
     // A gateway needs an address, which HTTP clients may give beside the destination.
@@ -313,9 +382,9 @@
         front: FRONT,
         id: id.to_owned(),
         class: class.to_owned(),
-        tenant: header(h, "x-tenant").unwrap_or("").to_owned(),
+        tenant: only(h, "x-tenant")?.unwrap_or("").to_owned(),
         destination,
-        key: header(h, "idempotency-key").unwrap_or("").to_owned(),
+        key: key.to_owned(),
         note,
         receipt: false,
         deadline: at.after(left.since(margin)),
--- a/daemon/src/net/http/mod.rs
+++ b/daemon/src/net/http/mod.rs
@@ -9,6 +9,8 @@
 /// First line and headers.
 pub const HEAD_MOST: usize = 16 * 1024;
 const HEADERS: usize = 64;
+/// Digits on each side of the point.
+const SECONDS_MOST: usize = 9;
 
 /// What a message's headers say of its framing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,8 +34,8 @@
         } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
             f.chunked = true;
         } else if h.name.eq_ignore_ascii_case("connection") {
-            f.close =
-                f.close && !value.eq_ignore_ascii_case("keep-alive") || value.eq_ignore_ascii_case("close");
+            let says = |what: &str| value.split(',').any(|t| t.trim().eq_ignore_ascii_case(what));
+            f.close = f.close && !says("keep-alive") || says("close");
         }
     }
     Ok(f)
@@ -44,8 +46,10 @@
     std::str::from_utf8(h.value).ok().map(str::trim)
 }
 
-/// Seconds with decimals.
+/// Seconds with decimals: digits, perhaps a point, and nothing that a number may be written with elsewhere.
 pub fn seconds(text: &str) -> Option<onyxrock::interface::Micros> {
-    let s: f64 = text.parse().ok()?;
-    (s.is_finite() && s >= 0.0).then(|| onyxrock::interface::Micros::from_secs(s))
+    let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
+    let digits = |t: &str| (1..=SECONDS_MOST).contains(&t.len()) && t.bytes().all(|b| b.is_ascii_digit());
+    let s: f64 = text.parse().ok().filter(|_| digits(whole) && digits(part))?;
+    Some(onyxrock::interface::Micros::from_secs(s))
 }
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The wires. A front hands requests to the module; an endpoint makes outbound calls for it.
 
 pub mod buffer;
+pub mod crowd;
 pub mod http;
 pub mod smpp;
 
@@ -24,9 +25,8 @@
     /// Closed when all calls have ended, just before the process does.
     pub closing: Receiver<()>,
     pub serials: Cell<u64>,
-    /// One letter makes one idle inbound connection close.
-    pub crowd: Sender<()>,
-    pub make_room: Receiver<()>,
+    /// The inbound connections that may be closed to make room.
+    pub crowd: crowd::Crowd,
     pub stopping: Cell<bool>,
     /// Where the list comes from and ends are told; the file that names it may be replaced.
     pub discovery: Cell<std::net::SocketAddr>,
--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -283,6 +283,10 @@
             Reply::Unknown => {
                 self.say(CommandStatus::EsmeRinvsertyp, sequence, SubmitSmResp::default()).await
             }
+            Reply::Nowhere => {
+                self.say(CommandStatus::EsmeRinvdstadr, sequence, SubmitSmResp::default()).await
+            }
+            Reply::Again => self.say(CommandStatus::EsmeRsubmitfail, sequence, SubmitSmResp::default()).await,
         }
     }
 
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -14,7 +14,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
-use onyxrock::core::{Desk, recover};
+use onyxrock::core::{Desk, Record, recover};
 use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::Config;
 use onyxrock_config::dns::Dns;
@@ -58,7 +58,6 @@
     let (to_module, module_inbox) = bounded::<ToModule>(4096);
     let (ending, ended) = bounded(1);
     let (closing, closed) = bounded(1);
-    let (crowd, make_room) = bounded(1);
     let idle = config.settings.connection_idle;
     let shared = Rc::new(Shared {
         clock: Clock::default(),
@@ -66,8 +65,7 @@
         module: to_module.clone(),
         ending: ended,
         closing: closed,
-        crowd,
-        make_room,
+        crowd: Default::default(),
         serials: Cell::new(0),
         stopping: Cell::new(false),
         discovery: Cell::new(config.discovery),
@@ -99,6 +97,15 @@
     if let Some(known) = zone.as_ref().map(|z| z.zone.list(&z.names).0).or(config.known) {
         module.known(known);
     }
+    // An id that came to an earlier process could still run.
+    let now = shared.clock.now();
+    for record in &scan.records {
+        if let Record::Taken(t) = record
+            && t.deadline > now
+        {
+            module.desk.fresh(now, &t.id);
+        }
+    }
     module.resume(recover(scan.records).into_values());
     // The new log says what is owed as this process knows it, and nothing of the damage.
     if let Err(e) = module.wal.compact(module.desk.owed()) {
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -195,6 +195,15 @@
                 Ok(())
             }
             // Crowds of clients that connect, say one whole thing, and stay.
+            ["given", "silent", n] => {
+                for i in 0..n.parse().map_err(|_| "how many?")? {
+                    let who = format!("silent{i}");
+                    let (inbox, post) = inbox();
+                    http::client(post, self.http.ok_or("no daemon")?, &who);
+                    self.who.insert(who, inbox);
+                }
+                Ok(())
+            }
             ["given", "clients", n] => {
                 for i in 0..n.parse().map_err(|_| "how many?")? {
                     let who = format!("crowd{i}");
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -1,8 +1,8 @@
 //! The requests that are held, and the module that decides on them.
 
-use super::Names;
 use super::record::{CallEnd, End, Record, Taken};
 use super::recovery::Owed;
+use super::{Ids, Names};
 use crate::Brain;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -55,6 +55,9 @@
     pub limit: (Option<f64>, Option<f64>),
 }
 
+/// An attempt may run on for so long after its request is over.
+const ID_REST: Micros = Micros(2_000_000);
+
 /// All requests between being taken on and being over. One clock serves it: wall-clock microseconds that never
 /// run backwards while it lives.
 #[derive(Debug)]
@@ -69,6 +72,10 @@
     attempts: BTreeMap<u64, u32>,
     next: u64,
     most: usize,
+    give_up: Vec<Micros>,
+    /// Ids of hand-ins, and destinations that the list has named.
+    ids: Ids,
+    listed: BTreeSet<DestinationId>,
     given: usize,
     wakes: BTreeSet<Micros>,
     receipts: Vec<u64>,
@@ -91,6 +98,11 @@
         }
         Desk {
             most: settings.max_held as usize,
+            ids: Ids::new(
+                settings.classes.iter().map(|c| c.give_up).max().unwrap_or_default().after(ID_REST),
+            ),
+            give_up: settings.classes.iter().map(|c| c.give_up).collect(),
+            listed: BTreeSet::new(),
             brain: Brain::new(settings, seed),
             names,
             plain,
@@ -130,6 +142,20 @@
         self.names.classes.contains_key(class)
             && (tenant.is_empty() || self.names.tenants.is_empty() || self.names.tenants.contains_key(tenant))
     }
+    /// The list has named this destination, or no list is held yet.
+    pub fn listed(&self, destination: u64) -> bool {
+        self.listed.is_empty() || self.listed.contains(&DestinationId(destination))
+    }
+    /// Takes note of the id of a hand-in. False if it came before and could still run, whoever sends it: a second
+    /// request with it would be a second copy at an endpoint.
+    pub fn fresh(&mut self, now: Micros, id: &str) -> bool {
+        self.ids.fresh(now, id)
+    }
+    /// When a request of this class is given up at the latest.
+    pub fn latest(&self, now: Micros, class: &str) -> Micros {
+        let give_up = self.names.classes.get(class).and_then(|i| self.give_up.get(*i));
+        now.after(give_up.copied().unwrap_or(Micros(u64::MAX)))
+    }
     /// A number for the next request.
     pub fn number(&mut self) -> u64 {
         self.next += 1;
@@ -163,6 +189,7 @@
         let n = owed.taken.n;
         self.next = self.next.max(n + 1);
         let message = self.message(now, &owed.taken);
+        self.ids.fresh(now, &owed.taken.id);
         let zone = |z: &String| ZoneId(self.names.zones.get(z).copied().unwrap_or(usize::MAX));
         let maybe_ran = owed.maybe_ran.as_ref().map(|(at, z)| (*at, zone(z)));
         let past = Past { attempts: owed.attempts, maybe_ran };
@@ -181,6 +208,9 @@
 
     /// The list, or word that it could not be had.
     pub fn list(&mut self, now: Micros, event: Event) {
+        if let Event::DiskList(entries) | Event::FullList(entries) | Event::ListChanges(entries) = &event {
+            self.listed.extend(entries.iter().map(|e| e.destination));
+        }
         self.brain.on_event(now, event, &mut self.actions);
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,10 +2,12 @@
 //! no clock and no wire: a front hands requests in, a caller carries out [`Step`]s and keeps [`Record`]s.
 
 mod desk;
+mod ids;
 mod record;
 mod recovery;
 
 pub use desk::{Answered, Desk, Step};
+pub use ids::Ids;
 pub use record::{CallEnd, End, Record, Scan, Taken, frames};
 pub use recovery::{Owed, recover};
 
