Endpoints that are gone are let go: actor, mailbox and number; the log is not scanned per record

Now an endpoint that is gone is let go 3 s after, once nothing is out there; its number 75 s later, as the module forgets it after 60. A number is never given again, so an address used again has new connections and new health. wal.rs summed up all that is held for each record once the log was over 256 KB; now every 32 KB of log.

--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -16,6 +16,10 @@
 
 /// Nothing may go out later than a second after the list told of a drain; a queued call stops well before.
 const DRAIN_GRACE: Micros = Micros(500_000);
+/// An endpoint that is gone is kept so long for calls that come late.
+const PEER_REST: Micros = Micros(3_000_000);
+/// The module forgets an endpoint a minute after it was last used.
+const FORGET: Micros = Micros(75_000_000);
 
 #[derive(Debug)]
 pub struct HandIn {
@@ -77,6 +81,10 @@
     address: std::net::SocketAddr,
     /// When the list told that it drains or is gone.
     drains: Option<Micros>,
+    /// The list does not name it any more, or as gone.
+    gone: bool,
+    /// Calls that its actor has, and has not told the end of.
+    out: usize,
 }
 
 pub struct Module {
@@ -88,7 +96,10 @@
     pub fronts: BTreeMap<u8, Sender<Ending>>,
     pub slots: usize,
     peers: BTreeMap<ReceiverId, Peer>,
+    /// Numbers by name. One that is gone keeps its number for a while: the module still knows of waits there.
     numbers: BTreeMap<String, ReceiverId>,
+    last_number: u64,
+    forget: VecDeque<(Micros, String)>,
     /// Ends that wait for room in a front's mailbox.
     waiting: VecDeque<Ending>,
     quiet: Vec<Sender<()>>,
@@ -111,6 +122,8 @@
             slots,
             peers: BTreeMap::new(),
             numbers: BTreeMap::new(),
+            last_number: 0,
+            forget: VecDeque::new(),
             waiting: VecDeque::new(),
             quiet: Vec::new(),
             hold: false,
@@ -260,13 +273,16 @@
             Verdict::Moot => &c.moot,
         }
         .up();
+        if let Some(p) = self.peers.get_mut(&a.to) {
+            p.out = p.out.saturating_sub(1);
+        }
         let record = self.desk.answered(now, a);
         self.keep(record.as_slice());
     }
 
     /// A gateway is an endpoint of its destination, and stays one.
     pub fn gateway(&mut self, g: Gateway) {
-        let receiver = ReceiverId(self.numbers.len() as u64 + 1);
+        let receiver = self.number();
         self.numbers.insert(format!("gateway {}", g.name), receiver);
         self.gateways.push(Entry {
             receiver,
@@ -282,6 +298,8 @@
             address: g.address,
             mailbox: gateway::start(&self.shared, g, self.slots * 2 + 16),
             drains: None,
+            gone: false,
+            out: 0,
         };
         self.peers.insert(receiver, peer);
     }
@@ -297,16 +315,20 @@
                 |to: &ReceiverId, p: &Peer| !fixed(to) && named.binary_search(&p.name.as_str()).is_err();
             for (_, p) in self.peers.iter_mut().filter(|(to, p)| gone(to, p)) {
                 p.drains.get_or_insert(now);
+                p.gone = true;
                 let _ = p.mailbox.try_send(ToEndpoint::CloseIdle);
             }
         }
         for listed in list.entries {
             // Word that an endpoint is gone which was never here needs no actor.
-            if listed.entry.listing == Listing::Gone && !self.numbers.contains_key(&listed.name) {
+            let known = self.numbers.get(&listed.name).copied();
+            if listed.entry.listing == Listing::Gone && known.is_none_or(|to| !self.peers.contains_key(&to)) {
                 continue;
             }
-            let next = ReceiverId(self.numbers.len() as u64 + 1);
-            let to = *self.numbers.entry(listed.name.clone()).or_insert(next);
+            let to = known.unwrap_or_else(|| self.number());
+            if known.is_none() {
+                self.numbers.insert(listed.name.clone(), to);
+            }
             let mut entry = listed.entry;
             entry.receiver = to;
             let peer = self.peers.entry(to).or_insert_with(|| Peer {
@@ -315,7 +337,10 @@
                 zone: listed.zone.clone(),
                 address: listed.address,
                 drains: None,
+                gone: false,
+                out: 0,
             });
+            peer.gone = entry.listing == Listing::Gone;
             if peer.address != listed.address {
                 peer.address = listed.address;
                 let _ = peer.mailbox.try_send(ToEndpoint::Moved(listed.address));
@@ -334,6 +359,32 @@
         self.desk.list(now, event);
     }
 
+    fn number(&mut self) -> ReceiverId {
+        self.last_number += 1;
+        ReceiverId(self.last_number)
+    }
+
+    /// Lets go of endpoints that are gone: of the actor once nothing is out there and no call may still ask whether
+    /// it may be written, of the number once the module has forgotten it too.
+    fn tidy(&mut self, now: Micros) {
+        let past = |p: &Peer| p.gone && p.out == 0 && p.drains.is_some_and(|t| now.since(t) > PEER_REST);
+        let forget = &mut self.forget;
+        self.peers.retain(|_, p| {
+            let past = past(p);
+            if past {
+                forget.push_back((now.after(FORGET), p.name.clone()));
+            }
+            !past
+        });
+        while self.forget.front().is_some_and(|(t, _)| *t <= now) {
+            let Some((_, name)) = self.forget.pop_front() else { return };
+            // It may be back meanwhile.
+            if self.numbers.get(&name).is_some_and(|to| !self.peers.contains_key(to)) {
+                self.numbers.remove(&name);
+            }
+        }
+    }
+
     /// The list as it was last held.
     pub fn known(&mut self, list: List) {
         let now = self.shared.clock.now();
@@ -345,6 +396,7 @@
         if !self.hold && self.desk.due().is_some_and(|t| now.since(t) > Micros(50_000)) {
             self.shared.counters.late_decisions.up();
         }
+        self.tidy(now);
         let mut steps = Vec::new();
         self.desk.decide(now, !self.hold, &mut steps);
         for step in steps {
@@ -370,13 +422,19 @@
                 break;
             }
         }
-        if self.desk.out() == 0 {
+        if !self.quiet.is_empty() && self.desk.out() == 0 {
             self.quiet.drain(..).for_each(|q| q.try_send(()).unwrap_or_default());
         }
     }
 
     fn call(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, patience: Micros) {
-        let (Some(o), Some(peer)) = (self.desk.get(n), self.peers.get(&to)) else { return };
+        let Some(o) = self.desk.get(n) else { return };
+        let Some(peer) = self.peers.get_mut(&to) else {
+            // The module is owed an outcome wherever it sends.
+            let (verdict, elapsed) = (Verdict::Moot, Micros(0));
+            let gone = Answered { n, attempt, to, verdict, elapsed, finished: false, limit: (None, None) };
+            return self.answered(now, &gone);
+        };
         let t = &o.taken;
         let call = OutboundCall {
             n,
@@ -390,6 +448,7 @@
             patience,
         };
         let answered = call.answered(now, Verdict::Moot);
+        peer.out += 1;
         if peer.mailbox.try_send(ToEndpoint::Call(Box::new(call))).is_err() {
             // Its mailbox is full: the module is owed an outcome all the same.
             self.answered(now, &answered);
@@ -493,6 +552,41 @@
         std::fs::remove_dir_all(&folder).unwrap();
     }
 
+    /// On a long day endpoints come and go without end: whatever is kept for each that was ever here is a leak.
+    #[test]
+    fn an_endpoint_that_is_gone_is_let_go_and_its_address_serves_another() {
+        let folder = std::env::temp_dir().join(format!("onyxrock-tidy-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut m = module(&folder);
+        let mut now = m.shared.clock.now();
+        for i in 0..100 {
+            for state in [Listing::Ready, Listing::Draining, Listing::Gone] {
+                let mut one = list(state);
+                one.entries[0].name = format!("e{i}");
+                m.list(now, one);
+                now = now.after(Micros(1_000_000));
+                m.tidy(now);
+            }
+        }
+        let rest = FORGET.after(PEER_REST).0 / 3_000_000 + 2;
+        assert!(
+            m.peers.len() <= 3 && m.numbers.len() as u64 <= rest,
+            "{} {}",
+            m.peers.len(),
+            m.numbers.len()
+        );
+        assert_eq!(m.last_number, 100, "each has a number of its own, however its address was used before");
+        // With a call out it stays until that has ended.
+        m.peers.values_mut().for_each(|p| p.out = 1);
+        m.tidy(now.after(FORGET));
+        assert!(!m.peers.is_empty());
+        m.peers.values_mut().for_each(|p| p.out = 0);
+        m.tidy(now.after(FORGET));
+        m.tidy(now.after(FORGET).after(FORGET));
+        assert_eq!((m.peers.len(), m.numbers.len()), (0, 0));
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
     /// A call may wait for its connection for longer than a drain leaves time to send.
     #[test]
     fn a_queued_call_is_not_written_once_its_endpoint_drains() {
--- a/daemon/src/wal.rs
+++ b/daemon/src/wal.rs
@@ -19,6 +19,8 @@
     size: u64,
     /// Bytes that log and new log may take together.
     budget: u64,
+    /// At this size it is worth asking how much of the log is owed, which takes a look at all that is held.
+    look_at: u64,
     pub compactions: u64,
 }
 
@@ -39,7 +41,10 @@
         let size = bytes.len() as u64;
         // Files count in whole blocks: keep two of them and a little more out of it.
         let budget = budget.saturating_sub(4096);
-        Ok((Wal { folder: folder.into(), file, size, budget, compactions: 0 }, frames(&bytes)))
+        Ok((
+            Wal { folder: folder.into(), file, size, budget, look_at: SLACK, compactions: 0 },
+            frames(&bytes),
+        ))
     }
 
     pub fn size(&self) -> u64 {
@@ -56,12 +61,13 @@
         let takes_on = records.iter().any(|r| matches!(r, Record::Taken(_)));
         let more = bytes.len() as u64;
         let (twice, kept) = if takes_on { (more * 2, RESERVE) } else { (more, 0) };
-        if self.size > SLACK || self.size + twice + kept > self.budget / 2 {
+        if self.size > self.look_at || self.size + twice + kept > self.budget / 2 {
             let live = live(owed());
             let tight = self.size + live + twice + kept > self.budget;
             if tight || self.size > live * 2 + SLACK {
                 self.compact(owed())?;
             }
+            self.look_at = self.size + SLACK / 8;
             if self.size + live + twice + kept > self.budget {
                 return Err(io::Error::new(ErrorKind::StorageFull, "the log has no room"));
             }
@@ -89,6 +95,7 @@
             return Err(e);
         }
         (self.file, self.size) = (file, bytes.len() as u64);
+        self.look_at = self.size + SLACK / 8;
         self.compactions += 1;
         Ok(())
     }
