A kept connection that breaks at once does not make its endpoint sick, and is passed over

At fault: endpoint.rs told the module Reset for a kept connection that broke at once, brain.rs learn() took three for an outage; and payments went over kept connections, where a break loses them. Now: such a break is Stale (may have run, nothing learnt of the receiver); reuse.rs measures by idle time how often it happens, and passes kept connections over where a break costs more than a new one. Ruled out: an idle limit below the stated one alone, as young connections break too.

--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -262,13 +262,16 @@
 
     fn answered(&mut self, now: Micros, a: &Answered) {
         let c = &self.shared.counters;
+        if a.verdict == Verdict::Stale {
+            c.stale.up();
+        }
         match a.verdict {
             Verdict::Delivered => &c.delivered,
             Verdict::Error => &c.error,
             Verdict::Full(_) => &c.full,
             Verdict::TimedOut => &c.timed_out,
             Verdict::ConnectFailed => &c.connect_failed,
-            Verdict::Reset => &c.reset,
+            Verdict::Reset | Verdict::Stale => &c.reset,
             Verdict::Cancelled => &c.cancelled,
             Verdict::Moot => &c.moot,
         }
@@ -437,6 +440,7 @@
         };
         let t = &o.taken;
         let call = OutboundCall {
+            harmful: self.desk.harmful(&t.class),
             n,
             attempt,
             to,
@@ -499,6 +503,7 @@
             closing: closed,
             serials: Cell::new(0),
             crowd: Default::default(),
+            reuse: Default::default(),
             stopping: Cell::new(false),
             discovery: Cell::new("127.0.0.1:1".parse().unwrap()),
             connect_timeout: Micros(1_000_000),
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -1,6 +1,7 @@
 //! One endpoint: its idle connections, and the outbound calls over them.
 
 use super::client::{Answer, Conn, Lost, TAIL};
+use super::reuse::AT_ONCE;
 use super::{HEAD_MOST, seconds};
 use crate::clock::Clock;
 use crate::module::ToModule;
@@ -61,7 +62,15 @@
             Some(Err(_)) => return close_all(&shared, &mut idle),
             Some(Ok(ToEndpoint::Call(call))) => {
                 retire_idle(&shared, &mut idle, now);
-                let conn = idle.pop();
+                // The youngest is the best; one that is not good enough is closed, so that they do not pile up.
+                let conn = idle.pop().filter(|i| {
+                    let good = shared.reuse.borrow_mut().allows(now.since(i.since), call.harmful);
+                    if !good {
+                        shared.counters.outbound_open.down();
+                        shared.counters.outbound_passed_over.up();
+                    }
+                    good
+                });
                 let (shared, give_back) = (shared.clone(), give_back.clone());
                 let executor = shared.executor.clone();
                 executor.spawn(outbound_call(shared, address, *call, conn, give_back)).detach();
@@ -114,7 +123,7 @@
         limit: load,
         ..call.answered(shared.clock.now(), verdict)
     };
-    if matches!(verdict, Verdict::TimedOut | Verdict::Reset) {
+    if matches!(verdict, Verdict::TimedOut | Verdict::Reset | Verdict::Stale) {
         let _ = give_back.try_send(Back::Suspect);
     }
     let _ = shared.module.send(ToModule::Answered(answered)).await;
@@ -135,13 +144,14 @@
 ) -> (Verdict, Option<Answer>, Option<Conn>) {
     let (clock, counters) = (&shared.clock, &shared.counters);
     let until = call.until();
-    let mut kept = None;
+    let (mut kept, mut rested) = (None, None);
     if let Some(Idle { since, conn }) = idle {
         let settled = since.after(SETTLE);
         if settled > clock.now() {
             clock.until(Some(settled)).await;
         }
         kept = Some(conn).filter(|c| !c.stale());
+        rested = kept.as_ref().map(|_| clock.now().since(since));
         if kept.is_none() {
             counters.outbound_open.down();
         }
@@ -173,8 +183,19 @@
         _ => return (Verdict::ConnectFailed, None, None),
     }
     counters.outbound_calls.up();
-    let mut answer = match conn.answer(clock, until).await {
+    let written = clock.now();
+    let read = conn.answer(clock, until).await;
+    // A kept connection that breaks at once tells of itself; later, or when new, of the endpoint.
+    let at_once = clock.now().since(written) < AT_ONCE;
+    let stale = rested.filter(|_| at_once && matches!(read, Err(Lost::Broken(_))));
+    if let Some(idle) = rested
+        && (read.is_ok() || stale.is_some())
+    {
+        shared.reuse.borrow_mut().note(idle, stale.is_some());
+    }
+    let mut answer = match read {
         Ok(answer) => answer,
+        Err(Lost::Broken(_)) if stale.is_some() => return (Verdict::Stale, None, None),
         Err(Lost::TimedOut) => return (Verdict::TimedOut, None, None),
         Err(Lost::Broken(_)) => return (Verdict::Reset, None, None),
         Err(Lost::Spoilt(why)) => return spoilt(shared, address, &why),
--- a/daemon/src/net/http/mod.rs
+++ b/daemon/src/net/http/mod.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod endpoint;
 pub mod inbound;
+pub mod reuse;
 
 /// Bodies of requests.
 pub const BODY_MOST: usize = 64 * 1024;
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -25,6 +25,8 @@
     /// Closed when all calls have ended, just before the process does.
     pub closing: Receiver<()>,
     pub serials: Cell<u64>,
+    /// What kept connections to endpoints are worth.
+    pub reuse: std::cell::RefCell<http::reuse::Reuse>,
     /// The inbound connections that may be closed to make room.
     pub crowd: crowd::Crowd,
     pub stopping: Cell<bool>,
@@ -59,6 +61,8 @@
     pub body: Vec<u8>,
     pub started: Micros,
     pub patience: Micros,
+    /// If it may have run, it is lost.
+    pub harmful: bool,
 }
 
 impl OutboundCall {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -66,6 +66,7 @@
         ending: ended,
         closing: closed,
         crowd: Default::default(),
+        reuse: Default::default(),
         serials: Cell::new(0),
         stopping: Cell::new(false),
         discovery: Cell::new(config.discovery),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -616,7 +616,7 @@
             Verdict::Error | Verdict::TimedOut | Verdict::Reset | Verdict::ConnectFailed => {
                 r.on_failure(now, attempt.sent);
             }
-            Verdict::Cancelled | Verdict::Moot => {}
+            Verdict::Stale | Verdict::Cancelled | Verdict::Moot => {}
         }
         if !was_sick && r.sick() {
             d.trouble_at = now;
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -73,6 +73,7 @@
     next: u64,
     most: usize,
     give_up: Vec<Micros>,
+    harmful: Vec<bool>,
     /// Ids of hand-ins, and destinations that the list has named.
     ids: Ids,
     listed: BTreeSet<DestinationId>,
@@ -101,6 +102,7 @@
             ids: Ids::new(
                 settings.classes.iter().map(|c| c.give_up).max().unwrap_or_default().after(ID_REST),
             ),
+            harmful: settings.classes.iter().map(|c| c.effect == Effect::Unsafe).collect(),
             give_up: settings.classes.iter().map(|c| c.give_up).collect(),
             listed: BTreeSet::new(),
             brain: Brain::new(settings, seed),
@@ -156,6 +158,11 @@
         let give_up = self.names.classes.get(class).and_then(|i| self.give_up.get(*i));
         now.after(give_up.copied().unwrap_or(Micros(u64::MAX)))
     }
+    /// A request of this class that may have run is lost: it must not be repeated.
+    pub fn harmful(&self, class: &str) -> bool {
+        let i = self.names.classes.get(class);
+        i.and_then(|i| self.harmful.get(*i)).copied().unwrap_or(true)
+    }
     /// A number for the next request.
     pub fn number(&mut self) -> u64 {
         self.next += 1;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -252,6 +252,9 @@
     ConnectFailed,
     /// The connection broke; may have run.
     Reset,
+    /// The connection had been kept from an earlier call and broke at once; may have run. It says nothing of the
+    /// receiver: what stands between may have forgotten the connection.
+    Stale,
     /// Called off; may have run.
     Cancelled,
     /// Not sent; never ran.
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,7 +69,8 @@
 
 impl Verdict {
     pub(crate) fn may_have_run(self) -> bool {
-        matches!(self, Verdict::Error | Verdict::TimedOut | Verdict::Reset | Verdict::Cancelled)
+        use Verdict::{Cancelled, Error, Reset, Stale, TimedOut};
+        matches!(self, Error | TimedOut | Reset | Stale | Cancelled)
     }
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -28,7 +28,7 @@
 
 #[test]
 fn unsafe_message_that_may_have_run_fails_and_is_not_sent_again() {
-    for verdict in [Verdict::Error, Verdict::TimedOut, Verdict::Reset, Verdict::Cancelled] {
+    for verdict in [Verdict::Error, Verdict::TimedOut, Verdict::Reset, Verdict::Stale, Verdict::Cancelled] {
         let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0), entry(2, 1, 0, 0)]);
         rig.submit(1, UNSAFE, 1);
         rig.answer(1, verdict);
@@ -37,6 +37,22 @@
     }
 }
 
+/// Connections that something between forgets break in rows: taken for an outage, that cost a fifth of a day's worth.
+#[test]
+fn stale_connections_do_not_make_a_receiver_sick() {
+    let sent = |verdict| {
+        let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0)]);
+        for id in 1..=6 {
+            rig.submit(id, SAFE, 1);
+            rig.answer(id, verdict);
+            rig.answer(id, Verdict::Delivered);
+            rig.pass(ms(10));
+        }
+        (1..=6).map(|id| rig.sends_of(id)).sum::<usize>()
+    };
+    assert_eq!(sent(Verdict::Stale), 12, "each goes again at once");
+}
+
 #[test]
 fn unsafe_message_that_never_ran_goes_again() {
     for verdict in [Verdict::Full(None), Verdict::ConnectFailed, Verdict::Moot] {
