--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,8 +37,11 @@
 const CAP_SICK: f64 = 0.5;
 const BUSY_STRETCH: f64 = 1.5; // a slow receiver may hold this multiple of the calls it usually keeps busy
 // --- Health ----------------------------------------------------------------------------------------------
-const SICK_RUN: u32 = 3; // failures in a row that make a receiver sick
-const SICK_FAILS: u32 = 5; // failures among the last eight that make a receiver sick
+const SICK_RUN: f64 = 3.0; // failures in a row that make a receiver sick ...
+const SICK_RUN_MOST: f64 = 6.0; // ... more where calls fail everywhere, since then runs come by chance ...
+const CHANCE: f64 = 0.002; // ... as seldom as this
+const SICK_FAILS: f64 = 5.0; // failures among the last eight that make a receiver sick; as many more
+const BROAD: f64 = 0.02; // of each outcome, in the share that fails everywhere
 const SHUT_REFUSALS: f64 = 4.0; // refusals in a row, no delivery between, that look like a shut destination
 const SHUT_LEAST: f64 = 2.0; // with many senders
 const SHUT_SPAN: Micros = Micros(1_000_000);
@@ -199,13 +202,16 @@
         self.latency > bar || self.oldest().is_some_and(|t| now.since(t).secs() > bar * 1.5)
     }
     /// Most of the last calls failed, or the last few all did. Where fewer fail it pays to go on.
-    fn mostly_fails(&self) -> bool {
-        self.failed_lately.trailing_ones() >= SICK_RUN || self.failed_lately.count_ones() >= SICK_FAILS
+    fn mostly_fails(&self, broad: f64) -> bool {
+        let run = (CHANCE.ln() / broad.clamp(0.01, 0.9).ln()).ceil().clamp(SICK_RUN, SICK_RUN_MOST);
+        let fails = (SICK_FAILS + run - SICK_RUN).min(7.0);
+        f64::from(self.failed_lately.trailing_ones()) >= run
+            || f64::from(self.failed_lately.count_ones()) >= fails
     }
     fn sicken(&mut self, now: Micros, backoff: Micros) {
         self.health = Health::Sick { since: now, trial_at: now.after(backoff), backoff };
     }
-    fn on_failure(&mut self, now: Micros, sent: Micros) {
+    fn on_failure(&mut self, now: Micros, sent: Micros, broad: f64) {
         self.failed_lately = self.failed_lately << 1 | 1;
         match self.health {
             Health::Sick { since, backoff, .. } if sent >= since => {
@@ -213,7 +219,7 @@
                 self.health = Health::Sick { since, trial_at: now.after(longer), backoff: longer };
             }
             Health::Sick { .. } => {}
-            _ if self.mostly_fails() => self.sicken(now, TRIAL_FIRST),
+            _ if self.mostly_fails(broad) => self.sicken(now, TRIAL_FIRST),
             Health::Suspect { .. } => {}
             // What fails while it recovers may be out still: an outage may let some calls through.
             Health::Recovering { .. } => self.health = Health::Recovering { since: now },
@@ -224,7 +230,7 @@
         match self.health {
             // A wait longer than limits ask for tells of an outage; what opens then is cold.
             _ if wait >= LONG_WAIT || self.sick() && wait > Micros(0) => self.sicken(now, wait),
-            Health::Sick { .. } => self.on_failure(now, sent),
+            Health::Sick { .. } => self.on_failure(now, sent, 0.0),
             _ if shut => self.sicken(now, TRIAL_FIRST),
             Health::Suspect { .. } => {}
             _ if odd => self.health = Health::Suspect { since: now },
@@ -274,6 +280,8 @@
     calls: Calls,
     /// When to look at which destination. Only these are looked at.
     agenda: Agenda,
+    /// The share of calls that broke without an answer lately, wherever they went.
+    broad: f64,
     /// Destinations with messages that only wait for a slot.
     starved: BTreeSet<DestinationId>,
     /// When a receiver of a kind last refused a connection: their tables are small.
@@ -298,6 +306,7 @@
             turns: Turns::default(),
             calls: Calls::default(),
             agenda: Agenda::default(),
+            broad: 0.0,
             starved: BTreeSet::new(),
             scarce: BTreeMap::new(),
             tidy_at: Micros(0),
@@ -595,6 +604,10 @@
         if o.verdict == Verdict::ConnectFailed && o.elapsed < FAST_CONNECT {
             self.scarce.insert(r.kind, now);
         }
+        let (well, failed) = (o.verdict == Verdict::Delivered, o.verdict == Verdict::Reset);
+        if (well || failed) && last && !was_sick {
+            self.broad += BROAD * (f64::from(u8::from(failed)) - self.broad);
+        }
         let unseen = now.since(r.last_proof) > self.set.fall_window;
         match o.verdict {
             _ if !last => {} // messages of one call share its fate
@@ -614,7 +627,7 @@
                 r.on_refusal(now, attempt.sent, wait, shut, odd && unseen);
             }
             Verdict::Error | Verdict::TimedOut | Verdict::Reset | Verdict::ConnectFailed => {
-                r.on_failure(now, attempt.sent);
+                r.on_failure(now, attempt.sent, self.broad);
             }
             Verdict::Stale | Verdict::Cancelled | Verdict::Moot => {}
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -53,6 +53,27 @@
     assert_eq!(sent(Verdict::Stale), 12, "each goes again at once");
 }
 
+/// On a day on which calls break everywhere, three in a row somewhere come by chance: taken for outages, with the cold
+/// ramp after each, they cost more than the breaks.
+#[test]
+fn where_calls_break_everywhere_a_short_run_of_breaks_is_no_outage() {
+    let sent = |breaks_everywhere: bool| {
+        let mut rig = Rig::new(settings(), (1..=10).map(|r| entry(r, r, 0, 0)).collect());
+        for id in 1..=300 {
+            rig.submit(id, SAFE, id % 10 + 1);
+            if breaks_everywhere && id % 3 == 0 {
+                rig.answer(id, Verdict::Reset);
+            }
+            rig.answer(id, Verdict::Delivered);
+            rig.pass(ms(2));
+        }
+        rig.submit(999, SAFE, 1);
+        (0..3).for_each(|_| rig.answer(999, Verdict::Reset));
+        rig.sends_of(999)
+    };
+    assert_eq!((sent(false), sent(true)), (3, 4));
+}
+
 #[test]
 fn unsafe_message_that_never_ran_goes_again() {
     for verdict in [Verdict::Full(None), Verdict::ConnectFailed, Verdict::Moot] {
