A call that hangs while later ones are answered takes no room at its receiver

At fault: brain.rs slow() took the oldest call out for the receiver's pace, so one silent connection held its endpoint to about its usual calls (room_at) until that call timed out after 2 to 5 s. A call out for half a second, while three sent later were answered in the usual time, now tells of itself alone; it still counts for the half of slots.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,6 +54,7 @@
 const SILENT_NORMS: f64 = 10.0; // a call out for so many norms ...
 const SILENT_PLUS: Micros = Micros(1_000_000); // ... and this is silence
 const SLOW_NORMS: f64 = 3.0;
+const OUTLIER_S: f64 = 0.5; // out for longer, while later ones are answered, a call tells of itself alone
 // --- Return from an outage -------------------------------------------------------------------------------
 const BUDGET_SHARE: f64 = 0.6; // under the two thirds from which those that knew are blamed
 const EXTRA_WEIGHT: f64 = 0.25; // of a further message in a call, which weighs a little ...
@@ -197,9 +198,19 @@
         let bar = Micros::from_secs(SILENT_NORMS * self.norm).after(SILENT_PLUS);
         oldest.after(bar).max(self.last_delivered.after(SILENT_PLUS)).after(Micros(1))
     }
-    fn slow(&self, now: Micros) -> bool {
-        let bar = SLOW_NORMS * self.norm + 0.1;
-        self.latency > bar || self.oldest().is_some_and(|t| now.since(t).secs() > bar * 1.5)
+    fn slow_bar(&self) -> f64 {
+        SLOW_NORMS * self.norm + 0.1
+    }
+    /// A call that hangs while later ones are answered as usual tells of its connection or its message: with
+    /// `outliers` it counts all the same.
+    fn slow(&self, now: Micros, outliers: bool) -> bool {
+        let bar = self.slow_bar();
+        let odd = |t: &Micros, age: f64| !outliers && age > OUTLIER_S && self.quick.iter().all(|q| q > t);
+        let late = |t: &Micros| {
+            let age = now.since(*t).secs();
+            age > bar * 1.5 && !odd(t, age)
+        };
+        self.latency > bar || self.calls.values().any(late)
     }
     /// Most of the last calls failed, or the last few all did. Where fewer fail it pays to go on.
     fn mostly_fails(&self, broad: f64) -> bool {
@@ -240,6 +251,10 @@
     fn on_delivery(&mut self, now: Micros, sent: Micros, elapsed: f64, trouble: Micros, set: &Settings) {
         self.failed_lately <<= 1;
         self.last_delivered = now;
+        if elapsed <= self.slow_bar() {
+            self.quick.rotate_left(1);
+            self.quick[2] = sent;
+        }
         let proven = std::mem::replace(&mut self.last_proof, sent);
         self.latency += 0.3 * (elapsed - self.latency);
         let weight = if elapsed > self.norm { 0.03 } else { 0.1 };
@@ -786,7 +801,7 @@
     fn destination_open(&self, now: Micros, d: &Destination) -> Gate<()> {
         let known = d.receivers.iter().filter_map(|r| self.receivers.get(r));
         let in_flight: usize = known.clone().map(|r| r.calls.len()).sum();
-        let ailing = known.clone().any(|r| r.health != Health::Well || r.slow(now));
+        let ailing = known.clone().any(|r| r.health != Health::Well || r.slow(now, true));
         let cap = f64::from(self.set.slots) * if ailing { CAP_SICK } else { CAP_WELL };
         room(in_flight < (cap as usize).max(1))?;
         not_before(now, d.pace.ready_at(now))
@@ -839,7 +854,7 @@
 
     /// Calls that a receiver may hold: a slow one about what it usually keeps busy, an unknown one a few.
     fn room_at(&self, now: Micros, r: &Receiver, d: &Destination) -> usize {
-        if r.slow(now) {
+        if r.slow(now, false) {
             let usual = if r.apart { r.pace.usual } else { d.pace.usual / d.receivers.len().max(1) as f64 };
             (usual * r.norm * BUSY_STRETCH).ceil().max(1.0) as usize
         } else if r.last_proof == Micros(0) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -295,6 +295,8 @@
     pub last_delivered: Micros,
     /// When the last delivered call was sent.
     pub last_proof: Micros,
+    /// When the last few were sent that were answered in the usual time.
+    pub quick: [Micros; 3],
     /// When calls of the last window were sent, and what they weigh with all their messages.
     pub sends: VecDeque<(Micros, f64)>,
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -74,6 +74,28 @@
     assert_eq!((sent(false), sent(true)), (3, 4));
 }
 
+/// One connection that falls silent held its endpoint at the few calls of a slow one until that call timed out.
+#[test]
+fn one_call_that_hangs_while_others_are_answered_takes_no_room() {
+    let sent = |answered: bool| {
+        let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0)]);
+        rig.warm(1000, 50, 1);
+        rig.submit(1, SAFE, 1);
+        for id in 2..=4 {
+            rig.pass(ms(80));
+            if answered {
+                rig.submit(id, SAFE, 1);
+                rig.pass(ms(10));
+                rig.answer(id, Verdict::Delivered);
+            }
+        }
+        rig.pass(ms(400));
+        (20..30).for_each(|id| rig.submit(id, SAFE, 1));
+        (20..30).map(|id| rig.sends_of(id)).sum::<usize>()
+    };
+    assert!(sent(true) > sent(false) + 1, "{} {}", sent(true), sent(false));
+}
+
 #[test]
 fn unsafe_message_that_never_ran_goes_again() {
     for verdict in [Verdict::Full(None), Verdict::ConnectFailed, Verdict::Moot] {
