With the room full, who was answered longest ago makes room at once; SIGTERM shuts the gate

The log shows no sick endpoint and the CPU rests: requests were not read. At fault: inbound.rs listen() kept answered connections for 2 s, so that a crowd that asks once and stays, at 170 a second and node, filled half of the descriptors and shut out everybody; and after SIGTERM, with the door closed, the gate was passed over and accept went first, up to the last descriptor. Now an answered connection makes room after 50 ms of quiet, the oldest first, as the protocol allows between requests, and the closed door is looked at first.

--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -21,7 +21,7 @@
 /// A connection without a request is closed so long after its last answer ...
 const QUIET: Micros = Micros(5_000_000);
 /// ... or to make room for others, if it has been quiet for this.
-const SPARE: Micros = Micros(2_000_000);
+const SPARE: Micros = Micros(50_000);
 /// A client that does not read its answer is not waited for.
 const ANSWER: Micros = Micros(2_000_000);
 /// A client whose requests are turned away as wrong is read again after a pause, and so often.
@@ -47,7 +47,10 @@
     }
     loop {
         // Who has said nothing makes room for who comes, the oldest first.
-        if shared.counters.inbound_open.get() >= shared.inbound_most && !stop.is_closed() {
+        if stop.is_closed() {
+            return;
+        }
+        if shared.counters.inbound_open.get() >= shared.inbound_most {
             if shared.crowd.make_room(shared.clock.now(), SPARE) {
                 shared.counters.inbound_sent_off.up();
                 future::yield_now().await;
@@ -61,7 +64,7 @@
             let _ = stop.recv().await;
             None
         };
-        match future::or(accepted, stopped).await {
+        match future::or(stopped, accepted).await {
             None => return,
             Some(Ok((stream, _))) => {
                 shared.counters.inbound_opened.up();
