--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -205,6 +205,7 @@
                 Ok(())
             }
             ["given", "clients", n] => {
+                let until = std::time::Instant::now() + BOUND;
                 for i in 0..n.parse().map_err(|_| "how many?")? {
                     let who = format!("crowd{i}");
                     let (inbox, post) = inbox();
@@ -212,6 +213,9 @@
                     http::send(&inbox, &who, &["raw", "GET_/ready_HTTP/1.1\\r\\n\\r\\n"])?;
                     inbox.expect(&["200"])?;
                     self.who.insert(who, inbox);
+                    if std::time::Instant::now() > until {
+                        return Err(format!("client {i} was kept waiting"));
+                    }
                 }
                 Ok(())
             }
