--- a/src/brain.rs
+++ b/src/brain.rs
@@ -671,10 +671,16 @@
         self.destinations.get(&r.destination).is_some_and(|d| self.in_doubt(r, d).next().is_some())
     }
 
+    /// Receivers that a destination has now: those that have come and gone say nothing of the others.
+    fn routes(&self, d: &Destination) -> usize {
+        let known = d.receivers.iter().filter_map(|r| self.receivers.get(r));
+        known.filter(|r| r.here()).count().max(1)
+    }
+
     /// The doubted receivers among those that share a fate with this one.
     fn in_doubt<'a>(&'a self, r: &'a Receiver, d: &'a Destination) -> impl Iterator<Item = &'a Receiver> {
         let siblings = d.receivers.iter().filter_map(|s| self.receivers.get(s));
-        siblings.filter(move |s| (!r.apart || std::ptr::eq(*s, r)) && s.doubted(d))
+        siblings.filter(move |s| s.here() && (!r.apart || std::ptr::eq(*s, r)) && s.doubted(d))
     }
 
     /// Near the end of the holding room the least worth goes, before newcomers are turned away unseen.
@@ -801,7 +807,8 @@
     fn destination_open(&self, now: Micros, d: &Destination) -> Gate<()> {
         let known = d.receivers.iter().filter_map(|r| self.receivers.get(r));
         let in_flight: usize = known.clone().map(|r| r.calls.len()).sum();
-        let ailing = known.clone().any(|r| r.health != Health::Well || r.slow(now, true));
+        let ailing =
+            known.clone().filter(|r| r.here()).any(|r| r.health != Health::Well || r.slow(now, true));
         let cap = f64::from(self.set.slots) * if ailing { CAP_SICK } else { CAP_WELL };
         room(in_flight < (cap as usize).max(1))?;
         not_before(now, d.pace.ready_at(now))
@@ -855,7 +862,7 @@
     /// Calls that a receiver may hold: a slow one about what it usually keeps busy, an unknown one a few.
     fn room_at(&self, now: Micros, r: &Receiver, d: &Destination) -> usize {
         if r.slow(now, false) {
-            let usual = if r.apart { r.pace.usual } else { d.pace.usual / d.receivers.len().max(1) as f64 };
+            let usual = if r.apart { r.pace.usual } else { d.pace.usual / self.routes(d) as f64 };
             (usual * r.norm * BUSY_STRETCH).ceil().max(1.0) as usize
         } else if r.last_proof == Micros(0) {
             (self.set.slots as usize / 4).max(1)
@@ -876,7 +883,7 @@
         if self.set.fall_multiple <= 0.0 {
             return Ok(());
         }
-        let (pace, routes) = if r.apart { (&r.pace, 1) } else { (&d.pace, d.receivers.len().max(1)) };
+        let (pace, routes) = if r.apart { (&r.pace, 1) } else { (&d.pace, self.routes(d)) };
         let part_doubted = self.in_doubt(r, d).count() as f64 / routes as f64;
         let warm = (warm_for / self.set.warm_within.secs().max(0.001)).min(1.0);
         let part_at = |warm: f64| self.set.cold_from + (1.0 - self.set.cold_from) * warm;
--- a/src/state.rs
+++ b/src/state.rs
@@ -322,6 +322,10 @@
             self.sends.pop_front();
         }
     }
+    /// In the list, or with calls still out.
+    pub fn here(&self) -> bool {
+        self.listing != Listing::Gone || !self.calls.is_empty()
+    }
     pub fn sick(&self) -> bool {
         matches!(self.health, Health::Sick { .. })
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -96,6 +96,30 @@
     assert!(sent(true) > sent(false) + 1, "{} {}", sent(true), sent(false));
 }
 
+/// On a long day most receivers of a destination have come and gone. What they were must not slow those that are here.
+#[test]
+fn receivers_that_are_gone_do_not_slow_those_that_are_here() {
+    let sent = |gone: u64| {
+        let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0)]);
+        for listing in [Listing::Ready, Listing::Gone] {
+            let past = (100..100 + gone).map(|r| Entry { listing, ..entry(r, 1, 0, 0) }).collect();
+            rig.event(Event::ListChanges(past));
+        }
+        rig.warm(1000, 50, 1);
+        rig.submit(1, SAFE, 1);
+        (0..3).for_each(|_| rig.answer(1, Verdict::Error));
+        rig.event(Event::ListChanges(vec![entry(2, 1, 0, 0)]));
+        for id in 10..60 {
+            rig.submit(id, SAFE, 1);
+            rig.pass(ms(100));
+            let out: Vec<_> = rig.out.iter().map(|s| s.id).collect();
+            out.into_iter().for_each(|id| rig.answer(id, Verdict::Delivered));
+        }
+        rig.sent.iter().filter(|s| s.id < 1000).map(|s| s.at).collect::<Vec<_>>()
+    };
+    assert_eq!(sent(0), sent(8));
+}
+
 #[test]
 fn unsafe_message_that_never_ran_goes_again() {
     for verdict in [Verdict::Full(None), Verdict::ConnectFailed, Verdict::Moot] {
