--- a/config/src/dns.rs
+++ b/config/src/dns.rs
@@ -1,8 +1,10 @@
-//! The file that says where the list is, if it is in a zone file and not at discovery.
+//! `[dns]`: the list out of a zone file, where it is not at discovery.
 
-use crate::toml::At;
+use crate::product::Wrong;
+use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
+use toml::Spanned;
 
 #[derive(Clone, Debug)]
 pub struct Dns {
@@ -13,19 +15,24 @@
     pub zone: String,
 }
 
-/// Reads the file, and the zone file that it names beside itself.
-pub fn read(path: &Path) -> Result<Dns, String> {
-    let shown = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {shown}: {e}"))?;
-    let table: ::toml::Table =
-        text.parse().map_err(|e: ::toml::de::Error| format!("{shown}: {}", e.message()))?;
-    let at = At(&table, shown.clone());
-    let listen = at.address("listen")?;
-    // Updates carry no signature that is looked at: only this machine may send them.
-    if !listen.ip().is_loopback() {
-        return Err(at.wrong("listen", "an address of this machine alone"));
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Raw {
+    listen: Spanned<SocketAddr>,
+    origin: String,
+    zone: Spanned<String>,
+}
+
+impl Raw {
+    /// Reads the zone file, which stands beside the settings.
+    pub(crate) fn check(self, path: &Path) -> Result<Dns, Wrong> {
+        // Updates carry no signature that is looked at: only this machine may send them.
+        if !self.listen.get_ref().ip().is_loopback() {
+            return Err(Wrong::new(&self.listen, "not an address of this machine alone"));
+        }
+        let file = path.parent().unwrap_or(Path::new("")).join(self.zone.get_ref());
+        let zone = std::fs::read_to_string(&file)
+            .map_err(|e| Wrong::new(&self.zone, format!("cannot read {}: {e}", file.display())))?;
+        Ok(Dns { listen: self.listen.into_inner(), origin: self.origin, zone })
     }
-    let file = path.parent().unwrap_or(Path::new("")).join(at.must("zone")?);
-    let zone = std::fs::read_to_string(&file).map_err(|e| format!("cannot read {}: {e}", file.display()))?;
-    Ok(Dns { listen, origin: at.must("origin")?.to_owned(), zone })
 }
--- /dev/null
+++ b/config/src/product.rs
@@ -0,0 +1,216 @@
+//! Our own settings: one TOML file that switches on what the platform does not use.
+//!
+//! Every section is optional and everything in it is off while it is absent. Unknown keys are refused. An error is one
+//! line, `FILE:LINE: KEY: what is wrong`, and nothing of a file with an error is used.
+
+use crate::duties::{self, Duties};
+use crate::{dns, smpp};
+use onyxrock::core::Names;
+use onyxrock::interface::Micros;
+use serde::{Deserialize, Deserializer, de};
+use std::ops::Range;
+use std::path::Path;
+use toml::Spanned;
+
+/// What the file holds, checked.
+#[derive(Clone, Debug, Default)]
+pub struct Product {
+    pub log: Log,
+    pub smpp: Option<smpp::Smpp>,
+    pub dns: Option<dns::Dns>,
+    pub duties: Option<Duties>,
+}
+
+/// How the log is written.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// Lines for people, or one JSON object a line.
+    pub format: Format,
+    /// The least level that is written.
+    pub level: Level,
+    /// Lines a second from one place in the program; what is over it is counted, not written. At least 1.
+    #[serde(deserialize_with = "positive")]
+    pub lines_per_s: u32,
+}
+
+impl Default for Log {
+    fn default() -> Log {
+        Log { format: Format::Text, level: Level::Info, lines_per_s: 20 }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    Text,
+    Json,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    Error,
+    Warn,
+    Info,
+    Debug,
+    Trace,
+}
+
+fn positive<'de, D: Deserializer<'de>>(d: D) -> Result<u32, D::Error> {
+    match u32::deserialize(d)? {
+        0 => Err(de::Error::custom("must be at least 1")),
+        n => Ok(n),
+    }
+}
+
+/// A span over zero, at most a day, written as a number of seconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Seconds(pub Micros);
+
+impl<'de> Deserialize<'de> for Seconds {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Seconds, D::Error> {
+        struct Visitor;
+        impl de::Visitor<'_> for Visitor {
+            type Value = Seconds;
+            fn expecting(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+                f.write_str("a number of seconds over 0 and at most 86400")
+            }
+            fn visit_f64<E: de::Error>(self, secs: f64) -> Result<Seconds, E> {
+                if secs > 0.0 && secs <= 86_400.0 {
+                    Ok(Seconds(Micros::from_secs(secs)))
+                } else {
+                    Err(E::invalid_value(de::Unexpected::Float(secs), &self))
+                }
+            }
+            fn visit_i64<E: de::Error>(self, secs: i64) -> Result<Seconds, E> {
+                self.visit_f64(secs as f64)
+            }
+        }
+        d.deserialize_any(Visitor)
+    }
+}
+
+/// Something wrong with a value that its type alone does not show, and where the value stands.
+#[derive(Debug)]
+pub struct Wrong {
+    pub at: Range<usize>,
+    pub what: String,
+}
+
+impl Wrong {
+    pub fn new<T>(value: &Spanned<T>, what: impl Into<String>) -> Wrong {
+        Wrong { at: value.span(), what: what.into() }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Raw {
+    #[serde(default)]
+    log: Log,
+    smpp: Option<smpp::Raw>,
+    dns: Option<dns::Raw>,
+    duties: Option<duties::Raw>,
+}
+
+/// Reads the file. Names of classes, tenants, kinds and zones must be those of the platform's settings.
+pub fn read(path: &Path, names: &Names) -> Result<Product, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+    parse(&text, path, names)
+}
+
+/// Reads the text of a file; other files that it names stand beside it.
+pub fn parse(text: &str, path: &Path, names: &Names) -> Result<Product, String> {
+    let line = |at: Option<Range<usize>>, what: &str| {
+        // Several lines of explanation, and control characters from the file, have no place in one line.
+        let what: String = what.chars().map(|c| if c.is_control() { ' ' } else { c }).collect();
+        match at.map(|r| place(text, r.start)) {
+            Some((line, Some(key))) => format!("{}:{line}: {key}: {what}", path.display()),
+            Some((line, None)) => format!("{}:{line}: {what}", path.display()),
+            None => format!("{}: {what}", path.display()),
+        }
+    };
+    let raw: Raw = toml::from_str(text).map_err(|e| line(e.span(), e.message()))?;
+    let wrong = |w: Wrong| line(Some(w.at), &w.what);
+    let dns = raw.dns.map(|d| d.check(path)).transpose().map_err(wrong)?;
+    let zone = dns.as_ref().map(|d| (d.zone.as_str(), d.origin.as_str()));
+    Ok(Product {
+        log: raw.log,
+        smpp: raw.smpp.map(|s| s.check(names)).transpose().map_err(wrong)?,
+        duties: raw.duties.map(|d| d.check(zone)).transpose().map_err(wrong)?,
+        dns,
+    })
+}
+
+/// The line of a place in the text, from one, and the key that its line sets.
+fn place(text: &str, at: usize) -> (usize, Option<&str>) {
+    let at = (0..=at.min(text.len())).rev().find(|i| text.is_char_boundary(*i)).unwrap_or(0);
+    let line = text[..at].matches('\n').count();
+    let shown = text.lines().nth(line).unwrap_or("");
+    let key = shown.split_once('=').map(|(key, _)| key.trim()).filter(|k| !k.is_empty());
+    let header = shown.trim().starts_with('[').then(|| shown.trim());
+    (line + 1, key.or(header))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names() -> Names {
+        let map = |n: &[&str]| n.iter().enumerate().map(|(i, n)| ((*n).to_owned(), i)).collect();
+        Names {
+            classes: map(&["status"]),
+            tenants: map(&["clubs"]),
+            kinds: map(&["club"]),
+            zones: map(&["floor-2"]),
+        }
+    }
+
+    fn wrong(text: &str) -> String {
+        let e = parse(text, Path::new("p.toml"), &names()).expect_err(text);
+        assert_eq!(e.lines().count(), 1, "{e}");
+        e
+    }
+
+    #[test]
+    fn an_empty_file_switches_nothing_on() {
+        let p = parse("", Path::new("p.toml"), &names()).unwrap();
+        assert!(p.smpp.is_none() && p.dns.is_none() && p.duties.is_none());
+        assert_eq!(p.log, Log::default());
+    }
+
+    #[test]
+    fn an_error_names_file_line_and_key() {
+        let gateway = "[smpp]\nlisten = \"127.0.0.1:1\"\nsystem_id = \"o\"\n[[smpp.gateway]]\nname = \"g\"\n\
+            address = \"127.0.0.1:2\"\ndestination = 1\nkind = \"club\"\nzone = \"cellar\"\n";
+        for (text, start, word) in [
+            ("[log]\nformat = \"xml\"\n", "p.toml:2: format: ", "xml"),
+            ("[log]\ncolour = 1\n", "p.toml:2: colour: ", "unknown"),
+            ("[log]\nlines_per_s = 0\n", "p.toml:2: lines_per_s: ", "at least 1"),
+            ("\n[lgo]\n", "p.toml:2: [lgo]: ", "unknown"),
+            ("[smpp]\nsystem_id = 1\n", "p.toml:2: system_id: ", "string"),
+            ("[smpp]\nsystem_id = \"o\"\n", "p.toml:1: [smpp]: ", "listen"),
+            (
+                "[smpp]\nlisten = \"127.0.0.1:1\"\nsystem_id = \"o\"\nenquire_link_s = 0\n",
+                "p.toml:4: ",
+                "seconds",
+            ),
+            (
+                "[smpp]\nlisten = \"127.0.0.1:1\"\nsystem_id = \"o\"\nenquire_link_s = nan\n",
+                "p.toml:4: ",
+                "seconds",
+            ),
+            (gateway, "p.toml:9: zone: ", "cellar"),
+            (
+                "[dns]\nlisten = \"10.0.0.1:53\"\norigin = \"a.\"\nzone = \"z\"\n",
+                "p.toml:2: listen: ",
+                "this machine",
+            ),
+            ("[dns\n", "p.toml:1: ", ""),
+        ] {
+            let e = wrong(text);
+            assert!(e.starts_with(start) && e.contains(word), "{e}");
+        }
+    }
+}
--- a/config/src/smpp.rs
+++ b/config/src/smpp.rs
@@ -1,12 +1,13 @@
-//! The file that says how the SMPP front listens, which gateways there are, and what fields mean.
+//! `[smpp]`: how the SMPP front listens, which gateways there are, and what fields mean.
 
-use crate::toml::At;
-use ::toml::Table;
+use crate::product::{Seconds, Wrong};
 use onyxrock::core::Names;
 use onyxrock::interface::Micros;
+use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::num::{NonZeroU16, NonZeroU32};
+use toml::Spanned;
 
 #[derive(Clone, Debug)]
 pub struct Smpp {
@@ -42,68 +43,141 @@
     pub wait: Option<(u16, Micros)>,
 }
 
-/// Reads the file.
-pub fn read(path: &Path, names: &Names) -> Result<Smpp, String> {
-    let shown = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {shown}: {e}"))?;
-    parse(&text, shown, names)
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Raw {
+    listen: SocketAddr,
+    system_id: String,
+    #[serde(default = "window")]
+    window: NonZeroU32,
+    #[serde(default = "enquire")]
+    enquire_link_s: Seconds,
+    #[serde(default)]
+    client: Vec<RawClient>,
+    #[serde(default)]
+    class: Vec<RawClass>,
+    #[serde(default)]
+    route: Vec<RawRoute>,
+    #[serde(default)]
+    gateway: Vec<RawGateway>,
 }
 
-/// Reads the text of a file.
-pub fn parse(text: &str, shown: String, names: &Names) -> Result<Smpp, String> {
-    let table: Table = text.parse().map_err(|e: ::toml::de::Error| format!("{shown}: {}", e.message()))?;
-    let at = At(&table, shown);
-    let mut clients = BTreeMap::new();
-    for c in at.all("client")? {
-        let tenant = c.text("tenant")?.unwrap_or("");
-        if !tenant.is_empty() && !names.tenants.contains_key(tenant) {
-            return Err(c.wrong("tenant", "named in the settings"));
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawClient {
+    system_id: String,
+    tenant: Option<Spanned<String>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawClass {
+    #[serde(default)]
+    service_type: String,
+    class: Spanned<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawRoute {
+    #[serde(default)]
+    prefix: String,
+    destination: u64,
+}
+
+#[derive(Clone, Copy, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Unit {
+    Ms,
+    S,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawGateway {
+    name: String,
+    address: SocketAddr,
+    system_id: Option<String>,
+    destination: u64,
+    kind: Spanned<String>,
+    zone: Spanned<String>,
+    #[serde(default)]
+    rate: u32,
+    #[serde(default = "gateway_window")]
+    window: NonZeroU32,
+    #[serde(default = "gateway_enquire")]
+    enquire_link_s: Seconds,
+    wait_tlv: Option<NonZeroU16>,
+    #[serde(default = "ms")]
+    wait_unit: Unit,
+}
+
+fn window() -> NonZeroU32 {
+    const { NonZeroU32::new(32).unwrap() }
+}
+fn gateway_window() -> NonZeroU32 {
+    const { NonZeroU32::new(16).unwrap() }
+}
+fn enquire() -> Seconds {
+    Seconds(Micros(30_000_000))
+}
+fn gateway_enquire() -> Seconds {
+    Seconds(Micros(15_000_000))
+}
+fn ms() -> Unit {
+    Unit::Ms
+}
+
+/// Its place among names that the platform's settings state.
+fn known(name: &Spanned<String>, names: &BTreeMap<String, usize>) -> Result<usize, Wrong> {
+    let at = names.get(name.get_ref()).copied();
+    at.ok_or_else(|| Wrong::new(name, format!("\"{}\" is not named in the settings", name.get_ref())))
+}
+
+impl Raw {
+    pub(crate) fn check(self, names: &Names) -> Result<Smpp, Wrong> {
+        let mut clients = BTreeMap::new();
+        for c in self.client {
+            let tenant = c.tenant.filter(|t| !t.get_ref().is_empty());
+            tenant.as_ref().map(|t| known(t, &names.tenants)).transpose()?;
+            clients.insert(c.system_id, tenant.map(Spanned::into_inner).unwrap_or_default());
         }
-        clients.insert(c.must("system_id")?.to_owned(), tenant.to_owned());
-    }
-    let mut classes = BTreeMap::new();
-    for c in at.all("class")? {
-        c.known("class", &names.classes)?;
-        classes.insert(c.text("service_type")?.unwrap_or("").to_owned(), c.must("class")?.to_owned());
-    }
-    let mut routes = BTreeMap::new();
-    for r in at.all("route")? {
-        routes.insert(r.text("prefix")?.unwrap_or("").to_owned(), r.whole("destination", 0)?);
-    }
-    let system_id = at.must("system_id")?.to_owned();
-    let mut gateways = Vec::new();
-    for g in at.all("gateway")? {
-        let unit = match g.text("wait_unit")?.unwrap_or("ms") {
-            "ms" => Micros(1000),
-            "s" => Micros(1_000_000),
-            _ => return Err(g.wrong("wait_unit", "\"ms\" or \"s\"")),
-        };
-        let tag = g.whole("wait_tlv", 0)?;
-        let tag = u16::try_from(tag).map_err(|_| g.wrong("wait_tlv", "a tag"))?;
-        gateways.push(Gateway {
-            name: g.must("name")?.to_owned(),
-            address: g.address("address")?,
-            system_id: g.text("system_id")?.unwrap_or(&system_id).to_owned(),
-            destination: g.whole("destination", 0)?,
-            kind: g.known("kind", &names.kinds)?,
-            zone: g.must("zone")?.to_owned(),
-            zone_at: g.known("zone", &names.zones)?,
-            weight: g.whole("rate", 0)? as f64,
-            window: g.whole("window", 16)?.max(1) as usize,
-            enquire: g.secs("enquire_link_s", 15.0)?,
-            wait: (tag > 0).then_some((tag, unit)),
-        });
+        let mut classes = BTreeMap::new();
+        for c in self.class {
+            known(&c.class, &names.classes)?;
+            classes.insert(c.service_type, c.class.into_inner());
+        }
+        let mut gateways = Vec::new();
+        for g in self.gateway {
+            let unit = match g.wait_unit {
+                Unit::Ms => Micros(1000),
+                Unit::S => Micros(1_000_000),
+            };
+            gateways.push(Gateway {
+                name: g.name,
+                address: g.address,
+                system_id: g.system_id.unwrap_or_else(|| self.system_id.clone()),
+                destination: g.destination,
+                kind: known(&g.kind, &names.kinds)?,
+                zone_at: known(&g.zone, &names.zones)?,
+                zone: g.zone.into_inner(),
+                weight: f64::from(g.rate),
+                window: g.window.get() as usize,
+                enquire: g.enquire_link_s.0,
+                wait: g.wait_tlv.map(|tag| (tag.get(), unit)),
+            });
+        }
+        Ok(Smpp {
+            listen: self.listen,
+            system_id: self.system_id,
+            window: self.window.get() as usize,
+            enquire: self.enquire_link_s.0,
+            clients,
+            classes,
+            routes: self.route.into_iter().map(|r| (r.prefix, r.destination)).collect(),
+            gateways,
+        })
     }
-    Ok(Smpp {
-        listen: at.address("listen")?,
-        system_id,
-        window: at.whole("window", 32)?.max(1) as usize,
-        enquire: at.secs("enquire_link_s", 30.0)?,
-        clients,
-        classes,
-        routes,
-        gateways,
-    })
 }
 
 impl Smpp {
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -25,7 +25,10 @@
         pub struct Counters { $(pub $name: Count),* }
         impl Counters {
             pub fn json(&self) -> Value {
-                Value::Object([$((stringify!($name).to_owned(), json!(self.$name.get()))),*].into_iter().collect())
+                let mut all: serde_json::Map<_, _> =
+                    [$((stringify!($name).to_owned(), json!(self.$name.get()))),*].into_iter().collect();
+                all.insert("log_left_out".to_owned(), json!(crate::log::left_out()));
+                Value::Object(all)
             }
         }
     };
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod counters;
 pub mod list;
+pub mod log;
 pub mod module;
 pub mod net;
 pub mod notices;
--- a/daemon/src/list/dns.rs
+++ b/daemon/src/list/dns.rs
@@ -33,7 +33,7 @@
             match Zone::parse(&kept, origin) {
                 Ok(kept) if (kept.serial().wrapping_sub(zone.serial()) as i32) > 0 => zone = kept,
                 Ok(_) => {}
-                Err(e) => eprintln!("dns: the kept zone cannot be read and is left out: {e}"),
+                Err(e) => tracing::warn!("dns: the kept zone cannot be read and is left out: {e}"),
             }
         }
         let socket = Async::<UdpSocket>::bind(listen)
@@ -69,7 +69,7 @@
                 let (code, changed) = self.zone.update(&m);
                 match changed.then(|| self.keep()) {
                     Some(Err(e)) => {
-                        eprintln!("dns: {e}");
+                        tracing::error!("dns: {e}");
                         self.zone = before;
                         (ResponseCode::ServFail, false)
                     }
@@ -94,7 +94,7 @@
             None => return,
             Some(None) => true,
             Some(Some(Err(e))) => {
-                eprintln!("dns: {e}");
+                tracing::error!("dns: {e}");
                 false
             }
             Some(Some(Ok((n, from)))) => match dns.answer(&bytes[..n]) {
@@ -109,7 +109,7 @@
         if tell {
             shared.counters.list_answers.up();
             let (list, wrong) = dns.zone.list(&dns.names);
-            wrong.iter().for_each(|w| eprintln!("dns: {w}"));
+            wrong.iter().for_each(|w| tracing::warn!("dns: {w}"));
             if shared.module.send(ToModule::List(list)).await.is_err() {
                 return;
             }
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -82,7 +82,7 @@
                 }
                 Heard::Answer(Err(why)) => {
                     shared.counters.list_failures.up();
-                    eprintln!("list: {why}");
+                    tracing::warn!("list: {why}");
                     conn = None;
                     if shared.module.send(ToModule::ListFailed).await.is_err() {
                         return;
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -179,7 +179,7 @@
             Ok(()) => self.shared.counters.wal_records.up(),
             Err(e) => {
                 self.shared.counters.wal_refused.up();
-                eprintln!("log: {e}");
+                tracing::error!("log: {e}");
                 return false;
             }
         }
@@ -417,7 +417,7 @@
                     }
                 }
                 Step::Follow => drop(self.follow.try_send(())),
-                Step::Log(text) => eprintln!("module: {text}"),
+                Step::Log(text) => tracing::info!("module: {text}"),
             }
         }
         while let Some(ending) = self.waiting.pop_front() {
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -218,7 +218,7 @@
     let n = &shared.counters.spoilt;
     n.up();
     if n.get() <= LOGGED {
-        eprintln!("endpoint {address}: an answer that cannot be read: {why}");
+        tracing::warn!(peer = %address, "endpoint: an answer that cannot be read: {why}");
     }
     (Verdict::Error, None, None)
 }
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -43,7 +43,7 @@
 /// Accepts until `stop` is closed.
 pub async fn listen(shared: Rc<Shared>, listener: Async<TcpListener>, stop: async_channel::Receiver<()>) {
     if let Err(e) = rustix::net::listen(&listener, BACKLOG) {
-        eprintln!("listen: {e}");
+        tracing::error!("listen: {e}");
     }
     loop {
         // Who has said nothing makes room for who comes, the oldest first.
@@ -80,7 +80,7 @@
             }
             Some(Err(e)) => {
                 // Out of descriptors: accept again when some have been closed, rather than spin.
-                eprintln!("accept: {e}");
+                tracing::warn!("accept: {e}");
                 async_io::Timer::after(FULL_PAUSE).await;
             }
         }
--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -97,7 +97,7 @@
     match next(&mut link.buffer, &mut link.stream).await? {
         Read::Pdu(c) if c.id() == CommandId::BindTransceiverResp => {
             if c.status() != CommandStatus::EsmeRok {
-                eprintln!("gateway {}: bind refused, {:?}", gateway.name, c.status());
+                tracing::warn!(peer = %gateway.name, "gateway: bind refused, {:?}", c.status());
                 return None;
             }
             Some(link)
--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -60,7 +60,7 @@
                 executor.spawn(actor).detach();
             }
             Some(Err(e)) => {
-                eprintln!("smpp accept: {e}");
+                tracing::warn!("smpp accept: {e}");
                 async_io::Timer::after(std::time::Duration::from_millis(20)).await;
             }
         }
--- a/daemon/src/net/smpp/receipts.rs
+++ b/daemon/src/net/smpp/receipts.rs
@@ -77,7 +77,7 @@
         let stale = |p: &(Ending, Option<u64>)| now > p.0.deadline.after(KEEP);
         let gone: Vec<_> = pending.iter().filter(|(_, p)| stale(p)).map(|(n, _)| *n).collect();
         for n in gone {
-            eprintln!("smpp: the receipt of {} was not acknowledged and is given up", pending[&n].0.id);
+            tracing::warn!(request = %pending[&n].0.id, "smpp: a receipt was not acknowledged and is given up");
             pending.remove(&n);
             shared.counters.smpp_receipts_lost.up();
             let _ = shared.module.send(ToModule::Told(n)).await;
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -72,7 +72,7 @@
             match future::or(async { Ok(posted.await) }, moves).await {
                 Ok(Some(Ok(status @ (204 | 200)))) => return status,
                 Ok(Some(Ok(400))) => {
-                    eprintln!("notices: the platform cannot read {body}");
+                    tracing::error!(%body, "notices: the platform cannot read this");
                     return 400;
                 }
                 Ok(_) => {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -17,8 +17,7 @@
 use onyxrock::core::{Desk, Record, recover};
 use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::Config;
-use onyxrock_config::dns::Dns;
-use onyxrock_config::smpp::Smpp;
+use onyxrock_config::product::Product;
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
@@ -31,29 +30,29 @@
 const SEND_FOR: Duration = Duration::from_millis(1200);
 const END_BY: Duration = Duration::from_millis(3300);
 
-type Reread<'a> = &'a dyn Fn() -> Result<Config, String>;
+type Reread<'a> = &'a dyn Fn() -> Result<(Config, Product), String>;
 
 /// Runs a forwarder until it is told to end.
 /// `reread` reads the configuration anew when SIGHUP comes.
-pub fn run(config: Config, smpp: Option<Smpp>, dns: Option<Dns>, reread: Reread) -> Result<(), String> {
+pub fn run(config: Config, product: Product, reread: Reread) -> Result<(), String> {
     let executor = Rc::new(LocalExecutor::new());
-    let served = serve(config, smpp, dns, reread, executor.clone());
+    let served = serve(config, product, reread, executor.clone());
     async_io::block_on(executor.run(served))
 }
 
 async fn serve(
-    config: Config, smpp: Option<Smpp>, dns: Option<Dns>, reread: Reread<'_>,
-    executor: Rc<LocalExecutor<'static>>,
+    config: Config, product: Product, reread: Reread<'_>, executor: Rc<LocalExecutor<'static>>,
 ) -> Result<(), String> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("cannot wait for signals: {e}"))?;
     let started = config.clone();
+    let Product { smpp, dns, .. } = product;
     // The kept zone, old and new, shares the folder with the log.
     let zones = if dns.is_some() { 2 * dns::KEPT_MOST as u64 } else { 0 };
     let (wal, scan) = Wal::open(&config.state, config.disk_bytes.saturating_sub(zones))
         .map_err(|e| format!("cannot open the log in {}: {e}", config.state.display()))?;
     if scan.damaged > 0 {
-        eprintln!("log: {} bytes belong to no whole record and are left out", scan.damaged);
+        tracing::warn!("log: {} bytes belong to no whole record and are left out", scan.damaged);
     }
     let (to_module, module_inbox) = bounded::<ToModule>(4096);
     let (ending, ended) = bounded(1);
@@ -110,7 +109,7 @@
     module.resume(recover(scan.records).into_values());
     // The new log says what is owed as this process knows it, and nothing of the damage.
     if let Err(e) = module.wal.compact(module.desk.owed()) {
-        eprintln!("log: {e}");
+        tracing::error!("log: {e}");
     }
     let wait = if ask_every > Micros(0) { Micros(ask_every.0 / 2) } else { Micros(5_000_000) };
     let discovery = Discovery {
@@ -120,7 +119,7 @@
     };
     if let Some(dns) = zone {
         let at = dns.socket.get_ref().local_addr().map_err(|e| e.to_string())?;
-        eprintln!("{} listens on {at} for DNS", config.name);
+        tracing::info!("listens on {at} for DNS");
         executor.spawn(dns::run(shared.clone(), dns, wishes)).detach();
     } else {
         executor.spawn(list::run(shared.clone(), discovery, wishes, list_moves)).detach();
@@ -142,9 +141,9 @@
         let at = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
         let front = Rc::new(smpp::inbound::Front { shared: shared.clone(), smpp, give_up, receipts });
         executor.spawn(smpp::inbound::listen(front, listener, door_shut)).detach();
-        eprintln!("{} listens on {at} for SMPP", config.name);
+        tracing::info!("listens on {at} for SMPP");
     }
-    eprintln!("{} listens on {at}", config.name);
+    tracing::info!("listens on {at}");
 
     while let Some(Ok(Signal::Hup)) = signals.next().await {
         if reload(&shared, &started, reread) {
@@ -168,27 +167,27 @@
     drop(closing);
     // Ends that came last are still on their way to the platform.
     Timer::after(Duration::from_millis(100)).await;
-    eprintln!("counters {}", shared.counters.json());
+    tracing::info!("counters {}", shared.counters.json());
     Ok(())
 }
 
 /// Reads the file again. True if discovery has moved. What cannot be read changes nothing.
 fn reload(shared: &Shared, started: &Config, reread: Reread) -> bool {
     let new = match reread() {
-        Ok(new) => new,
+        Ok((new, _)) => new,
         Err(e) => {
             shared.counters.reloads_refused.up();
-            eprintln!("reload: {e}; the old settings stay");
+            tracing::error!("reload: {e}; the old settings stay");
             return false;
         }
     };
     shared.counters.reloads.up();
     let late = started.differs(&new);
     if !late.is_empty() {
-        eprintln!("reload: {} will hold from the next start on", late.join(", "));
+        tracing::warn!("reload: {} will hold from the next start on", late.join(", "));
     }
     // The same address may be another discovery, too.
     shared.discovery.set(new.discovery);
-    eprintln!("reload: discovery is at {}", new.discovery);
+    tracing::info!("reload: discovery is at {}", new.discovery);
     true
 }
--- a/daemon/tests/command_line.rs
+++ b/daemon/tests/command_line.rs
@@ -41,7 +41,8 @@
 #[case::bad_address(&["check"], Some(r#"{"name":"n","listen":"here","discovery":"x","settings":{"classes":[{}]}}"#), "listen")]
 #[case::bad_list(&["check"], Some(r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
     "settings":{"classes":[{"name":"a"}]},"known":{"generation":1,"instances":[{}]}}"#), "list")]
-#[case::no_smpp_file(&["check", "--smpp", "/nonexistent"], Some(GOOD), "/nonexistent")]
+#[case::no_product_file(&["check", "--product", "/nonexistent"], Some(GOOD), "/nonexistent")]
+#[case::product_is_no_toml(&["serve", "--product", "/proc/self/cmdline"], Some(GOOD), "/proc/self/cmdline:1: ")]
 fn bad_lines_are_told_plainly(#[case] args: &[&str], #[case] config: Option<&str>, #[case] word: &str) {
     let (code, out, err) = run(args, config);
     assert_ne!(code, 0);
@@ -63,8 +64,9 @@
     let settings = include_str!("stage/settings.json");
     let config =
         format!(r#"{{"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":{settings}}}"#);
-    let (smpp, dns) = (format!("{deploy}smpp.toml"), format!("{deploy}dns.toml"));
-    let (code, out, err) = run(&["check", "--smpp", &smpp, "--dns", &dns], Some(&config));
+    let product = format!("{deploy}product.toml");
+    let (code, out, err) = run(&["check", "--product", &product], Some(&config));
     assert_eq!((code, err.as_str()), (0, ""));
     assert!(out.contains("1 clients, 1 gateways") && out.contains("1 endpoints in the zone"), "{out}");
+    assert!(out.contains("duties on 127.0.0.1:7946, 3 members, 3 voters"), "{out}");
 }
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -365,33 +365,29 @@
 
     fn start(&mut self) -> Done {
         let file = self.configure();
-        let mut toml = "listen = \"127.0.0.1:0\"\nsystem_id = \"onyxrock\"\nenquire_link_s = 1\nwindow = 4\n\
-            [[client]]\nsystem_id = \"office\"\ntenant = \"khangai-clubs\"\n\
-            [[class]]\nclass = \"status\"\n[[class]]\nservice_type = \"BOOK\"\nclass = \"booking\"\n\
-            [[class]]\nservice_type = \"PAY\"\nclass = \"payment\"\n\
-            [[route]]\nprefix = \"97\"\ndestination = 90\n[[route]]\nprefix = \"1\"\ndestination = 1\n"
+        let mut toml = "[smpp]\nlisten = \"127.0.0.1:0\"\nsystem_id = \"onyxrock\"\nenquire_link_s = 1\nwindow = 4\n\
+            [[smpp.client]]\nsystem_id = \"office\"\ntenant = \"khangai-clubs\"\n\
+            [[smpp.class]]\nclass = \"status\"\n[[smpp.class]]\nservice_type = \"BOOK\"\nclass = \"booking\"\n\
+            [[smpp.class]]\nservice_type = \"PAY\"\nclass = \"payment\"\n\
+            [[smpp.route]]\nprefix = \"97\"\ndestination = 90\n[[smpp.route]]\nprefix = \"1\"\ndestination = 1\n"
             .to_owned();
         for (name, address, words) in &self.gateways {
             toml += &format!(
-                "[[gateway]]\nname = \"{name}\"\naddress = \"{address}\"\ndestination = 90\nkind = \"club\"\n\
+                "[[smpp.gateway]]\nname = \"{name}\"\naddress = \"{address}\"\ndestination = 90\nkind = \"club\"\n\
                 zone = \"floor-2\"\nwait_tlv = 0x1403\n{}\n",
                 words.replace(' ', "\n")
             );
         }
-        let smpp = self.folder.join("smpp.toml");
-        std::fs::write(&smpp, toml).unwrap();
-        let mut files = vec!["--smpp", smpp.to_str().unwrap()];
-        let dns = self.folder.join("dns.toml");
         if self.dns {
             let zone = dns::zone(self.listing.lock().unwrap().entries.iter().map(|e| (&e.name, e.address)));
             std::fs::write(self.folder.join("zone"), zone).unwrap();
-            let toml = "listen = \"127.0.0.1:0\"\norigin = \"p.example.\"\nzone = \"zone\"\n";
-            std::fs::write(&dns, toml).unwrap();
-            files.extend(["--dns", dns.to_str().unwrap()]);
+            toml += "[dns]\nlisten = \"127.0.0.1:0\"\norigin = \"p.example.\"\nzone = \"zone\"\n";
         }
+        let product = self.folder.join("product.toml");
+        std::fs::write(&product, toml).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_onyxrock"))
             .args(["serve", "--config", file.to_str().unwrap()])
-            .args(files)
+            .args(["--product", product.to_str().unwrap()])
             .env("GW_LISTEN", "127.0.0.1:0")
             // The file names the address that holds; the variable may be as old as the process.
             .env("GW_DISCOVERY", "127.0.0.1:9")
@@ -412,7 +408,7 @@
         self.dns_at = None;
         while self.http.is_none() || self.smpp.is_none() || self.dns && self.dns_at.is_none() {
             let line = lines.recv_timeout(BOUND).map_err(|_| "it does not start")?;
-            if let Some(at) = line.strip_prefix("n1 listens on ") {
+            if let Some(at) = line.split_once("listens on ").map(|l| l.1) {
                 let (at, of) = at.split_once(" for ").unwrap_or((at, "HTTP"));
                 *match of {
                     "SMPP" => &mut self.smpp,
