duties: whose periodic duty it is, by leases of a majority, and a pace by construction

Need: instances that may talk to each other still probe a partner each on its own account. What they share must hold in every split and crash: the probes of all to one partner stay within its pace, and never two at once.

A crate without I/O: voters promise a duty to one life of one member for a span, a holder counts its lease from when its question left, and nothing begins that would outlast the lease or come sooner than a gap after the last one or after the lease was won. Who should ask is rendezvous hashing over the members seen alive; that only costs time.

--- /dev/null
+++ b/duties/src/book.rs
@@ -0,0 +1,290 @@
+//! The duties of one instance: which are wanted, whose each should be, and the leases for its own.
+
+use crate::{Boot, DUTIES_MOST, Duty, Holder, Member, Message, NotNow, Terms, Voter, rank};
+use onyxrock::interface::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Duties that may be wanted at once; what is beyond it waits for its next want.
+const WANTED_MOST: usize = 20_000;
+
+/// Questions that only a minority granted, after which a member steps back.
+const TRIES: u32 = 6;
+
+/// Something for the caller to carry out.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Output {
+    /// Send this to another member. It may be lost.
+    Send {
+        /// To whom; never to itself.
+        to: Member,
+        /// What.
+        message: Message,
+    },
+}
+
+/// A lease that is held.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Owned {
+    /// For what.
+    pub duty: Duty,
+    /// Since when.
+    pub since: Micros,
+    /// Until when, without renewal.
+    pub until: Micros,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Wanted {
+    until: Micros,
+    /// This instance itself wants it.
+    mine: Micros,
+    /// Questions in a row that only a minority granted.
+    tries: u32,
+    /// Not to be asked for before.
+    rest: Micros,
+}
+
+/// All that one instance knows of duties.
+#[derive(Clone, Debug)]
+pub struct Book {
+    me: Member,
+    members: u16,
+    voters: u16,
+    terms: Terms,
+    holder: Holder,
+    voter: Option<Voter>,
+    /// Who is seen alive, and since when.
+    alive: BTreeMap<Member, Micros>,
+    wanted: BTreeMap<Duty, Wanted>,
+    round: Micros,
+    won: u64,
+}
+
+impl Book {
+    /// A book for the member `me` of so many, of which the first `voters` vote. `boot` is a number that no other
+    /// process of this member has.
+    #[must_use]
+    pub fn new(me: Member, members: u16, voters: u16, terms: Terms, boot: Boot, now: Micros) -> Book {
+        let voters = voters.clamp(1, members.max(1));
+        Book {
+            me,
+            members,
+            voters,
+            terms,
+            holder: Holder::new(terms, boot, voters),
+            voter: (me.0 < voters).then(|| Voter::new(terms, now)),
+            alive: BTreeMap::from([(me, now)]),
+            wanted: BTreeMap::new(),
+            round: now,
+            won: 0,
+        }
+    }
+
+    /// The terms of every lease.
+    #[must_use]
+    pub fn terms(&self) -> Terms {
+        self.terms
+    }
+
+    /// Who is seen alive now. It only says who should ask; a view that is wrong costs time, not safety.
+    pub fn view(&mut self, now: Micros, alive: BTreeSet<Member>) {
+        self.alive.retain(|m, _| alive.contains(m) || *m == self.me);
+        for m in alive {
+            self.alive.entry(m).or_insert(now);
+        }
+    }
+
+    /// This instance wants a duty done until then.
+    pub fn want(&mut self, duty: Duty, until: Micros) {
+        if let Some(w) = self.wanted_entry(duty) {
+            (w.mine, w.until) = (w.mine.max(until), w.until.max(until));
+        }
+    }
+
+    /// This instance does not want it any more; others may.
+    pub fn unwant(&mut self, now: Micros, duty: Duty) {
+        if let Some(w) = self.wanted.get_mut(&duty) {
+            w.until = if w.mine >= w.until { now } else { w.until };
+            w.mine = Micros(0);
+        }
+    }
+
+    fn wanted_entry(&mut self, duty: Duty) -> Option<&mut Wanted> {
+        if self.wanted.len() >= WANTED_MOST && !self.wanted.contains_key(&duty) {
+            return None;
+        }
+        let none = Wanted { until: Micros(0), mine: Micros(0), tries: 0, rest: Micros(0) };
+        Some(self.wanted.entry(duty).or_insert(none))
+    }
+
+    /// Whose a duty should be, of those that are seen alive.
+    #[must_use]
+    pub fn first(&self, duty: Duty) -> Member {
+        rank(duty, self.alive.keys().copied()).first().copied().unwrap_or(self.me)
+    }
+
+    /// Takes what another member said; who it was must be known for sure.
+    pub fn receive(&mut self, now: Micros, from: Member, message: Message) -> Vec<Output> {
+        if from.0 >= self.members || from == self.me || !message.fits() {
+            return Vec::new();
+        }
+        if let Message::Want { duties } = &message {
+            let until = now.after(self.terms.lease);
+            for duty in duties {
+                if let Some(w) = self.wanted_entry(*duty) {
+                    w.until = w.until.max(until);
+                }
+            }
+            // What was not known to be wanted is asked for at once, at the next tick.
+            return Vec::new();
+        }
+        self.won += u64::from(self.holder.receive(now, from, &message));
+        let answer = self.voter.as_mut().and_then(|v| v.receive(now, from, &message));
+        answer.into_iter().map(|message| Output::Send { to: from, message }).collect()
+    }
+
+    /// What is due: questions, renewals, what is given back. Call it when [`Book::due`] says so.
+    pub fn tick(&mut self, now: Micros) -> Vec<Output> {
+        let mut out = Vec::new();
+        let over: Vec<_> = self.wanted.iter().filter(|(_, w)| w.until <= now).map(|(d, _)| *d).collect();
+        self.give_back(now, &over, &mut out);
+        for duty in over {
+            // One that is still being done is given back at a later tick.
+            if self.holder.asked(duty).is_none() {
+                self.wanted.remove(&duty);
+            }
+        }
+        if now < self.round {
+            return out;
+        }
+        self.round = now.after(self.terms.renew());
+        if let Some(v) = &mut self.voter {
+            v.tidy(now);
+        }
+        self.holder.tidy(now);
+        let (mut ask, mut back) = (Vec::new(), Vec::new());
+        let mut tell: BTreeMap<Member, Vec<Duty>> = BTreeMap::new();
+        for (duty, w) in &mut self.wanted {
+            let order = rank(*duty, self.alive.keys().copied());
+            let first = order.first().copied().unwrap_or(self.me);
+            let holds = self.holder.holds(now, *duty);
+            if first == self.me {
+                w.tries = if !holds && self.holder.partial(*duty) { w.tries + 1 } else { 0 };
+                if w.tries >= TRIES {
+                    // Others ask too, and each has a part: all but one must step back, those behind for longer. A
+                    // promise to somebody who is gone ends by itself before that.
+                    let all = rank(*duty, (0..self.members).map(Member));
+                    let place = all.iter().position(|m| *m == self.me).unwrap_or(0) as u64;
+                    w.rest = now.after(Micros(self.terms.renew().0 * place));
+                    w.tries = 0;
+                    back.push(*duty);
+                }
+                if w.rest <= now {
+                    ask.push(*duty);
+                }
+                continue;
+            }
+            if w.mine > now {
+                tell.entry(first).or_default().push(*duty);
+            }
+            // A member that has only just come back may go again: the lease stays until it has stayed.
+            let settled = self.alive.get(&first).is_some_and(|s| now.since(*s) >= self.terms.lease);
+            if holds && !settled {
+                ask.push(*duty);
+            } else if self.holder.asked(*duty).is_some() {
+                back.push(*duty);
+            }
+        }
+        self.give_back(now, &back, &mut out);
+        for (to, duties) in tell {
+            for some in duties.chunks(DUTIES_MOST) {
+                out.push(Output::Send { to, message: Message::Want { duties: some.to_vec() } });
+            }
+        }
+        for some in ask.chunks(DUTIES_MOST) {
+            // A release left at this very moment: a question now could not be told from what it takes back.
+            let Some(message) = self.holder.ask(now, some.to_vec()) else {
+                self.round = now.after(Micros(1));
+                break;
+            };
+            self.to_voters(now, &message, &mut out);
+        }
+        out
+    }
+
+    fn give_back(&mut self, now: Micros, duties: &[Duty], out: &mut Vec<Output>) {
+        for some in duties.chunks(DUTIES_MOST) {
+            if let Some(message) = self.holder.release(now, some) {
+                self.to_voters(now, &message, out);
+            }
+        }
+    }
+
+    /// To all voters; this instance's own vote needs no wire.
+    fn to_voters(&mut self, now: Micros, message: &Message, out: &mut Vec<Output>) {
+        let others = (0..self.voters).map(Member).filter(|m| *m != self.me);
+        out.extend(others.map(|to| Output::Send { to, message: message.clone() }));
+        let own = self.voter.as_mut().and_then(|v| v.receive(now, self.me, message));
+        if let Some(own) = own {
+            self.won += u64::from(self.holder.receive(now, self.me, &own));
+        }
+    }
+
+    /// When [`Book::tick`] is due; none while nothing is wanted.
+    #[must_use]
+    pub fn due(&self) -> Option<Micros> {
+        (!self.wanted.is_empty()).then_some(self.round)
+    }
+
+    /// The duties that this instance holds a lease for and may begin at this moment.
+    #[must_use]
+    pub fn ready(&self, now: Micros) -> Vec<Duty> {
+        let open = |d: &Duty| self.holder.may_begin(now, *d).is_ok();
+        self.wanted.iter().filter(|(_, w)| w.until > now).map(|(d, _)| *d).filter(open).collect()
+    }
+
+    /// When one of them is the next to become ready by time alone.
+    #[must_use]
+    pub fn next_ready(&self, now: Micros) -> Option<Micros> {
+        let at = |d: &Duty| match self.holder.may_begin(now, *d) {
+            Err(NotNow::Pace(at)) => Some(at),
+            _ => None,
+        };
+        self.wanted.keys().filter_map(at).min()
+    }
+
+    /// A doing begins now: ask right before its first byte leaves. It must have ended after the terms' patience.
+    ///
+    /// # Errors
+    /// [`NotNow`]: it must not begin.
+    pub fn begin(&mut self, now: Micros, duty: Duty) -> Result<(), NotNow> {
+        self.holder.begin(now, duty)
+    }
+
+    /// A doing has ended.
+    pub fn end(&mut self, duty: Duty) {
+        self.holder.end(duty);
+    }
+
+    /// The leases that are held.
+    #[must_use]
+    pub fn owned(&self, now: Micros) -> Vec<Owned> {
+        let one = |duty: &Duty| {
+            let (since, until) = (self.holder.since(now, *duty)?, self.holder.until(now, *duty)?);
+            Some(Owned { duty: *duty, since, until })
+        };
+        self.wanted.keys().filter_map(one).collect()
+    }
+
+    /// Duties that are wanted here.
+    #[must_use]
+    pub fn wanted(&self, now: Micros) -> Vec<Duty> {
+        self.wanted.iter().filter(|(_, w)| w.until > now).map(|(d, _)| *d).collect()
+    }
+
+    /// Leases that were won since the start.
+    #[must_use]
+    pub fn won(&self) -> u64 {
+        self.won
+    }
+}
--- /dev/null
+++ b/duties/src/message.rs
@@ -0,0 +1,60 @@
+//! What members say to each other about duties.
+
+use crate::{Boot, Duty};
+use serde::{Deserialize, Serialize};
+
+/// Duties in one message; more go in several, so that each fits in a datagram.
+pub const DUTIES_MOST: usize = 48;
+
+/// Between members. Messages may be lost, come late, twice and in any order; who sent one is known for sure.
+///
+/// Times are microseconds on the asking holder's own clock and mean nothing to anybody else.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+pub enum Message {
+    /// To a voter: a lease is wanted, or wanted for longer.
+    Ask {
+        /// Which life of the sender asks.
+        boot: Boot,
+        /// When the question left.
+        sent: u64,
+        /// For what.
+        duties: Vec<Duty>,
+    },
+    /// The voter's answer.
+    Answer {
+        /// Which life had asked.
+        boot: Boot,
+        /// When that question had left.
+        sent: u64,
+        /// Promised to the one that asked.
+        granted: Vec<Duty>,
+    },
+    /// To a voter: what was asked for up to then is not wanted any more.
+    Release {
+        /// Which life of the sender.
+        boot: Boot,
+        /// Questions that left later than this stand.
+        sent: u64,
+        /// For what.
+        duties: Vec<Duty>,
+    },
+    /// To the member whose duty it should be: the sender wants it done.
+    Want {
+        /// What.
+        duties: Vec<Duty>,
+    },
+}
+
+impl Message {
+    /// A message with more than this was not made by us.
+    #[must_use]
+    pub fn fits(&self) -> bool {
+        let n = match self {
+            Message::Ask { duties, .. } | Message::Release { duties, .. } | Message::Want { duties } => {
+                duties.len()
+            }
+            Message::Answer { granted, .. } => granted.len(),
+        };
+        n <= DUTIES_MOST
+    }
+}
--- /dev/null
+++ b/duties/src/rank.rs
@@ -0,0 +1,53 @@
+//! Rendezvous (highest random weight) hashing.
+
+use crate::{Duty, Member};
+use xxhash_rust::xxh64::xxh64;
+
+/// The members in the order in which the duty is theirs: the first that is alive should do it. When a member comes or
+/// goes only its own duties move. The hash (XXH64) is the same on every machine and in every version.
+#[must_use]
+pub fn rank(duty: Duty, members: impl IntoIterator<Item = Member>) -> Vec<Member> {
+    let weight = |m: Member| {
+        let mut bytes = [0; 11];
+        bytes[0] = duty.kind as u8;
+        bytes[1..9].copy_from_slice(&duty.of.to_le_bytes());
+        bytes[9..].copy_from_slice(&m.0.to_le_bytes());
+        xxh64(&bytes, 0)
+    };
+    let mut all: Vec<_> = members.into_iter().map(|m| (weight(m), m)).collect();
+    all.sort_unstable_by(|a, b| b.cmp(a));
+    all.into_iter().map(|(_, m)| m).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Kind;
+    use std::collections::BTreeMap;
+
+    fn first(of: u64, members: &[u16]) -> Member {
+        rank(Duty { kind: Kind::Probe, of }, members.iter().map(|m| Member(*m)))[0]
+    }
+
+    #[test]
+    fn duties_spread_evenly_and_only_the_lost_ones_move() {
+        let (all, rest) = ([0, 1, 2, 3, 4], [0, 1, 3, 4]);
+        let mut share: BTreeMap<Member, u32> = BTreeMap::new();
+        for of in 0..5000 {
+            let owner = first(of, &all);
+            *share.entry(owner).or_default() += 1;
+            if owner != Member(2) {
+                assert_eq!(first(of, &rest), owner);
+            }
+        }
+        assert!(share.values().all(|n| (850..1150).contains(n)), "{share:?}");
+    }
+
+    /// Instances of two versions must agree on who is first.
+    #[test]
+    fn the_order_is_fixed_for_good() {
+        let order: Vec<_> = (0..8).map(|of| first(of, &[0, 1, 2, 3, 4]).0).collect();
+        assert_eq!(order, FIXED);
+    }
+    const FIXED: [u16; 8] = [4, 2, 4, 2, 4, 1, 3, 1];
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -4,7 +4,7 @@
 //! clock of its own. Ids are the caller's and only compared for equality and order.
 
 /// A point in time or a span, in microseconds.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Default)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Default)]
 pub struct Micros(pub u64);
 
 impl Micros {
