--- a/duties/src/book.rs
+++ b/duties/src/book.rs
@@ -207,7 +207,7 @@
                 self.round = now.after(Micros(1));
                 break;
             };
-            self.to_voters(now, &message, &mut out);
+            self.tell_voters(now, &message, &mut out);
         }
         out
     }
@@ -215,13 +215,13 @@
     fn give_back(&mut self, now: Micros, duties: &[Duty], out: &mut Vec<Output>) {
         for some in duties.chunks(DUTIES_MOST) {
             if let Some(message) = self.holder.release(now, some) {
-                self.to_voters(now, &message, out);
+                self.tell_voters(now, &message, out);
             }
         }
     }
 
     /// To all voters; this instance's own vote needs no wire.
-    fn to_voters(&mut self, now: Micros, message: &Message, out: &mut Vec<Output>) {
+    fn tell_voters(&mut self, now: Micros, message: &Message, out: &mut Vec<Output>) {
         let others = (0..self.voters).map(Member).filter(|m| *m != self.me);
         out.extend(others.map(|to| Output::Send { to, message: message.clone() }));
         let own = self.voter.as_mut().and_then(|v| v.receive(now, self.me, message));
