--- a/config/src/settings.rs
+++ b/config/src/settings.rs
@@ -96,6 +96,8 @@
         warm_within: micros(v, "/rules/warmWithinUs"),
         connection_idle: micros(v, "/limits/connIdleUs"),
         notes: flag(v, "/limits/peerMessages"),
+        probe_class: None,
+        hold_back: Micros(0),
         ask_every: micros(v, "/rules/askEveryUs"),
     };
     let names = Names {
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -46,6 +46,8 @@
     reloads, reloads_refused, list_answers, list_failures, dns_messages,
     // the log
     wal_records, wal_refused, wal_compactions,
+    // duties shared with other instances
+    probes, probes_refused, notes_told, notes_heard, notes_unknown, leases_won, peer_datagrams_lost,
     // SMPP
     smpp_sessions, smpp_bad_pdus, smpp_receipts, smpp_receipts_lost,
 }
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -1,6 +1,8 @@
 //! The actor round the module: one letter after the other, then one decision, then its steps.
 
+use crate::duties::Probing;
 use crate::net::http::endpoint;
+use crate::net::peers::{FromPeers, ToPeers};
 use crate::net::smpp::gateway;
 use crate::net::{OutboundCall, Shared, ToEndpoint};
 use crate::wal::Wal;
@@ -58,6 +60,10 @@
     ListFailed,
     /// A client has been told of an end.
     Told(u64),
+    /// From other instances.
+    Peers(FromPeers),
+    /// Shows the duties, as JSON.
+    Duties(Sender<serde_json::Value>),
     /// Hold all further sends.
     Hold,
     /// Says when no call is out any more.
@@ -95,6 +101,8 @@
     /// Where the ends of each front go.
     pub fronts: BTreeMap<u8, Sender<Ending>>,
     pub slots: usize,
+    /// Duties shared with other instances; none where that is off.
+    pub probing: Option<Probing>,
     peers: BTreeMap<ReceiverId, Peer>,
     /// Numbers by name. One that is gone keeps its number for a while: the module still knows of waits there.
     numbers: BTreeMap<String, ReceiverId>,
@@ -120,6 +128,7 @@
             follow,
             fronts,
             slots,
+            probing: None,
             peers: BTreeMap::new(),
             numbers: BTreeMap::new(),
             last_number: 0,
@@ -149,7 +158,9 @@
         loop {
             self.settle();
             let clock = self.shared.clock;
-            let due = if self.hold { None } else { self.desk.due() };
+            let now = clock.now();
+            let duties = self.probing.as_ref().map(|p| p.due(now));
+            let due = if self.hold { None } else { self.desk.due().into_iter().chain(duties).min() };
             let letter = async { Some(inbox.recv().await) };
             let wake = async {
                 clock.until(due).await;
@@ -204,7 +215,16 @@
                 let record = self.desk.over(n);
                 self.keep(record.as_slice());
             }
-            ToModule::Hold => self.hold = true,
+            ToModule::Peers(news) => self.from_peers(now, news),
+            ToModule::Duties(reply) => {
+                drop(reply.try_send(self.probing.as_ref().map(|p| p.json(now)).unwrap_or_default()));
+            }
+            ToModule::Hold => {
+                self.hold = true;
+                if let Some(p) = &mut self.probing {
+                    p.stop(now);
+                }
+            }
             ToModule::Quiet(reply) => self.quiet.push(reply),
         }
     }
@@ -251,6 +271,12 @@
         if peer.drains.is_some_and(|t| now.since(t) > DRAIN_GRACE) {
             return false;
         }
+        if let Some(p) = self.probing.as_mut().filter(|_| self.desk.probing(n)) {
+            let may = p.writing(now, n);
+            let c = &self.shared.counters;
+            if may { &c.probes } else { &c.probes_refused }.up();
+            return may;
+        }
         let Some(record) = self.desk.attempt(n, &peer.name, &peer.zone, now) else { return false };
         // An attempt that is not in the log could be made again after a restart.
         let kept = self.keep(std::slice::from_ref(&record));
@@ -261,6 +287,9 @@
     }
 
     fn answered(&mut self, now: Micros, a: &Answered) {
+        if let Some(p) = &mut self.probing {
+            p.ended(a.n);
+        }
         let c = &self.shared.counters;
         if a.verdict == Verdict::Stale {
             c.stale.up();
@@ -400,11 +429,20 @@
             self.shared.counters.late_decisions.up();
         }
         self.tidy(now);
+        if let Some(p) = self.probing.as_mut().filter(|_| !self.hold) {
+            p.settle(now, &self.shared, &mut self.desk);
+        }
         let mut steps = Vec::new();
         self.desk.decide(now, !self.hold, &mut steps);
         for step in steps {
             match step {
                 Step::Call { n, attempt, to, patience } => self.call(now, n, attempt, to, patience),
+                Step::Probe { n, attempt, to, patience } => self.probe(now, n, attempt, to, patience),
+                Step::Tell(to, news) => {
+                    if let (Some(peer), Some(others)) = (self.peers.get(&to), &self.shared.peers) {
+                        let _ = others.try_send(ToPeers::Note { endpoint: peer.name.clone(), news });
+                    }
+                }
                 Step::End { n, end } => {
                     if end != End::Delivered {
                         self.keep(&[Record::Given { n, end }]);
@@ -441,6 +479,7 @@
         let t = &o.taken;
         let call = OutboundCall {
             harmful: self.desk.harmful(&t.class),
+            probe: None,
             n,
             attempt,
             to,
@@ -459,6 +498,38 @@
         }
     }
 
+    /// The call of a probe: as any other, but nothing of it is logged or owed.
+    fn probe(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, patience: Micros) {
+        let Some(probing) = &self.probing else { return };
+        let call = OutboundCall {
+            n,
+            attempt,
+            to,
+            id: String::new(),
+            key: String::new(),
+            note: String::new(),
+            body: Vec::new(),
+            started: now,
+            patience: patience.min(probing.patience()),
+            harmful: false,
+            probe: Some(probing.path.clone()),
+        };
+        let moot = call.answered(now, Verdict::Moot);
+        let known = self.peers.get_mut(&to).filter(|_| !self.gateways.iter().any(|g| g.receiver == to));
+        let sent = known.is_some_and(|p| {
+            p.out += 1;
+            p.mailbox.try_send(ToEndpoint::Call(Box::new(call))).is_ok()
+        });
+        if !sent {
+            self.answered(now, &moot);
+        }
+    }
+
+    /// The number of an endpoint that is known by this name.
+    pub fn numbered(&self, name: &str) -> Option<ReceiverId> {
+        self.numbers.get(name).copied()
+    }
+
     fn tell(&mut self, n: u64, end: End) {
         let Some(o) = self.desk.get(n) else { return };
         match end {
@@ -508,6 +579,7 @@
             discovery: Cell::new("127.0.0.1:1".parse().unwrap()),
             connect_timeout: Micros(1_000_000),
             idle_for: None,
+            peers: None,
             inbound_most: 10,
             outbound_most: 10,
             executor: Rc::new(async_executor::LocalExecutor::new()),
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -178,6 +178,10 @@
         return (Verdict::Moot, None, None);
     }
     let bytes = request(address, call, clock);
+    // A process that was stood still since then may have lost the right to probe.
+    if call.probe.is_some() && clock.now() >= until {
+        return (Verdict::Moot, None, None);
+    }
     match clock.before(until, conn.write(&bytes)).await {
         Some(Ok(())) => {}
         _ => return (Verdict::ConnectFailed, None, None),
@@ -224,6 +228,9 @@
 }
 
 fn request(address: SocketAddr, call: &OutboundCall, clock: &Clock) -> Vec<u8> {
+    if let Some(path) = &call.probe {
+        return format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n").into_bytes();
+    }
     let mut head = format!("POST /inbox HTTP/1.1\r\nHost: {address}\r\nX-Request-Id: {}\r\n", call.id);
     if !call.key.is_empty() {
         let _ = write!(head, "Idempotency-Key: {}\r\n", call.key);
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -4,12 +4,14 @@
 use crate::module::{HandIn, Reply, ToModule};
 use crate::net::Shared;
 use crate::net::buffer::Buffer;
+use crate::net::peers::ToPeers;
 use crate::net::smpp::Note;
 use async_channel::{Receiver, Sender, bounded};
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, future};
 use onyxrock::core::Taken;
 use onyxrock::interface::Micros;
+use serde_json::Value;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 
@@ -92,6 +94,8 @@
 enum Ask {
     Ready,
     Counters,
+    Members,
+    Duties,
     HandIn(Box<Taken>),
 }
 
@@ -160,6 +164,8 @@
                     let text = counters.json().to_string();
                     self.answer(200, None, &text, close).await
                 }
+                Ok(Ask::Members) => self.show(close, Self::members).await,
+                Ok(Ask::Duties) => self.show(close, Self::duties).await,
                 Ok(Ask::HandIn(taken)) => self.hand_in(*taken, close).await,
             };
             drop(bytes);
@@ -177,6 +183,29 @@
         }
     }
 
+    /// What one of the actors shows, as JSON; there is nothing here where duties are not shared.
+    async fn show(
+        &mut self, close: bool, ask: impl AsyncFnOnce(&Shared, Sender<Value>) -> bool,
+    ) -> std::io::Result<()> {
+        let (reply, shown) = bounded(1);
+        if self.shared.peers.is_some()
+            && ask(self.shared, reply).await
+            && let Ok(v) = shown.recv().await
+        {
+            return self.answer(200, None, &v.to_string(), close).await;
+        }
+        self.turn_away(Bad(404, "nothing here"), close).await
+    }
+    async fn members(shared: &Shared, reply: Sender<Value>) -> bool {
+        match &shared.peers {
+            Some(peers) => peers.send(ToPeers::Show(reply)).await.is_ok(),
+            None => false,
+        }
+    }
+    async fn duties(shared: &Shared, reply: Sender<Value>) -> bool {
+        shared.module.send(ToModule::Duties(reply)).await.is_ok()
+    }
+
     /// Reads one request.
     async fn next(&mut self) -> Next {
         let mut since = None;
@@ -357,6 +386,8 @@
     match (request.method.unwrap_or(""), path) {
         ("GET", "/ready") => return Ok(Ask::Ready),
         ("GET", "/counters") => return Ok(Ask::Counters),
+        ("GET", "/members") => return Ok(Ask::Members),
+        ("GET", "/duties") => return Ok(Ask::Duties),
         ("POST", _) => {}
         _ => return Err(Bad(404, "nothing here")),
     }
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod buffer;
 pub mod crowd;
 pub mod http;
+pub mod peers;
 pub mod smpp;
 
 use crate::clock::Clock;
@@ -35,6 +36,8 @@
     pub connect_timeout: Micros,
     /// When an idle connection is let go; none where the platform names no limit.
     pub idle_for: Option<Micros>,
+    /// The other instances, where duties are shared.
+    pub peers: Option<Sender<peers::ToPeers>>,
     pub inbound_most: u64,
     pub outbound_most: u64,
     pub executor: Rc<LocalExecutor<'static>>,
@@ -63,6 +66,8 @@
     pub patience: Micros,
     /// If it may have run, it is lost.
     pub harmful: bool,
+    /// It is a probe, which asks for this path and carries nothing.
+    pub probe: Option<Rc<str>>,
 }
 
 impl OutboundCall {
--- /dev/null
+++ b/daemon/src/net/peers.rs
@@ -0,0 +1,203 @@
+//! The other instances, over UDP: one actor that has the socket and the membership.
+
+use crate::module::ToModule;
+use crate::net::Shared;
+use async_channel::Receiver;
+use async_io::Async;
+use futures_lite::future;
+use onyxrock::interface::Micros;
+use onyxrock_config::duties::{Duties, Key, Member as Named};
+use onyxrock_duties::{Member, Message};
+use onyxrock_membership::{Keys, Membership, Output, Refused};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
+use std::rc::Rc;
+
+/// A note names an endpoint; longer names are not told.
+const NAME_MOST: usize = 512;
+/// Datagrams that are read before others have a turn.
+const AT_ONCE: usize = 64;
+
+/// What instances say to each other.
+#[derive(Debug, Serialize, Deserialize)]
+enum Word {
+    Duties(Message),
+    /// What the module tells of an endpoint, by the name that discovery gives it everywhere.
+    Note {
+        endpoint: String,
+        news: Vec<u8>,
+    },
+}
+
+/// The mailbox of the actor.
+#[derive(Debug)]
+pub enum ToPeers {
+    Duties {
+        to: Member,
+        message: Message,
+    },
+    Note {
+        endpoint: String,
+        news: Vec<u8>,
+    },
+    Rekey(Keys),
+    Show(async_channel::Sender<Value>),
+    /// This instance ends.
+    Leave(async_channel::Sender<()>),
+}
+
+/// What it has for the module.
+#[derive(Debug)]
+pub enum FromPeers {
+    View(BTreeSet<Member>),
+    Duties { from: Member, message: Message },
+    Note { endpoint: String, news: Vec<u8> },
+}
+
+pub fn keys(sign: u32, keys: &[Key]) -> Result<Keys, String> {
+    let keys = keys.iter().map(|k| onyxrock_membership::Key { id: k.id, secret: k.secret });
+    Keys::new(sign, keys).map_err(|_| format!("[duties]: there is no key {sign}"))
+}
+
+pub struct Peers {
+    pub shared: Rc<Shared>,
+    pub socket: Async<UdpSocket>,
+    pub membership: Membership,
+    pub members: Vec<Named>,
+}
+
+impl Peers {
+    pub fn listen(d: &Duties) -> Result<Async<UdpSocket>, String> {
+        Async::<UdpSocket>::bind(d.listen)
+            .map_err(|e| format!("cannot listen on {} for members: {e}", d.listen))
+    }
+
+    pub async fn run(mut self, inbox: Receiver<ToPeers>) {
+        // One byte more than any of ours: what is longer is seen to be.
+        let mut bytes = vec![0; onyxrock_membership::DATAGRAM_MOST + 1];
+        loop {
+            let now = self.shared.clock.now();
+            self.membership.tick(now);
+            if !self.carry_out().await {
+                return;
+            }
+            let due = self.membership.due();
+            let letter = async { Some(inbox.recv().await) };
+            let wake = async {
+                let readable = async { drop(self.socket.readable().await) };
+                future::or(readable, self.shared.clock.until(Some(due))).await;
+                None
+            };
+            match future::or(letter, wake).await {
+                Some(Ok(ToPeers::Leave(done))) => {
+                    self.membership.leave(self.shared.clock.now());
+                    self.carry_out().await;
+                    let _ = done.try_send(());
+                }
+                Some(Ok(letter)) => self.take(letter),
+                Some(Err(_)) => return,
+                None => {
+                    for _ in 0..AT_ONCE {
+                        let Ok((n, from)) = self.socket.get_ref().recv_from(&mut bytes) else { break };
+                        let now = self.shared.clock.now();
+                        if let Err(why) = self.membership.receive(now, &bytes[..n])
+                            && !matches!(why, Refused::Unproven | Refused::Hello)
+                        {
+                            tracing::debug!(peer = %from, "members: a datagram is dropped: {why:?}");
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, letter: ToPeers) {
+        match letter {
+            ToPeers::Duties { to, message } => drop(self.say(to, &Word::Duties(message))),
+            ToPeers::Note { endpoint, news } if endpoint.len() <= NAME_MOST => {
+                self.shared.counters.notes_told.up();
+                let word = Word::Note { endpoint, news };
+                let me = self.membership.me();
+                for to in self.membership.alive().into_iter().filter(|m| *m != me) {
+                    self.say(to, &word);
+                }
+            }
+            ToPeers::Note { .. } | ToPeers::Leave(_) => {}
+            ToPeers::Rekey(keys) => self.membership.rekey(keys),
+            ToPeers::Show(reply) => drop(reply.try_send(self.json())),
+        }
+    }
+
+    fn say(&mut self, to: Member, word: &Word) -> bool {
+        postcard::to_allocvec(word).is_ok_and(|bytes| self.membership.send(to, &bytes))
+    }
+
+    /// False once the module is gone.
+    async fn carry_out(&mut self) -> bool {
+        let mut seen = false;
+        while let Some(output) = self.membership.poll() {
+            let news = match output {
+                Output::Datagram { to, bytes } => {
+                    let Some(m) = self.members.get(usize::from(to.0)) else { continue };
+                    // It is not waited for: a full buffer loses a datagram, as any network may.
+                    if self.socket.get_ref().send_to(&bytes, m.address).is_err() {
+                        self.shared.counters.peer_datagrams_lost.up();
+                    }
+                    continue;
+                }
+                Output::Payload { from, bytes } => match postcard::from_bytes(&bytes) {
+                    Ok(Word::Duties(message)) => FromPeers::Duties { from, message },
+                    Ok(Word::Note { endpoint, news }) => FromPeers::Note { endpoint, news },
+                    Err(e) => {
+                        tracing::warn!(member = %self.name(from), "members: a message that cannot be read: {e}");
+                        continue;
+                    }
+                },
+                Output::Up(m) => {
+                    tracing::info!(member = %self.name(m), "members: up");
+                    seen = true;
+                    continue;
+                }
+                Output::Down(m) => {
+                    tracing::warn!(member = %self.name(m), "members: down");
+                    seen = true;
+                    continue;
+                }
+            };
+            if self.shared.module.send(ToModule::Peers(news)).await.is_err() {
+                return false;
+            }
+        }
+        !seen
+            || self
+                .shared
+                .module
+                .send(ToModule::Peers(FromPeers::View(self.membership.alive())))
+                .await
+                .is_ok()
+    }
+
+    fn name(&self, m: Member) -> &str {
+        self.members.get(usize::from(m.0)).map_or("?", |m| m.name.as_str())
+    }
+
+    fn json(&self) -> Value {
+        let alive = self.membership.alive();
+        let one = |(i, m): (usize, &Named)| json!({"name": m.name, "address": m.address.to_string(), "alive": alive.contains(&Member(i as u16))});
+        let c = self.membership.counts();
+        let refused: serde_json::Map<_, _> =
+            c.refused.iter().map(|(why, n)| (format!("{why:?}").to_lowercase(), json!(n))).collect();
+        let pair = |p: (u64, u64)| json!({"datagrams": p.0, "bytes": p.1});
+        json!({"me": self.name(self.membership.me()),
+            "members": self.members.iter().enumerate().map(one).collect::<Vec<_>>(),
+            "sent": pair(c.sent), "believed": pair(c.believed), "refused": refused})
+    }
+}
+
+/// Times of the failure detector, for leases of this length: a death is seen before the lease of the dead runs out.
+pub fn tempo(lease: Micros) -> onyxrock_membership::Tempo {
+    let period = Micros((lease.0 / 6).clamp(100_000, 1_000_000));
+    onyxrock_membership::Tempo { period, answer: Micros(period.0 * 2 / 5), suspicion: Micros(period.0 * 2) }
+}
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -2,10 +2,12 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::duties::{self as probing, Probing};
 use crate::list::{self, Discovery, dns};
 use crate::module::{Module, ToModule};
 use crate::net::Shared;
 use crate::net::http::inbound;
+use crate::net::peers::{self, Peers, ToPeers};
 use crate::net::smpp;
 use crate::notices;
 use crate::wal::Wal;
@@ -18,6 +20,7 @@
 use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::Config;
 use onyxrock_config::product::Product;
+use onyxrock_membership::Membership;
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
@@ -46,7 +49,7 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("cannot wait for signals: {e}"))?;
     let started = config.clone();
-    let Product { smpp, dns, .. } = product;
+    let Product { smpp, dns, duties, .. } = product.clone();
     // The kept zone, old and new, shares the folder with the log.
     let zones = if dns.is_some() { 2 * dns::KEPT_MOST as u64 } else { 0 };
     let (wal, scan) = Wal::open(&config.state, config.disk_bytes.saturating_sub(zones))
@@ -58,6 +61,7 @@
     let (ending, ended) = bounded(1);
     let (closing, closed) = bounded(1);
     let idle = config.settings.connection_idle;
+    let (to_peers, peers_inbox) = bounded(1024);
     let shared = Rc::new(Shared {
         clock: Clock::default(),
         counters: Counters::default(),
@@ -71,6 +75,7 @@
         discovery: Cell::new(config.discovery),
         connect_timeout: config.connect_timeout,
         idle_for: (idle > Micros(0)).then_some(Micros(idle.0 * 4 / 5)),
+        peers: duties.as_ref().map(|_| to_peers.clone()),
         inbound_most: (config.sockets / 2).max(8) as u64,
         outbound_most: (config.sockets / 4).max(8) as u64,
         executor: executor.clone(),
@@ -88,9 +93,29 @@
     let gateways = smpp.as_ref().map_or(Vec::new(), |s| s.gateways.clone());
     // A gateway knows no idempotency key: it would carry out a repeat.
     let plain = gateways.iter().map(|g| DestinationId(g.destination)).collect();
-    let desk = Desk::new(config.settings, config.names.clone(), plain, config.seed);
+    let mut settings = config.settings;
+    let probe_class = duties.as_ref().map(|d| probing::class(&mut settings, d));
+    let desk = Desk::new(settings, config.names.clone(), plain, config.seed);
     let mut module = Module::new(shared.clone(), desk, wal, follow, fronts, slots);
     gateways.into_iter().for_each(|g| module.gateway(g));
+    if let (Some(d), Some(class)) = (&duties, probe_class) {
+        let (me, now) = (probing::place(d, &config.name)?, shared.clock.now());
+        let socket = Peers::listen(d)?;
+        let mut entropy = [0; 8];
+        getrandom::fill(&mut entropy).map_err(|e| format!("no random numbers: {e}"))?;
+        let setup = onyxrock_membership::Settings {
+            me,
+            members: u16::try_from(d.members.len()).map_err(|_| "[duties]: too many members")?,
+            keys: peers::keys(d.sign, &d.keys)?,
+            tempo: peers::tempo(d.lease),
+        };
+        let membership = Membership::new(setup, now.0, u64::from_le_bytes(entropy), now);
+        module.probing = Some(Probing::new(d, me, membership.boot(), now, class, to_peers.clone()));
+        let at = socket.get_ref().local_addr().map_err(|e| e.to_string())?;
+        tracing::info!("listens on {at} for members");
+        let peers = Peers { shared: shared.clone(), socket, membership, members: d.members.clone() };
+        executor.spawn(peers.run(peers_inbox)).detach();
+    }
     // A zone of our own is later than what discovery last told.
     let zone = dns.map(|d| dns::Dns::open(&d.zone, &d.origin, d.listen, config.state, config.names.clone()));
     let zone = zone.transpose()?;
@@ -146,7 +171,7 @@
     tracing::info!("listens on {at}");
 
     while let Some(Ok(Signal::Hup)) = signals.next().await {
-        if reload(&shared, &started, reread) {
+        if reload(&shared, &started, &product, reread) {
             let _ = move_list.try_send(());
             let _ = move_notices.try_send(());
         }
@@ -164,6 +189,15 @@
         Timer::at(told + END_BY).await;
     };
     future::or(calls_end, in_time).await;
+    if let Some(peers) = &shared.peers {
+        let (left, has_left) = bounded(1);
+        let _ = peers.try_send(ToPeers::Leave(left));
+        let said = async { has_left.recv().await.unwrap_or_default() };
+        future::or(said, async {
+            Timer::after(Duration::from_millis(50)).await;
+        })
+        .await;
+    }
     drop(closing);
     // Ends that came last are still on their way to the platform.
     Timer::after(Duration::from_millis(100)).await;
@@ -171,10 +205,29 @@
     Ok(())
 }
 
+/// Keys for members hold at once; what else differs in our own file is named.
+fn reload_product(shared: &Shared, ours: &Product, new: &Product) {
+    if let (Some(peers), Some(d)) = (&shared.peers, &new.duties)
+        && let Ok(keys) = peers::keys(d.sign, &d.keys)
+    {
+        let _ = peers.try_send(ToPeers::Rekey(keys));
+        tracing::info!("reload: members sign with key {}, {} are believed", d.sign, d.keys.len());
+    }
+    let rest = |p: &Product| {
+        p.duties.clone().map(|d| onyxrock_config::duties::Duties { keys: Vec::new(), sign: 0, ..d })
+    };
+    if rest(ours) != rest(new) {
+        tracing::warn!("reload: [duties] but for its keys will hold from the next start on");
+    }
+}
+
 /// Reads the file again. True if discovery has moved. What cannot be read changes nothing.
-fn reload(shared: &Shared, started: &Config, reread: Reread) -> bool {
+fn reload(shared: &Shared, started: &Config, ours: &Product, reread: Reread) -> bool {
     let new = match reread() {
-        Ok((new, _)) => new,
+        Ok((new, product)) => {
+            reload_product(shared, ours, &product);
+            new
+        }
         Err(e) => {
             shared.counters.reloads_refused.up();
             tracing::error!("reload: {e}; the old settings stay");
--- /dev/null
+++ b/lab/src/daemon.rs
@@ -0,0 +1,195 @@
+//! Real daemons, as processes.
+
+use crate::http::ask;
+use async_channel::{Receiver, Sender, unbounded};
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::fs::File;
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// Far more than a start takes.
+const START: Duration = Duration::from_secs(10);
+
+/// One daemon: how it is started, and its process while there is one.
+pub struct Daemon {
+    pub name: String,
+    program: PathBuf,
+    folder: PathBuf,
+    discovery: SocketAddr,
+    known: Value,
+    product: String,
+    senders: usize,
+    child: Option<Child>,
+    /// Where clients reach it.
+    pub http: Option<SocketAddr>,
+    /// Where members reach it.
+    pub members: Option<SocketAddr>,
+    pub starts: u32,
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The daemon beside this program, as one build makes both.
+pub fn beside() -> Result<PathBuf, String> {
+    let me = std::env::current_exe().map_err(|e| e.to_string())?;
+    let path = me.with_file_name("onyxrock");
+    if path.exists() {
+        Ok(path)
+    } else {
+        Err(format!("no daemon at {}; name it with --daemon", path.display()))
+    }
+}
+
+impl Daemon {
+    pub fn new(
+        name: &str, program: &Path, out: &Path, discovery: SocketAddr, known: Value, product: String,
+        senders: usize,
+    ) -> Result<Daemon, String> {
+        let folder = out.join(name);
+        std::fs::create_dir_all(folder.join("state"))
+            .map_err(|e| format!("cannot make {}: {e}", folder.display()))?;
+        let (name, program) = (name.to_owned(), program.to_owned());
+        let (child, http, members, starts) = (None, None, None, 0);
+        Ok(Daemon { name, program, folder, discovery, known, product, senders, child, http, members, starts })
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Starts the process and waits until it listens. Its log is `daemon.log` in its folder.
+    pub async fn start(&mut self) -> Result<(), String> {
+        self.starts += 1;
+        let (config, product) = (self.folder.join("config.json"), self.folder.join("product.toml"));
+        let settings = settings(self.senders);
+        let json = json!({"name": self.name, "seed": format!("{:x}", self.starts), "listen": "127.0.0.1:0",
+            "discovery": self.discovery.to_string(), "known": self.known, "settings": settings,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}});
+        let write = |file: &Path, text: &str| {
+            std::fs::write(file, text).map_err(|e| format!("cannot write {}: {e}", file.display()))
+        };
+        write(&config, &json.to_string())?;
+        write(&product, &self.product)?;
+        let mut child = Command::new(&self.program)
+            .args(["serve", "--config"])
+            .arg(&config)
+            .arg("--product")
+            .arg(&product)
+            .env("GW_STATE", self.folder.join("state"))
+            .stderr(Stdio::piped())
+            .spawn()
+            .map_err(|e| format!("cannot start {}: {e}", self.program.display()))?;
+        let log = File::options().append(true).create(true).open(self.folder.join("daemon.log"));
+        let log = log.map_err(|e| e.to_string())?;
+        let (tx, lines) = unbounded();
+        let err = child.stderr.take().ok_or("no log")?;
+        // The pipe must not fill, whatever the experiment is waiting for.
+        std::thread::spawn(move || follow(err, log, &tx));
+        self.child = Some(child);
+        (self.http, self.members) = (None, None);
+        let started = self.listens(&lines);
+        let late = async {
+            async_io::Timer::after(START).await;
+            Err("it does not listen in time".to_owned())
+        };
+        futures_lite::future::or(started, late).await.map_err(|e| format!("{}: {e}", self.name))
+    }
+
+    async fn listens(&mut self, lines: &Receiver<String>) -> Result<(), String> {
+        let mut last = String::new();
+        while self.http.is_none() {
+            let Ok(line) = lines.recv().await else { return Err(format!("it ended: {last}")) };
+            if let Some((_, at)) = line.split_once("listens on ") {
+                let (at, what) = at.split_once(" for ").unwrap_or((at, ""));
+                let at = at.split_whitespace().next().and_then(|a| a.parse().ok());
+                match what {
+                    "members" => self.members = at,
+                    "" => self.http = at,
+                    _ => {}
+                }
+            }
+            last = line;
+        }
+        Ok(())
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        (self.http, self.members) = (None, None);
+    }
+
+    /// It stands still until [`Daemon::go`].
+    pub fn stop(&self) {
+        self.signal(Signal::STOP);
+    }
+    pub fn go(&self) {
+        self.signal(Signal::CONT);
+    }
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.child.as_ref().map(Pid::from_child) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// It has ended although nobody ended it.
+    pub fn has_crashed(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|c| !matches!(c.try_wait(), Ok(None)))
+    }
+
+    /// What it shows at a path, as JSON.
+    pub async fn show(&self, path: &str) -> Option<Value> {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n");
+        let (status, body) = ask(self.http?, &request, Duration::from_millis(500)).await?;
+        serde_json::from_str(&body).ok().filter(|_| status == 200)
+    }
+
+    /// Kilobytes of memory, and seconds of the processor.
+    pub fn cost(&self) -> Option<(u64, f64)> {
+        let pid = self.child.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        let fields: Vec<_> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+        let ticks: u64 = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        Some((rss.split_whitespace().next()?.parse().ok()?, ticks as f64 / 100.0))
+    }
+}
+
+fn follow(err: impl std::io::Read, mut log: File, tx: &Sender<String>) {
+    for line in BufReader::new(err).lines().map_while(Result::ok) {
+        let _ = writeln!(log, "{line}");
+        let _ = tx.send_blocking(line);
+    }
+}
+
+/// The settings object of an instance: one class that may be repeated, one partner kind.
+fn settings(senders: usize) -> Value {
+    json!({
+        "azs": ["floor-2"],
+        "classes": [{"name": "status", "effect": "repeatable", "group": "all", "giveUpUs": 5_000_000,
+            "targetUs": 800_000, "windowUs": 5_000_000, "lateShare": 0.1, "worth": 1.0}],
+        "hostTypes": ["club"],
+        "discovery": "subscribe",
+        "extra": {"fades": "line", "feeByZone": [0], "kindApart": [false], "perCall": [1], "slots": 24},
+        "limits": {"connIdleUs": 60_000_000, "connectTimeoutUs": 1_000_000, "maxAttempts": 12, "maxOpen": 450,
+            "maxRetryAfterUs": 3_000_000, "peerMessages": false, "probes": true, "retryAfter": false},
+        "overShareWorth": 0.05,
+        "replicasOfMe": senders,
+        "rules": {"askEveryUs": 10_000_000, "coldFrom": 0.17, "fallMultiple": 2.0, "fallUs": 3_000_000,
+            "stopSendingWithinUs": 1_000_000, "warmWithinUs": 12_000_000},
+        "tenants": [],
+        "weightSource": "rough",
+    })
+}
--- /dev/null
+++ b/lab/src/experiments/cluster.rs
@@ -0,0 +1,138 @@
+//! Daemons that share duties, their partners, clients and network.
+
+use super::Setup;
+use crate::daemon::Daemon;
+use crate::world::clients::Clients;
+use crate::world::discovery::Discovery;
+use crate::world::net::Net;
+use crate::world::partner::{Partner, Strength};
+use crate::world::{World, sleep};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::rc::Rc;
+
+pub struct Plan {
+    pub label: &'static str,
+    pub daemons: usize,
+    pub partners: u64,
+    pub strength: Strength,
+    /// Messages a second at each daemon.
+    pub load: f64,
+    pub lease_s: f64,
+    pub per_s: f64,
+    pub patience_s: f64,
+    pub alone: bool,
+}
+
+pub struct Cluster {
+    pub daemons: Vec<Daemon>,
+    pub partners: Vec<Rc<Partner>>,
+    pub clients: Rc<Clients>,
+    pub net: Rc<Net>,
+    pub plan: Plan,
+    world: World,
+}
+
+fn product(plan: &Plan, net: &Net, me: usize) -> String {
+    let mut out = format!(
+        "[duties]\nlisten = \"127.0.0.1:0\"\nvoters = 5\nlease_s = {}\nsign = 1\n[duties.probe]\nper_s = {}\n\
+         patience_s = {}\nalone = {}\n",
+        plan.lease_s, plan.per_s, plan.patience_s, plan.alone
+    );
+    for (to, address) in net.relays[me].iter().enumerate() {
+        let _ = write!(out, "[[duties.member]]\nname = \"{}\"\naddress = \"{address}\"\n", name(plan, to));
+    }
+    let _ = write!(out, "[[duties.key]]\nid = 1\nsecret = \"{}\"\n", "5a".repeat(32));
+    out
+}
+
+fn name(plan: &Plan, i: usize) -> String {
+    format!("{}{}", plan.label, i + 1)
+}
+
+impl Cluster {
+    pub async fn start(setup: &Setup, plan: Plan) -> Result<Cluster, String> {
+        let world = setup.world.clone();
+        let partner = |d| Partner::start(&world, d, plan.strength);
+        let partners = (1..=plan.partners).map(partner).collect::<Result<Vec<_>, _>>()?;
+        let discovery = Discovery::start(&world, &partners)?;
+        let net = Net::start(&world, plan.daemons)?;
+        let destinations: Vec<_> = (1..=plan.partners).collect();
+        let clients = Clients::start(&world, plan.daemons, &destinations, plan.load, 7);
+        let mut daemons = Vec::new();
+        for i in 0..plan.daemons {
+            let product = product(&plan, &net, i);
+            let list = discovery.list();
+            let d = Daemon::new(
+                &name(&plan, i),
+                &setup.daemon,
+                &setup.out,
+                discovery.address,
+                list,
+                product,
+                plan.daemons,
+            )?;
+            daemons.push(d);
+        }
+        let mut cluster = Cluster { daemons, partners, clients, net, plan, world };
+        for i in 0..cluster.daemons.len() {
+            cluster.up(i).await?;
+        }
+        Ok(cluster)
+    }
+
+    pub async fn up(&mut self, i: usize) -> Result<(), String> {
+        self.daemons[i].start().await?;
+        self.net.targets[i].set(self.daemons[i].members);
+        self.clients.at[i].set(self.daemons[i].http);
+        Ok(())
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.net.targets[i].set(None);
+        self.clients.at[i].set(None);
+        self.daemons[i].kill();
+    }
+
+    /// Which daemons say that they hold which duty.
+    pub async fn owners(&self) -> BTreeMap<u64, Vec<usize>> {
+        let mut owners: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
+        for (i, d) in self.daemons.iter().enumerate() {
+            let Some(shown) = d.show("/duties").await else { continue };
+            for o in shown["owned"].as_array().into_iter().flatten() {
+                owners.entry(o["of"].as_u64().unwrap_or(0)).or_default().push(i);
+            }
+        }
+        owners
+    }
+
+    /// Waits until each partner's duty has one owner. The seconds that it took; none if it took too long.
+    pub async fn settled(&self, within: f64) -> Option<f64> {
+        let began = self.world.now();
+        while self.world.now() - began < within {
+            let owners = self.owners().await;
+            if owners.len() as u64 == self.plan.partners && owners.values().all(|o| o.len() == 1) {
+                return Some(self.world.now() - began);
+            }
+            sleep(0.05).await;
+        }
+        None
+    }
+
+    /// A daemon that ended by itself voids the run.
+    pub fn check(&mut self) -> Result<(), String> {
+        match self.daemons.iter_mut().find_map(|d| d.has_crashed().then(|| d.name.clone())) {
+            Some(name) => Err(format!("{name} has crashed; its log is {name}/daemon.log")),
+            None => Ok(()),
+        }
+    }
+
+    /// The sum of a counter over the daemons that are up.
+    pub async fn counter(&self, name: &str) -> u64 {
+        let mut sum = 0;
+        for d in &self.daemons {
+            sum += d.show("/counters").await.and_then(|c| c[name].as_u64()).unwrap_or(0);
+        }
+        sum
+    }
+}
--- /dev/null
+++ b/lab/src/experiments/duties.rs
@@ -0,0 +1,308 @@
+//! Duties shared among instances.
+
+use super::Setup;
+use super::cluster::{Cluster, Plan};
+use crate::report::{Claim, Report, most_within, quantile};
+use crate::world::partner::{Mode, Strength};
+use crate::world::sleep;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+
+fn plan() -> Plan {
+    Plan {
+        label: "n",
+        daemons: 5,
+        partners: 6,
+        // The module's budget for what may be cold lets one daemon try about once a second here.
+        strength: Strength { per_s: 60.0, ..Strength::default() },
+        load: 30.0,
+        lease_s: 1.2,
+        per_s: 2.0,
+        patience_s: 0.5,
+        alone: false,
+    }
+}
+
+/// Every partner fails what it is sent, slowly enough that two probes at once would meet.
+async fn all_fail(c: &Cluster, setup: &Setup) -> Result<(), String> {
+    c.partners.iter().for_each(|p| p.mode.set(Mode::Failing(0.15)));
+    let took = c.settled(20.0).await.ok_or("the duties found no owners within 20 s")?;
+    setup.progress(&format!(
+        "each of {} duties has one owner, {took:.1} s after the partners failed",
+        c.plan.partners
+    ));
+    Ok(())
+}
+
+/// The highest count of probes in a second at any partner, and pairs of probes at one partner at once.
+fn held(c: &Cluster) -> [Claim; 2] {
+    let rate = |p: &std::rc::Rc<crate::world::partner::Partner>| most_within(&p.probes(0.0, f64::MAX), 1.0);
+    let most = c.partners.iter().map(rate).max().unwrap_or(usize::MAX);
+    let overlaps: usize = c.partners.iter().map(|p| p.overlaps()).sum();
+    [
+        Claim::at_most("probe_rate_max", most as f64, c.plan.per_s, "probes/s"),
+        Claim::at_most("probe_overlap", overlaps as f64, 0.0, "pairs"),
+    ]
+}
+
+/// The longest time without a probe at any partner, in milliseconds.
+fn gap(c: &Cluster, from: f64, to: f64) -> f64 {
+    let one = |p: &std::rc::Rc<crate::world::partner::Partner>| {
+        let times: Vec<_> = [vec![from], p.probes(from, to), vec![to]].concat();
+        times.windows(2).map(|w| w[1] - w[0]).fold(0.0, f64::max)
+    };
+    c.partners.iter().map(one).fold(0.0, f64::max) * 1000.0
+}
+
+/// Until another holds a dead owner's lease: its death is seen, its promises run out at a majority, of which some voters
+/// may have restarted and keep quiet for a span, and a round or two of questions.
+const TAKEOVER_MS: f64 = 4_000.0;
+/// Until it probes: a gap, and the module, which tries what is out of order every 1.5 s at most, within its budget.
+const GAP_MS: f64 = 8_000.0;
+
+/// Leases whose owner was killed, until another holds them.
+#[derive(Default)]
+struct Takeovers {
+    pending: Vec<(f64, u64)>,
+    took: Vec<f64>,
+}
+
+impl Takeovers {
+    /// Looks who holds what until a time. What is held within the first moments may be the dead one's, seen late.
+    async fn watch(&mut self, c: &Cluster, setup: &Setup, until: f64) {
+        while setup.world.now() < until {
+            let owners = c.owners().await;
+            let now = setup.world.now();
+            let took = &mut self.took;
+            self.pending.retain(|(at, duty)| {
+                let held = owners.get(duty).is_some_and(|o| !o.is_empty());
+                if held {
+                    took.push((now - at) * 1000.0);
+                }
+                !held
+            });
+            sleep(0.03).await;
+        }
+    }
+}
+
+pub async fn kill(setup: &Setup) -> Result<Report, String> {
+    let mut c = Cluster::start(setup, plan()).await?;
+    all_fail(&c, setup).await?;
+    sleep(3.0).await;
+    let began = setup.world.now();
+    let rounds = if setup.short { 4 } else { 30 };
+    let mut dice = StdRng::seed_from_u64(3);
+    let mut killed: Vec<(f64, Vec<u64>)> = Vec::new();
+    let mut takeovers = Takeovers::default();
+    let (net_before, at_before) = ((c.net.datagrams.get(), c.net.bytes.get()), setup.world.now());
+    for round in 0..rounds {
+        let owners = c.owners().await;
+        let duties: Vec<_> = owners.iter().filter(|(_, o)| !o.is_empty()).collect();
+        if duties.is_empty() {
+            setup.progress("no duty has an owner: nobody to kill");
+            sleep(2.0).await;
+            continue;
+        }
+        let (_, of) = duties[dice.random_range(0..duties.len())];
+        let victim = of[0];
+        let lost: Vec<_> = owners.iter().filter(|(_, o)| o.contains(&victim)).map(|(d, _)| *d).collect();
+        // Half of them in the middle of a probe: wait until one is out at a partner that it probes.
+        if round % 2 == 0 {
+            let until = setup.world.now() + 1.0;
+            let out = || {
+                let theirs = c.partners.iter().filter(|p| lost.contains(&p.destination));
+                theirs
+                    .into_iter()
+                    .any(|p| p.hits.borrow().iter().rev().take(8).any(|h| h.probe && h.until.is_infinite()))
+            };
+            while !out() && setup.world.now() < until {
+                sleep(0.002).await;
+            }
+        }
+        let at = setup.world.now();
+        c.kill(victim);
+        setup.progress(&format!("killed {}, which had {lost:?}", c.daemons[victim].name));
+        takeovers.pending.extend(lost.iter().map(|d| (at, *d)));
+        killed.push((at, lost));
+        takeovers.watch(&c, setup, at + 1.0).await;
+        c.up(victim).await?;
+        takeovers.watch(&c, setup, at + 2.0).await;
+        c.check()?;
+    }
+    let ended = setup.world.now();
+    takeovers.watch(&c, setup, ended + GAP_MS / 1000.0).await;
+    let mut took = takeovers.took;
+    took.extend(takeovers.pending.iter().map(|_| f64::INFINITY));
+    let mut probed = Vec::new();
+    for (at, duties) in &killed {
+        for p in c.partners.iter().filter(|p| duties.contains(&p.destination)) {
+            let next = p.probes(*at + 1e-6, f64::MAX).first().map(|t| (t - at) * 1000.0);
+            probed.push(next.unwrap_or(f64::INFINITY));
+        }
+    }
+    let seconds = ended - at_before;
+    let each = |n: u64, before: u64| (n - before) as f64 / seconds / c.plan.daemons as f64;
+    let datagrams = each(c.net.datagrams.get(), net_before.0);
+    let bytes = each(c.net.bytes.get(), net_before.1);
+    let probes: usize = c.partners.iter().map(|p| p.probes(began, ended).len()).sum();
+    let [rate, overlap] = held(&c);
+    Ok(Report {
+        experiment: "duties-kill".into(),
+        short: setup.short,
+        claims: vec![
+            rate,
+            overlap,
+            Claim::at_most("takeover_p99_ms", quantile(&took, 0.99), TAKEOVER_MS, "ms"),
+            Claim::at_most("probed_again_p99_ms", quantile(&probed, 0.99), GAP_MS, "ms"),
+            Claim::at_most("duty_gap_max_ms", gap(&c, began, ended), GAP_MS, "ms"),
+        ],
+        figures: json!({"kills": killed.len(), "takeovers": took.len(),
+            "takeover_p50_ms": quantile(&took, 0.5).round(), "probes": probes,
+            "datagrams_per_s_each": datagrams.round(), "bytes_per_s_each": bytes.round()}),
+    })
+}
+
+pub async fn split(setup: &Setup) -> Result<Report, String> {
+    let mut c = Cluster::start(setup, plan()).await?;
+    all_fail(&c, setup).await?;
+    let span = if setup.short { 4.0 } else { 12.0 };
+    let began = setup.world.now();
+    let mut heals = Vec::new();
+    let mut healed = async |c: &Cluster, what: &str| {
+        c.net.heal();
+        let took = c.settled(20.0).await.unwrap_or(f64::INFINITY);
+        setup.progress(&format!("{what} is over; one owner each after {took:.1} s"));
+        heals.push(took * 1000.0);
+    };
+    sleep(2.0).await;
+    for (what, low) in [("a split of 2 and 3", 2), ("a split of 4 and 1", 4)] {
+        setup.progress(what);
+        c.net.split(|m| m < low);
+        sleep(span).await;
+        healed(&c, what).await;
+    }
+    // The others hear A, A does not hear them, and the other way round.
+    for (what, deaf) in [("one that hears nobody", true), ("one that nobody hears", false)] {
+        setup.progress(what);
+        let a = c.owners().await.values().flatten().next().copied().unwrap_or(0);
+        let ways = (0..c.daemons.len()).filter(|b| *b != a).map(|b| if deaf { (b, a) } else { (a, b) });
+        c.net.cut.borrow_mut().extend(ways);
+        sleep(span).await;
+        healed(&c, what).await;
+    }
+    // Owners that stand still for longer than their leases, in the middle of a probe or not, and go on.
+    for i in 0..if setup.short { 2 } else { 6 } {
+        let Some(a) = c.owners().await.values().flatten().next().copied() else { continue };
+        setup.progress(&format!("{} stands still", c.daemons[a].name));
+        c.daemons[a].stop();
+        sleep(c.plan.lease_s * 1.5 + 0.17 * f64::from(i)).await;
+        c.daemons[a].go();
+        sleep(1.0).await;
+    }
+    healed(&c, "standing still").await;
+    c.check()?;
+    let ended = setup.world.now();
+    let [rate, overlap] = held(&c);
+    let probes: usize = c.partners.iter().map(|p| p.probes(began, ended).len()).sum();
+    Ok(Report {
+        experiment: "duties-split".into(),
+        short: setup.short,
+        claims: vec![
+            rate,
+            overlap,
+            Claim::at_most("one_owner_after_ms", heals.iter().copied().fold(0.0, f64::max), 8_000.0, "ms"),
+            Claim::at_most("duty_gap_max_ms", gap(&c, began, ended), GAP_MS, "ms"),
+        ],
+        figures: json!({"heals_ms": heals.iter().map(|h| h.round()).collect::<Vec<_>>(), "probes": probes}),
+    })
+}
+
+pub async fn cold(setup: &Setup) -> Result<Report, String> {
+    let strength = Strength { per_s: 40.0, ..Strength::default() };
+    let one = |label, alone| Plan { label, partners: 1, strength, load: 5.0, per_s: 1.0, alone, ..plan() };
+    let shared = Cluster::start(setup, one("s", false)).await?;
+    let alone = Cluster::start(setup, one("a", true)).await?;
+    let mut both = [shared, alone];
+    sleep(4.0).await;
+    setup.progress("both partners hang");
+    both.iter().for_each(|c| c.partners[0].mode.set(Mode::Hanging));
+    let down = setup.world.now();
+    sleep(if setup.short { 8.0 } else { 20.0 }).await;
+    let back = setup.world.now();
+    setup.progress("both come back cold");
+    both.iter().for_each(|c| c.partners[0].mode.set(Mode::Cold(back)));
+    sleep(strength.warm_within + 3.0).await;
+    let mut seen = Vec::new();
+    for c in &mut both {
+        c.check()?;
+        let p = &c.partners[0];
+        // In each second of the return: what probes took of what it could do.
+        let share = |i: usize| {
+            let from = back + i as f64 * 0.1;
+            p.probes(from, from + 1.0).len() as f64 / p.capacity(from)
+        };
+        let most = (0..(strength.warm_within * 10.0) as usize).map(share).fold(0.0, f64::max);
+        let delivered = c.counter("delivered").await;
+        let hits = p.hits.borrow();
+        let lost = hits.iter().filter(|h| !h.probe && h.at >= down && h.at < back).count();
+        let first =
+            hits.iter().find(|h| h.at >= back && h.status == 200).map_or(f64::INFINITY, |h| h.at - back);
+        let fell = p.mode.get() == Mode::Fallen;
+        seen.push((most, p.probes(down, back).len(), lost, first * 1000.0, fell, delivered));
+    }
+    let (s, a) = (&seen[0], &seen[1]);
+    let pace = 1.0 / (strength.per_s * strength.cold_from);
+    Ok(Report {
+        experiment: "duties-cold".into(),
+        short: setup.short,
+        claims: vec![
+            Claim::at_most("probe_share_max", s.0, pace, "share"),
+            Claim::at_most("probe_share_of_alone", s.0 / a.0, 0.5, "ratio"),
+            Claim::at_most("probes_in_outage_ratio", s.1 as f64 / a.1 as f64, 0.5, "ratio"),
+            Claim::at_most("fell_over", f64::from(u8::from(s.4)), 0.0, "partners"),
+        ],
+        figures: json!({
+            "shared": {"probe_share_max": s.0, "probes_in_outage": s.1, "messages_lost_to_outage": s.2,
+                "first_served_ms": s.3.round(), "fell_over": s.4, "delivered": s.5},
+            "alone": {"probe_share_max": a.0, "probes_in_outage": a.1, "messages_lost_to_outage": a.2,
+                "first_served_ms": a.3.round(), "fell_over": a.4, "delivered": a.5},
+        }),
+    })
+}
+
+pub async fn wait(setup: &Setup) -> Result<Report, String> {
+    const WAIT: f64 = 3.0;
+    let mut c = Cluster::start(setup, Plan { partners: 2, ..plan() }).await?;
+    all_fail(&c, setup).await?;
+    sleep(2.0).await;
+    let mut early = 0;
+    let mut waits = 0;
+    let until = setup.world.now() + if setup.short { 10.0 } else { 40.0 };
+    setup.progress("both partners tell everybody to wait 3 s");
+    c.partners.iter().for_each(|p| p.mode.set(Mode::Full(WAIT)));
+    sleep(until - setup.world.now()).await;
+    c.check()?;
+    for p in &c.partners {
+        let hits = p.hits.borrow();
+        let told: Vec<_> = hits.iter().filter(|h| h.status == 429).map(|h| (h.until, h.probe)).collect();
+        // A wait begins when its answer is written; what comes within 100 ms of that passes.
+        for (at, probe) in &told {
+            waits += usize::from(*probe);
+            early += hits.iter().filter(|h| h.at > at + 0.1 && h.at < at + WAIT).count();
+        }
+    }
+    let [rate, overlap] = held(&c);
+    Ok(Report {
+        experiment: "duties-wait".into(),
+        short: setup.short,
+        claims: vec![
+            Claim::at_most("calls_in_wait", early as f64, 0.0, "calls"),
+            Claim::at_least("waits_told_to_probes", waits as f64, 1.0, "waits"),
+            rate,
+            overlap,
+        ],
+        figures: json!({"notes_heard": c.counter("notes_heard").await}),
+    })
+}
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,71 @@
+//! The laboratory's command line.
+
+use lexopt::prelude::*;
+use onyxrock_lab::experiments::{ALL, Setup, run};
+use onyxrock_lab::{daemon, world::World};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+usage: onyxrock-lab run NAME --out DIR [--short] [--daemon FILE]
+       onyxrock-lab list
+`run` plays an experiment against real daemons on loopback, writes DIR/report.json, prints its claims and
+ends with 1 if one does not hold, with 2 if it could not be run. --daemon names the daemon's program; else it
+is the one beside this program. --short plays a shorter form.";
+
+struct Line {
+    words: Vec<String>,
+    out: Option<PathBuf>,
+    daemon: Option<PathBuf>,
+    short: bool,
+}
+
+fn line(mut args: lexopt::Parser) -> Result<Line, String> {
+    let mut line = Line { words: Vec::new(), out: None, daemon: None, short: false };
+    while let Some(arg) = args.next().map_err(|e| e.to_string())? {
+        match arg {
+            Long("out") => line.out = Some(args.value().map_err(|e| e.to_string())?.into()),
+            Long("daemon") => line.daemon = Some(args.value().map_err(|e| e.to_string())?.into()),
+            Long("short") => line.short = true,
+            Long("help") | Short('h') => line.words = vec!["help".into()],
+            Value(v) => line.words.push(v.to_string_lossy().into_owned()),
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    Ok(line)
+}
+
+fn play() -> Result<bool, String> {
+    let line = line(lexopt::Parser::from_env())?;
+    let words: Vec<&str> = line.words.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["run", name] => {
+            let out = line.out.ok_or("run: --out DIR is missing")?;
+            let daemon = line.daemon.map_or_else(daemon::beside, Ok)?;
+            let setup = Setup { out, daemon, short: line.short, world: World::default() };
+            let report = run(name, &setup)?;
+            print!("{}", report.table());
+            Ok(report.held())
+        }
+        ["list"] => {
+            ALL.iter().for_each(|e| println!("{:<16} {}", e.name, e.about));
+            Ok(true)
+        }
+        ["help"] => {
+            println!("{USAGE}");
+            Ok(true)
+        }
+        _ => Err("what shall be done? see --help".into()),
+    }
+}
+
+fn main() -> ExitCode {
+    match play() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(e) => {
+            eprintln!("onyxrock-lab: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/world/clients.rs
@@ -0,0 +1,53 @@
+//! Load that does not wait for answers: arrivals are drawn ahead, and each message has a connection of its own.
+
+use super::{World, sleep};
+use crate::http::ask;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+pub struct Clients {
+    /// Where each daemon is; none while it is down.
+    pub at: Vec<Cell<Option<SocketAddr>>>,
+    /// Answers by status; 0 for none.
+    pub answers: RefCell<BTreeMap<u16, u64>>,
+    pub stop: Cell<bool>,
+}
+
+impl Clients {
+    /// `rate` messages a second at each daemon, spread over the destinations; intervals are exponential.
+    pub fn start(world: &World, daemons: usize, destinations: &[u64], rate: f64, seed: u64) -> Rc<Clients> {
+        let at = (0..daemons).map(|_| Cell::new(None)).collect();
+        let clients = Rc::new(Clients { at, answers: RefCell::default(), stop: Cell::new(false) });
+        for i in 0..daemons {
+            let (this, w, destinations) = (clients.clone(), world.clone(), destinations.to_vec());
+            let mut dice = StdRng::seed_from_u64(seed.wrapping_add(i as u64));
+            world.spawn(async move {
+                let mut due = w.now();
+                let mut n = 0u64;
+                while !this.stop.get() {
+                    due += -dice.random_range(f64::MIN_POSITIVE..1.0f64).ln() / rate;
+                    let to = destinations[dice.random_range(0..destinations.len())];
+                    sleep(due - w.now()).await;
+                    n += 1;
+                    let Some(daemon) = this.at[i].get() else { continue };
+                    let this = this.clone();
+                    w.spawn(async move {
+                        let request = format!(
+                            "POST /status HTTP/1.1\r\nHost: app\r\nX-Request-Id: m-{i}-{n}-{seed:x}\r\n\
+                             X-Class: status\r\nX-Deadline: 4.000\r\nX-Envelope: dest={to}\r\n\
+                             Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+                        );
+                        let answer = ask(daemon, &request, Duration::from_millis(400)).await;
+                        *this.answers.borrow_mut().entry(answer.map_or(0, |a| a.0)).or_default() += 1;
+                    });
+                }
+            });
+        }
+        clients
+    }
+}
--- /dev/null
+++ b/lab/src/world/discovery.rs
@@ -0,0 +1,79 @@
+//! The endpoint list, and the platform's end of notices.
+
+use super::partner::Partner;
+use super::{World, sleep};
+use crate::http::Server;
+use async_io::Async;
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+pub struct Discovery {
+    pub address: SocketAddr,
+    partners: Vec<Rc<Partner>>,
+    generation: Cell<u64>,
+    /// Ends that came, by state.
+    pub ends: RefCell<std::collections::BTreeMap<String, u64>>,
+}
+
+impl Discovery {
+    pub fn start(world: &World, partners: &[Rc<Partner>]) -> Result<Rc<Discovery>, String> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).map_err(|e| e.to_string())?;
+        let address = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
+        let d = Discovery {
+            address,
+            partners: partners.to_vec(),
+            generation: Cell::new(1),
+            ends: RefCell::default(),
+        };
+        let d = Rc::new(d);
+        let (this, w) = (d.clone(), world.clone());
+        world.spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                w.spawn(this.clone().serve(Server::new(stream)));
+            }
+        });
+        Ok(d)
+    }
+
+    pub fn list(&self) -> Value {
+        let one = |p: &Rc<Partner>| {
+            json!({"instanceId": format!("e-{}", p.destination), "hostPort": p.address.to_string(),
+                "zone": "floor-2", "machineType": "club", "cell": p.destination, "lifecycle": "Ready",
+                "weight": p.strength.per_s, "startedAtMs": 0})
+        };
+        let all: Vec<_> = self.partners.iter().map(one).collect();
+        json!({"generation": self.generation.get(), "reset": true, "instances": all})
+    }
+
+    async fn serve(self: Rc<Discovery>, mut conn: Server) {
+        while let Ok(Some(request)) = conn.next().await {
+            let done = if request.method == "POST" {
+                for line in request.body.split(|b| *b == b'\n').filter(|l| !l.is_empty()) {
+                    let state =
+                        serde_json::from_slice::<Value>(line).unwrap_or_default()["state"].to_string();
+                    *self.ends.borrow_mut().entry(state).or_default() += 1;
+                }
+                conn.answer(204, "", "").await
+            } else {
+                let number = |key: &str| {
+                    let at = request.path.split(['?', '&']).find_map(|p| p.strip_prefix(key));
+                    at.and_then(|n| n.parse::<u64>().ok())
+                };
+                match number("since=") {
+                    Some(since) if since >= self.generation.get() => {
+                        sleep(number("timeout_ms=").unwrap_or(0) as f64 / 1000.0).await;
+                        let none =
+                            json!({"generation": self.generation.get(), "reset": false, "instances": []});
+                        conn.answer(200, "", &none.to_string()).await
+                    }
+                    _ => conn.answer(200, "", &self.list().to_string()).await,
+                }
+            };
+            if done.is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/membership/src/node.rs
+++ b/membership/src/node.rs
@@ -192,6 +192,12 @@
         self.seal.rekey(keys);
     }
 
+    /// This member.
+    #[must_use]
+    pub fn me(&self) -> Member {
+        self.me
+    }
+
     /// A number that no other process of any member has.
     #[must_use]
     pub fn boot(&self) -> u64 {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,7 +30,9 @@
 const MEMORY_MOST_S: f64 = 30.0;
 const YOUNG_S: f64 = 1.0; // a meter's least age
 const NOTES_PER_S: f64 = 25.0; // from all senders together
-const UP: u8 = 1; // fifth byte of a note of a delivery
+const UP: u8 = 1; // fifth byte of a note of a delivery ...
+const WAIT: u8 = 2; // ... and of one of a told wait, whose milliseconds follow
+const NOTE_WAIT_MOST: Micros = Micros(60_000_000);
 const NOTE_GAP_S: f64 = 0.5; // from one sender
 // --- Calls in flight -------------------------------------------------------------------------------------
 const CAP_WELL: f64 = 0.75;
@@ -375,11 +377,14 @@
 
     /// Tells the other senders of a refusal, so that a burst of them all counts as one. All senders together
     /// tell so many a second; what is lost or not told only makes the burst longer.
-    fn tell(&mut self, now: Micros, receiver: ReceiverId, up: bool, actions: &mut Vec<Action>) {
+    fn tell(&mut self, now: Micros, receiver: ReceiverId, up: bool, wait: Micros, actions: &mut Vec<Action>) {
         let every = self.scale.senders / NOTES_PER_S;
         let id = &receiver.0.to_le_bytes()[..4];
         if up {
             actions.push(Action::Tell([id, &[UP]].concat())); // the budget bounds them
+        } else if wait > Micros(0) {
+            let ms = u32::try_from(wait.0.div_ceil(1000)).unwrap_or(u32::MAX).to_le_bytes();
+            actions.push(Action::Tell([id, &[WAIT], &ms].concat())); // all heed it: few follow
         } else if now >= self.tell_at {
             self.tell_at = now.after(Micros::from_secs(every.max(NOTE_GAP_S)));
             actions.push(Action::Tell(id.to_vec()));
@@ -387,7 +392,8 @@
     }
 
     /// Four bytes tell of a refusal, five of a delivery at a receiver that was doubted: it was up then and
-    /// no colder than if it came back that moment. A lost note leaves all as it is: slower, never faster.
+    /// no colder than if it came back that moment; nine of a refusal with a wait. What is lost leaves all as it is,
+    /// and a late one only makes slower: where another has since proven a receiver, an old wait holds all the same.
     fn on_note(&mut self, now: Micros, data: &[u8]) {
         let Some((id, news)) = data.split_first_chunk::<4>() else { return };
         let Some(r) = self.receivers.get_mut(&ReceiverId(u32::from_le_bytes(*id).into())) else { return };
@@ -402,6 +408,18 @@
                 r.health = Health::Recovering { since: now };
                 self.agenda.look(r.destination, now);
             }
+            [WAIT, ms @ ..] => {
+                let Ok(ms) = <[u8; 4]>::try_from(ms) else { return };
+                let wait = Micros(u64::from(u32::from_le_bytes(ms)) * 1000).min(NOTE_WAIT_MOST);
+                pace.note_refusal(now, self.scale);
+                pace.wait_until = pace.wait_until.max(now.after(wait));
+                if wait >= LONG_WAIT && matches!(r.health, Health::Well | Health::Suspect { .. }) {
+                    let phase = self.dice.roll() + 0.5;
+                    pace.doubt = Doubt { from: now.after(wait), phase, proven: r.last_proof };
+                    r.sicken(now, wait);
+                    d.trouble_at = now;
+                }
+            }
             _ => {}
         }
     }
@@ -661,10 +679,20 @@
             pace.doubt = Doubt { from: now.max(pace.wait_until), phase, proven };
         }
         if let Some(up) = tell.filter(|_| self.set.notes) {
-            self.tell(now, o.receiver, up, actions);
+            let wait = if let Verdict::Full(Some(wait)) = o.verdict { wait } else { Micros(0) };
+            self.tell(now, o.receiver, up, wait, actions);
         }
     }
 
+    /// Destinations with a receiver that is doubted: worth a look.
+    pub fn in_question(&self) -> impl Iterator<Item = DestinationId> {
+        let doubted = |d: &Destination| {
+            let mut known = d.receivers.iter().filter_map(|r| self.receivers.get(r));
+            known.any(|r| r.listing == Listing::Ready && r.doubted(d))
+        };
+        self.destinations.iter().filter(move |(_, d)| doubted(d)).map(|(id, _)| *id)
+    }
+
     /// Any receiver that shares a fate with this one is doubted.
     fn doubted(&self, id: ReceiverId) -> bool {
         let Some(r) = self.receivers.get(&id) else { return false };
@@ -794,7 +822,7 @@
             }
             None => {
                 self.destination_open(now, d)?;
-                self.choose(now, d, group, class.effect == Effect::Unsafe)?
+                self.choose(now, d, group, m.class)?
             }
         };
         let patience = self.patience(now, m, target);
@@ -814,7 +842,9 @@
         not_before(now, d.pace.ready_at(now))
     }
 
-    fn choose(&self, now: Micros, d: &Destination, group: Option<ZoneId>, risky: bool) -> Gate<ReceiverId> {
+    fn choose(
+        &self, now: Micros, d: &Destination, group: Option<ZoneId>, class: ClassId,
+    ) -> Gate<ReceiverId> {
         let mut best: Option<(f64, ReceiverId)> = None;
         let mut later = NEVER;
         for id in &d.receivers {
@@ -822,7 +852,7 @@
             if r.listing != Listing::Ready || group.is_some_and(|z| r.zone != z) {
                 continue;
             }
-            if let Err(at) = self.receiver_open(now, r, d, risky) {
+            if let Err(at) = self.receiver_open(now, r, d, class) {
                 later = later.min(at);
                 continue;
             }
@@ -837,7 +867,7 @@
     }
 
     /// The gates of one receiver: told wait and pace of a separate route, health, connections, cold budget.
-    fn receiver_open(&self, now: Micros, r: &Receiver, d: &Destination, risky: bool) -> Gate<()> {
+    fn receiver_open(&self, now: Micros, r: &Receiver, d: &Destination, class: ClassId) -> Gate<()> {
         let calls = r.calls.len();
         not_before(now, r.pace.ready_at(now))?;
         room(calls < self.room_at(now, r, d))?;
@@ -851,7 +881,11 @@
             }
             // Safe messages go first as trials; an unsafe one only where none came in time.
             Health::Sick { trial_at, backoff, .. } => {
-                not_before(now, if risky { trial_at.after(backoff.min(TRIAL_MOST)) } else { trial_at })?;
+                let risky = self.set.classes[class.0].effect == Effect::Unsafe;
+                let risk = if risky { backoff.min(TRIAL_MOST) } else { Micros(0) };
+                let probe = self.set.probe_class == Some(class);
+                let later = if probe { Micros(0) } else { risk.max(self.set.hold_back) };
+                not_before(now, trial_at.after(later))?;
                 room(calls == 0)?;
                 self.in_budget(now, r, d, 0.0)
             }
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -21,6 +21,19 @@
         /// How long to wait for the answer.
         patience: Micros,
     },
+    /// Make the call of a probe.
+    Probe {
+        /// Its number; requests have others.
+        n: u64,
+        /// Which attempt, for its outcome: the first.
+        attempt: u32,
+        /// Where to.
+        to: ReceiverId,
+        /// How long to wait for the answer.
+        patience: Micros,
+    },
+    /// Send these bytes to all other senders, who take them as [`Desk::note`]. They name the endpoint by its number here.
+    Tell(ReceiverId, Vec<u8>),
     /// Tell the client that the request has ended undelivered.
     End {
         /// The request.
@@ -80,6 +93,8 @@
     given: usize,
     wakes: BTreeSet<Micros>,
     receipts: Vec<u64>,
+    /// Probes that the module has: the destination.
+    probes: BTreeMap<u64, DestinationId>,
     actions: Vec<Action>,
 }
 
@@ -115,10 +130,44 @@
             given: 0,
             wakes: BTreeSet::new(),
             receipts: Vec::new(),
+            probes: BTreeMap::new(),
             actions: Vec::new(),
         }
     }
 
+    /// Destinations that the module doubts.
+    pub fn in_question(&self) -> impl Iterator<Item = DestinationId> {
+        self.brain.in_question()
+    }
+
+    /// Has the module make one call to a destination, with nothing in it: it keeps every rule that a request's call
+    /// keeps, and goes after them all. Nobody is owed its end, and no log has it. Its number.
+    pub fn probe(&mut self, now: Micros, class: ClassId, destination: DestinationId, left: Micros) -> u64 {
+        let n = self.number();
+        self.probes.insert(n, destination);
+        let m = Message { id: MessageId(n), class, tenant: None, key: None, destination, left };
+        self.brain.on_event(now, Event::Submit(m), &mut self.actions);
+        n
+    }
+
+    /// The probe by this number has not ended.
+    pub fn probing(&self, n: u64) -> bool {
+        self.probes.contains_key(&n)
+    }
+
+    /// A probe is not wanted any more; its call, if one is out, runs on.
+    pub fn call_off(&mut self, now: Micros, n: u64) {
+        if self.probes.remove(&n).is_some() {
+            self.brain.on_event(now, Event::Withdrawn(MessageId(n)), &mut self.actions);
+        }
+    }
+
+    /// What another sender was asked to tell of an endpoint that has this number here.
+    pub fn note(&mut self, now: Micros, receiver: ReceiverId, news: &[u8]) {
+        let id = &receiver.0.to_le_bytes()[..4];
+        self.brain.on_event(now, Event::Note([id, news].concat()), &mut self.actions);
+    }
+
     /// Requests that the module has not ended.
     pub fn held(&self) -> usize {
         self.owed.len() - self.given
@@ -239,7 +288,9 @@
 
     /// An attempt has ended. The record to keep, if any.
     pub fn answered(&mut self, now: Micros, a: &Answered) -> Option<Record> {
-        let over = a.finished || a.verdict == Verdict::Delivered;
+        // One call is all that a probe is.
+        let probe = self.probes.remove(&a.n).is_some();
+        let over = a.finished || a.verdict == Verdict::Delivered || probe;
         let outcome = Outcome {
             id: MessageId(a.n),
             attempt: a.attempt,
@@ -302,6 +353,12 @@
 
     fn step(&mut self, now: Micros, action: Action) -> Option<Step> {
         Some(match action {
+            Action::Send { id, receiver, patience } if self.probes.contains_key(&id.0) => {
+                Step::Probe { n: id.0, attempt: 0, to: receiver, patience }
+            }
+            Action::Refuse { id, .. } | Action::Fail(id) if self.probes.remove(&id.0).is_some() => {
+                return None;
+            }
             Action::Send { id, receiver, patience } => {
                 let made = self.attempts.entry(id.0).or_insert(0);
                 *made += 1;
@@ -316,7 +373,10 @@
                 return None;
             }
             Action::Log(text) => Step::Log(text),
-            Action::Tell(_) => return None, // no wire carries notes between senders
+            Action::Tell(bytes) => {
+                let (id, news) = bytes.split_first_chunk::<4>()?;
+                Step::Tell(ReceiverId(u32::from_le_bytes(*id).into()), news.to_vec())
+            }
         })
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -178,6 +178,10 @@
     pub connection_idle: Micros,
     /// Short notes to the other senders are allowed.
     pub notes: bool,
+    /// The class of probes, if one sender probes for all; see [`Settings::hold_back`].
+    pub probe_class: Option<ClassId>,
+    /// So much later than a probe would, other messages try what is out of order: by then no sender may be probing it.
+    pub hold_back: Micros,
     /// Without a subscription the list must be asked for at least this often.
     pub ask_every: Micros,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -51,6 +51,8 @@
         ask_every: ms(10_000),
         connection_idle: ms(10_000),
         notes: true,
+        probe_class: None,
+        hold_back: Micros(0),
     }
 }
 
