onyxrock members and duties; tests of probes, told waits and holding back

Need: operators must see what an instance sees and owns, and each guard of the module's new parts needs a test.

`onyxrock members|duties --at ADDRESS [--json]` ask a running instance; a table for people.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod net;
 pub mod notices;
 pub mod serve;
+pub mod show;
 pub mod wal;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -3,6 +3,8 @@
 use lexopt::prelude::*;
 use onyxrock_config::product;
 use onyxrock_daemon::list::zone::Zone;
+use onyxrock_daemon::show;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -10,6 +12,8 @@
 usage: onyxrock COMMAND [--config FILE] [--product FILE]
   serve     run a forwarder
   check     read the configuration, say what it holds, and end
+  members   what a running instance sees of the others: --at ADDRESS [--json]
+  duties    which duties it wants and holds: --at ADDRESS [--json]
   version   print the version
 The configuration is what the platform states: --config FILE, or $GW_CONFIG. --product names a
 file of our own, which switches on what the platform does not use (see deploy/product.toml).";
@@ -18,21 +22,30 @@
     command: String,
     config: Option<PathBuf>,
     product: Option<PathBuf>,
+    at: Option<SocketAddr>,
+    json: bool,
 }
 
 fn line(mut args: lexopt::Parser) -> Result<Line, String> {
     let (mut command, mut config, mut product) = (None, None, None);
+    let (mut at, mut json) = (None, false);
     while let Some(arg) = args.next().map_err(|e| e.to_string())? {
         match arg {
             Long("config") => config = Some(args.value().map_err(|e| e.to_string())?.into()),
             Long("product") => product = Some(args.value().map_err(|e| e.to_string())?.into()),
+            Long("at") => {
+                let text = args.value().map_err(|e| e.to_string())?;
+                let parsed = text.to_string_lossy().parse();
+                at = Some(parsed.map_err(|_| format!("--at is no address with a port: {text:?}"))?);
+            }
+            Long("json") => json = true,
             Long("help") | Short('h') => command = Some("help".to_owned()),
             Long("version") => command = Some("version".to_owned()),
             Value(v) if command.is_none() => command = Some(v.to_string_lossy().into_owned()),
             other => return Err(other.unexpected().to_string()),
         }
     }
-    Ok(Line { command: command.ok_or("no command; see --help")?, config, product })
+    Ok(Line { command: command.ok_or("no command; see --help")?, config, product, at, json })
 }
 
 fn run() -> Result<(), String> {
@@ -69,6 +82,15 @@
             }
             Ok(())
         }
+        what @ ("members" | "duties") => {
+            let v = show::fetch(
+                line.at.ok_or_else(|| format!("{what}: --at ADDRESS is missing"))?,
+                &format!("/{what}"),
+            )?;
+            let shown = if what == "members" { show::members } else { show::duties };
+            print!("{}", if line.json { format!("{v}\n") } else { shown(&v) });
+            Ok(())
+        }
         "version" => {
             println!("onyxrock {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- /dev/null
+++ b/daemon/src/show.rs
@@ -0,0 +1,121 @@
+//! What a running instance shows of itself, for people and for programs.
+
+use serde_json::Value;
+use std::fmt::Write as _;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const PATIENCE: Duration = Duration::from_secs(2);
+const MOST: u64 = 16 << 20;
+
+/// Asks the instance whose clients' address this is.
+pub fn fetch(at: SocketAddr, path: &str) -> Result<Value, String> {
+    let fail = |e: std::io::Error| format!("{at}: {e}");
+    let mut stream = TcpStream::connect_timeout(&at, PATIENCE).map_err(fail)?;
+    stream.set_read_timeout(Some(PATIENCE)).map_err(fail)?;
+    let request = format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n");
+    stream.write_all(request.as_bytes()).map_err(fail)?;
+    let mut bytes = Vec::new();
+    stream.take(MOST).read_to_end(&mut bytes).map_err(fail)?;
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut answer = httparse::Response::new(&mut headers);
+    match (answer.parse(&bytes), answer.code) {
+        (Ok(httparse::Status::Complete(body)), Some(200)) => {
+            serde_json::from_slice(&bytes[body..]).map_err(|e| format!("{at}: {path} is not JSON: {e}"))
+        }
+        (_, Some(404)) => Err(format!("{at}: there is no {path}; it runs without [duties]")),
+        (_, Some(code)) => Err(format!("{at}: {path}: answer {code}")),
+        _ => Err(format!("{at}: no answer that can be read")),
+    }
+}
+
+fn cell(v: &Value) -> String {
+    match v {
+        Value::String(s) => s.clone(),
+        Value::Null => "-".to_owned(),
+        other => other.to_string(),
+    }
+}
+
+/// Rows under a heading, in columns as wide as what is in them.
+fn table(head: &[&str], rows: &[Vec<String>]) -> String {
+    let width =
+        |i: usize| rows.iter().map(|r| r[i].chars().count()).chain([head[i].len()]).max().unwrap_or(0);
+    let widths: Vec<_> = (0..head.len()).map(width).collect();
+    let line = |cells: &mut dyn Iterator<Item = &str>| {
+        let cells: Vec<_> = cells.zip(&widths).map(|(c, w)| format!("{c:<w$}")).collect();
+        format!("{}\n", cells.join("  ").trim_end())
+    };
+    let mut out = line(&mut head.iter().copied());
+    rows.iter().for_each(|r| out += &line(&mut r.iter().map(String::as_str)));
+    out
+}
+
+fn rows(v: &Value, list: &str, keys: &[&str]) -> Vec<Vec<String>> {
+    let all = v[list].as_array().map_or(&[][..], Vec::as_slice);
+    all.iter().map(|r| keys.iter().map(|k| cell(&r[*k])).collect()).collect()
+}
+
+/// `/members` for people.
+pub fn members(v: &Value) -> String {
+    let mut out = table(&["MEMBER", "ADDRESS", "ALIVE"], &rows(v, "members", &["name", "address", "alive"]));
+    let pair = |k: &str| format!("{} datagrams, {} bytes", cell(&v[k]["datagrams"]), cell(&v[k]["bytes"]));
+    let _ = writeln!(out, "seen by {}; sent {}; believed {}", cell(&v["me"]), pair("sent"), pair("believed"));
+    if let Some(refused) = v["refused"].as_object().filter(|r| !r.is_empty()) {
+        let all: Vec<_> = refused.iter().map(|(why, n)| format!("{why} {n}")).collect();
+        let _ = writeln!(out, "dropped: {}", all.join(", "));
+    }
+    out
+}
+
+/// `/duties` for people.
+pub fn duties(v: &Value) -> String {
+    let owned = rows(v, "owned", &["duty", "of", "held_for_ms", "ends_in_ms"]);
+    let wanted: Vec<Vec<String>> = rows(v, "wanted", &["duty", "of", "first"])
+        .into_iter()
+        .map(|mut r| {
+            let lease = owned.iter().find(|o| o[..2] == r[..2]);
+            let shown = lease.map_or(["-".to_owned(), "-".to_owned()], |o| [o[2].clone(), o[3].clone()]);
+            r.extend(shown);
+            r
+        })
+        .collect();
+    let mut out = table(&["DUTY", "OF", "WHOSE", "HELD FOR MS", "ENDS IN MS"], &wanted);
+    let how = if v["alone"] == true { ", each instance on its own account" } else { "" };
+    let _ = writeln!(
+        out,
+        "{}: {} of {} leases held here, {} won since the start; lease {} ms, gap {} ms{how}",
+        cell(&v["me"]),
+        owned.len(),
+        wanted.len(),
+        cell(&v["won"]),
+        cell(&v["lease_ms"]),
+        cell(&v["gap_ms"])
+    );
+    out
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn tables_have_columns() {
+        let v = json!({"me": "n1", "members": [{"name": "n1", "address": "127.0.0.1:7946", "alive": true},
+            {"name": "long-name", "address": "127.0.0.1:1", "alive": false}], "refused": {"forged": 3},
+            "sent": {"datagrams": 5, "bytes": 500}, "believed": {"datagrams": 4, "bytes": 400}});
+        let shown = members(&v);
+        let at: Vec<_> = shown.lines().take(3).map(|l| l.find("127").or(l.find("ADDRESS"))).collect();
+        assert!(at.iter().all(|a| *a == at[0]) && shown.contains("dropped: forged 3"), "{shown}");
+        let v = json!({"me": "n1", "alone": false, "won": 2, "lease_ms": 3000, "gap_ms": 1100,
+            "owned": [{"duty": "probe", "of": 7, "held_for_ms": 90, "ends_in_ms": 2500}],
+            "wanted": [{"duty": "probe", "of": 7, "first": "n1"}, {"duty": "probe", "of": 8, "first": "n2"}]});
+        let shown = duties(&v);
+        assert!(
+            shown.lines().nth(1).unwrap().ends_with("2500") && shown.contains("1 of 2 leases"),
+            "{shown}"
+        );
+    }
+}
--- a/daemon/tests/command_line.rs
+++ b/daemon/tests/command_line.rs
@@ -41,6 +41,9 @@
 #[case::bad_address(&["check"], Some(r#"{"name":"n","listen":"here","discovery":"x","settings":{"classes":[{}]}}"#), "listen")]
 #[case::bad_list(&["check"], Some(r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
     "settings":{"classes":[{"name":"a"}]},"known":{"generation":1,"instances":[{}]}}"#), "list")]
+#[case::members_of_whom(&["members"], None, "--at ADDRESS")]
+#[case::duties_of_nobody(&["duties", "--at", "127.0.0.1:1"], None, "127.0.0.1:1: ")]
+#[case::no_address(&["duties", "--at", "here"], None, "--at is no address")]
 #[case::no_product_file(&["check", "--product", "/nonexistent"], Some(GOOD), "/nonexistent")]
 #[case::product_is_no_toml(&["serve", "--product", "/proc/self/cmdline"], Some(GOOD), "/proc/self/cmdline:1: ")]
 fn bad_lines_are_told_plainly(#[case] args: &[&str], #[case] config: Option<&str>, #[case] word: &str) {
--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -49,8 +49,9 @@
 pub fn endpoint(post: Post) -> SocketAddr {
     serve(move |stream| {
         let mut from = BufReader::new(stream.try_clone().unwrap());
-        while let Some((_, headers, body)) = message(&mut from) {
-            let id = header(&headers, "x-request-id");
+        while let Some((first, headers, body)) = message(&mut from) {
+            let probe = first.starts_with("GET ");
+            let id = if probe { "probe" } else { header(&headers, "x-request-id") };
             post.keep(id, &stream);
             let key = header(&headers, "idempotency-key");
             post.tell(format!("{id} key={key} body={}", String::from_utf8_lossy(&body)));
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -118,6 +118,8 @@
     gateways: Vec<(String, SocketAddr, String)>,
     /// The list comes out of a zone file.
     dns: bool,
+    /// The section of duties; empty where they are off.
+    duties: String,
     dns_at: Option<SocketAddr>,
     listing: Arc<Mutex<Listing>>,
     child: Option<Child>,
@@ -139,7 +141,20 @@
         let limits = json!({"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3});
         let (child, http, smpp, seen, dns, dns_at) = Default::default();
         let who = BTreeMap::from([("platform".to_owned(), platform)]);
-        Stage { folder, who, gateways: Vec::new(), dns, dns_at, listing, child, limits, http, smpp, seen }
+        Stage {
+            folder,
+            who,
+            gateways: Vec::new(),
+            dns,
+            duties: String::new(),
+            dns_at,
+            listing,
+            child,
+            limits,
+            http,
+            smpp,
+            seen,
+        }
     }
 }
 
@@ -190,6 +205,10 @@
                 self.limits[key] = json!(n.parse::<f64>().map_err(|e| e.to_string())?);
                 Ok(())
             }
+            ["given", "duties", rest @ ..] => {
+                self.duties = rest.join("\n");
+                Ok(())
+            }
             ["given", "dns"] => {
                 self.dns = true;
                 Ok(())
@@ -383,6 +402,15 @@
             std::fs::write(self.folder.join("zone"), zone).unwrap();
             toml += "[dns]\nlisten = \"127.0.0.1:0\"\norigin = \"p.example.\"\nzone = \"zone\"\n";
         }
+        if !self.duties.is_empty() {
+            toml += &format!(
+                "[duties]\nlisten = \"127.0.0.1:0\"\nlease_s = 0.6\nsign = 1\n\
+                 member = [{{ name = \"n1\", address = \"127.0.0.1:9\" }}]\n\
+                 key = [{{ id = 1, secret = \"{}\" }}]\n[duties.probe]\npatience_s = 0.25\n{}\n",
+                "7".repeat(64),
+                self.duties
+            );
+        }
         let product = self.folder.join("product.toml");
         std::fs::write(&product, toml).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_onyxrock"))
@@ -412,6 +440,7 @@
                 let (at, of) = at.split_once(" for ").unwrap_or((at, "HTTP"));
                 *match of {
                     "SMPP" => &mut self.smpp,
+                    "members" => continue,
                     "DNS" => &mut self.dns_at,
                     _ => &mut self.http,
                 } = at.parse().ok();
--- /dev/null
+++ b/tests/probes.rs
@@ -0,0 +1,175 @@
+//! Probes, what other senders tell of waits, and messages that hold back while others probe.
+
+mod common;
+use common::*;
+use onyxrock::core::{Answered, Desk, Names, Step};
+use onyxrock::interface::*;
+
+const PROBE: usize = 4;
+
+fn probed(hold_back: u64) -> Settings {
+    let mut set = settings();
+    let left = ms(2000);
+    set.classes.push(ClassSettings {
+        aim: left,
+        give_up: left,
+        effect: Effect::Safe,
+        worth: 1e6,
+        ..Default::default()
+    });
+    Settings { probe_class: Some(ClassId(PROBE)), hold_back: ms(hold_back), ..set }
+}
+
+/// The notes that a sender tells when a call is refused with a wait.
+fn told(wait: u64) -> Vec<Vec<u8>> {
+    let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0)]);
+    rig.submit(1, SAFE, 1);
+    rig.answer(1, Verdict::Full(Some(ms(wait))));
+    rig.told
+}
+
+#[test]
+fn a_wait_that_another_was_told_is_heeded() {
+    let notes = told(3000);
+    let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0)]);
+    rig.warm(1, 3, 1);
+    let before = rig.sent.len();
+    notes.iter().for_each(|n| rig.event(Event::Note(n.clone())));
+    for id in 10..30 {
+        rig.submit(id, SAFE, 1);
+    }
+    rig.pass(ms(2990));
+    assert_eq!(rig.sent.len(), before, "nothing goes in the wait");
+    // It was long, so what opens then is cold: one tries, and not all that are held.
+    rig.pass(ms(1200));
+    assert_eq!(rig.sent.len(), before + 1);
+    // A delivery that another tells of, late or out of order, ends no wait.
+    let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0)]);
+    notes.iter().for_each(|n| rig.event(Event::Note(n.clone())));
+    rig.event(Event::Note(vec![1, 0, 0, 0, 1]));
+    rig.submit(1, SAFE, 1);
+    rig.pass(ms(2990));
+    assert!(rig.sent.is_empty());
+}
+
+#[test]
+fn a_wait_beyond_reason_and_half_a_note_do_little() {
+    let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0)]);
+    for bytes in [&[1, 0, 0, 0, 2, 9][..], &[1, 0, 0, 0, 7], &[9, 0, 0, 0, 2, 1, 1, 1, 1], &[2]] {
+        rig.event(Event::Note(bytes.to_vec()));
+    }
+    rig.submit(1, SAFE, 1);
+    rig.pass(ms(100));
+    assert_eq!(rig.sent.len(), 1, "none of them says anything");
+    let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0)]);
+    rig.event(Event::Note([&[1, 0, 0, 0, 2][..], &u32::MAX.to_le_bytes()].concat()));
+    rig.pass(ms(59_000));
+    rig.submit(1, SAFE, 1);
+    rig.pass(ms(900));
+    assert!(rig.sent.is_empty());
+    rig.pass(ms(3_000));
+    assert_eq!(rig.sent.len(), 1, "a minute at most");
+}
+
+/// Where one sender probes for all, the others' messages do not try what it is trying already.
+#[test]
+fn messages_hold_back_from_what_is_out_of_order_and_probes_do_not() {
+    let first = |hold_back: u64, class: usize| {
+        let mut rig = Rig::new(probed(hold_back), vec![entry(1, 1, 0, 0)]);
+        rig.warm(1, 3, 1);
+        rig.submit(10, SAFE, 1);
+        for _ in 0..3 {
+            rig.answer(10, Verdict::Reset);
+            rig.pass(ms(10));
+        }
+        rig.event(Event::Withdrawn(MessageId(10)));
+        let (sick, sent) = (rig.now, rig.sent.len());
+        rig.submit(50, class, 1);
+        rig.pass(ms(15_000));
+        rig.sent.get(sent).map(|s| s.at.since(sick).0 / 1000).unwrap_or(u64::MAX)
+    };
+    let (usual, held) = (first(0, SAFE), first(4000, SAFE));
+    assert!(usual < 3000 && held >= 4000, "{usual} {held}");
+    assert!(first(4000, PROBE) < 2000);
+}
+
+struct Table {
+    desk: Desk,
+    now: Micros,
+}
+
+impl Table {
+    fn new() -> Table {
+        let mut desk = Desk::new(probed(0), Names::default(), Default::default(), 5);
+        desk.list(ms(1000), Event::FullList(vec![entry(1, 1, 0, 0)]));
+        Table { desk, now: ms(1000) }
+    }
+    fn probe(&mut self) -> u64 {
+        self.desk.probe(self.now, ClassId(PROBE), DestinationId(1), ms(2000))
+    }
+    fn steps(&mut self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        self.desk.decide(self.now, true, &mut steps);
+        steps.retain(|s| matches!(s, Step::Probe { .. } | Step::Call { .. } | Step::End { .. }));
+        steps
+    }
+    fn answer(&mut self, n: u64, verdict: Verdict) {
+        self.now = self.now.after(ms(50));
+        let (to, limit) = (ReceiverId(1), (None, None));
+        let a = Answered { n, attempt: 0, to, verdict, elapsed: ms(50), finished: false, limit };
+        assert_eq!(self.desk.answered(self.now, &a), None, "no log has it");
+    }
+}
+
+#[test]
+fn a_probe_is_one_call_that_nobody_is_owed_the_end_of() {
+    for verdict in [Verdict::Error, Verdict::TimedOut, Verdict::Full(None), Verdict::Delivered, Verdict::Moot]
+    {
+        let mut t = Table::new();
+        let n = t.probe();
+        let steps = t.steps();
+        assert!(matches!(steps[..], [Step::Probe { n: m, to: ReceiverId(1), .. }] if m == n), "{steps:?}");
+        assert_eq!((t.desk.held(), t.desk.owed().count(), t.desk.out()), (0, 0, 0));
+        t.answer(n, verdict);
+        for _ in 0..40 {
+            t.now = t.now.after(ms(100));
+            assert_eq!(t.steps(), [], "{verdict:?}: it is not repeated and has no end to tell");
+        }
+        assert!(!t.desk.probing(n));
+    }
+}
+
+#[test]
+fn a_probe_that_cannot_go_ends_by_itself_or_is_called_off() {
+    let mut t = Table::new();
+    let first = t.probe();
+    t.steps();
+    t.answer(first, Verdict::Full(Some(ms(10_000))));
+    let (late, off) = (t.probe(), t.probe());
+    assert_eq!(t.steps(), [], "the told wait holds for probes too");
+    t.desk.call_off(t.now, off);
+    for _ in 0..30 {
+        t.now = t.now.after(ms(100));
+        assert_eq!(t.steps(), []);
+    }
+    assert!(!t.desk.probing(late) && !t.desk.probing(off));
+    // One that is out is called off too; its end is still taken.
+    t.now = t.now.after(ms(20_000));
+    let out = t.probe();
+    assert_eq!(t.steps().len(), 1);
+    t.desk.call_off(t.now, out);
+    t.answer(out, Verdict::Error);
+    assert_eq!(t.steps(), []);
+}
+
+#[test]
+fn what_drains_is_not_probed() {
+    let mut t = Table::new();
+    let drains = Entry { listing: Listing::Draining, ..entry(1, 1, 0, 0) };
+    t.desk.list(t.now, Event::ListChanges(vec![drains]));
+    let n = t.probe();
+    assert_eq!(t.steps(), []);
+    t.now = t.now.after(ms(2500));
+    assert_eq!(t.steps(), []);
+    assert!(!t.desk.probing(n) && t.desk.in_question().next().is_none());
+}
