roster: a compact table of listed endpoints, and what is worth keeping of those that rest

Need: each listed endpoint costs an actor and a mailbox, 70 MB at 5,000; of 50,000 a hundred are in use at a time.

A crate without I/O: fixed records, names in one arena, zones by number, indices by name and destination; a whole list is taken as a difference, swept in slices. What a destination at rest had served ages by a half-life; a wait it had told outlives that.

--- /dev/null
+++ b/roster/benches/table.rs
@@ -0,0 +1,62 @@
+//! Lookup, change, removal and list difference at several sizes: `cargo bench -p onyxrock-roster`.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use onyxrock::interface::Listing;
+use onyxrock_roster::{Endpoint, Roster};
+use std::hint::black_box;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+fn put(roster: &mut Roster, i: u32, weight: f32) {
+    let (name, address) = (format!("club-{i:08}"), SocketAddr::from((i.to_be_bytes(), 7070)));
+    let (destination, listing) = (u64::from(i), Listing::Ready);
+    let e = Endpoint { name: &name, address, zone: "floor-2", kind: 1, destination, weight, listing };
+    roster.put(e).expect("there is room");
+}
+
+fn full(n: u32) -> Roster {
+    let mut roster = Roster::new(n as usize + 1);
+    (0..n).for_each(|i| put(&mut roster, i, 1.0));
+    roster
+}
+
+fn table(c: &mut Criterion) {
+    let mut group = c.benchmark_group("roster");
+    group
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_millis(700));
+    for n in [1_000u32, 10_000, 100_000, 1_000_000] {
+        let mut roster = full(n);
+        println!("{n} endpoints: {} bytes each", roster.bytes() / n as usize);
+        let mut i = 0u32;
+        let mut next = move || {
+            i = i.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+            i % n
+        };
+        group.bench_function(BenchmarkId::new("of_destination", n), |b| {
+            b.iter(|| black_box(roster.of(u64::from(next())).next()));
+        });
+        group.bench_function(BenchmarkId::new("gone_and_back", n), |b| {
+            b.iter(|| {
+                let at = next();
+                let id = roster.of(u64::from(at)).next().expect("it is listed");
+                roster.remove(id);
+                put(&mut roster, at, 1.0);
+            });
+        });
+        group.bench_function(BenchmarkId::new("whole_list_again", n), |b| {
+            b.iter(|| {
+                roster.begin();
+                (0..n).for_each(|i| put(&mut roster, i, 1.0));
+                let mut gone = Vec::new();
+                while !roster.sweep(4096, &mut gone) {}
+                assert!(gone.is_empty());
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, table);
+criterion_main!(benches);
--- /dev/null
+++ b/roster/src/lib.rs
@@ -0,0 +1,47 @@
+//! Every endpoint that the list names, for little: no I/O, no clock, no task.
+//!
+//! A network may list tens of thousands of endpoints of which a hundred are in use. An endpoint in use has an actor, a
+//! mailbox, connections, and a place in the module. One that is not should cost its entry in a table and no more.
+//!
+//! - [`Roster`] is that table: a fixed record for each endpoint, its name in one arena with all others, zones interned,
+//!   found by name and by destination through hash tables of record numbers. A whole list is taken as a difference:
+//!   [`Roster::begin`], [`Roster::put`] for each entry, [`Roster::sweep`] in slices for what the list no longer names.
+//!   What changed comes out as [`Change`]s, so that nobody walks the whole.
+//! - [`Memory`] is what is kept of a destination that goes to rest: its served rate, a wait it had told, whether it was
+//!   out of order. It ages: after a half-life the rate is worth half, and after a few nothing is left but the caution
+//!   that is due to any destination that nobody has heard of for a while.
+//!
+//! ```
+//! use onyxrock::interface::Listing;
+//! use onyxrock_roster::{Change, Endpoint, Roster};
+//!
+//! let mut roster = Roster::new(1_000);
+//! let club = Endpoint {
+//!     name: "club-17",
+//!     address: "127.0.0.1:7070".parse().unwrap(),
+//!     zone: "floor-2",
+//!     kind: 1,
+//!     destination: 17,
+//!     weight: 2.5,
+//!     listing: Listing::Ready,
+//! };
+//! let id = match roster.put(club.clone()) {
+//!     Ok(Some(Change::Added(id))) => id,
+//!     other => panic!("{other:?}"),
+//! };
+//! assert_eq!(roster.put(club.clone()), Ok(None), "nothing has changed");
+//! assert_eq!(roster.of(17).collect::<Vec<_>>(), [id]);
+//! assert_eq!(roster.find("club-17").and_then(|id| roster.get(id)), Some(club));
+//!
+//! // A whole list that does not name it any more.
+//! roster.begin();
+//! let mut gone = Vec::new();
+//! while !roster.sweep(100, &mut gone) {}
+//! assert_eq!(gone, [Change::Gone(id)]);
+//! ```
+
+mod memory;
+mod table;
+
+pub use memory::{Memory, Recall, Terms};
+pub use table::{Change, Endpoint, Id, Refused, Roster};
