--- a/config/src/duties.rs
+++ b/config/src/duties.rs
@@ -2,9 +2,11 @@
 
 use crate::product::{Seconds, Wrong};
 use onyxrock::interface::Micros;
+use onyxrock_membership::{Key, Keys, NoKey};
 use serde::{Deserialize, Deserializer, de};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::ops::Range;
 use toml::Spanned;
 
 /// Members that decide who holds a lease; more make every renewal dearer and an outage of a majority rarer.
@@ -25,10 +27,8 @@
     pub probe: Probe,
     /// One instance asks for the list and tells the others.
     pub list: bool,
-    /// Keys that a datagram may be signed with, by id.
-    pub keys: Vec<Key>,
-    /// The one that this instance signs with.
-    pub sign: u32,
+    /// Keys that a datagram may be signed with, and the one that this instance signs with.
+    pub keys: Keys,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -50,16 +50,11 @@
     pub alone: bool,
 }
 
-#[derive(Clone, PartialEq, Eq)]
-pub struct Key {
-    pub id: u32,
-    pub secret: [u8; 32],
-}
-
-/// A secret stays out of logs.
-impl std::fmt::Debug for Key {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        write!(f, "Key({})", self.id)
+impl Duties {
+    /// What another reading of the file says otherwise and only a new start can take over: all but the keys.
+    #[must_use]
+    pub fn differs(&self, new: &Duties) -> bool {
+        *self != Duties { keys: self.keys.clone(), ..new.clone() }
     }
 }
 
@@ -72,13 +67,12 @@
     members_from: Option<Spanned<String>>,
     #[serde(default = "five")]
     voters: Spanned<u32>,
-    #[serde(default = "three_seconds")]
-    lease_s: Spanned<Seconds>,
+    lease_s: Option<Spanned<Seconds>>,
     #[serde(default)]
     probe: RawProbe,
     #[serde(default)]
     list: bool,
-    key: Spanned<Vec<RawKey>>,
+    key: Vec<RawKey>,
     sign: Spanned<u32>,
 }
 
@@ -100,28 +94,24 @@
 #[serde(deny_unknown_fields, default)]
 struct RawProbe {
     per_s: Pace,
-    patience_s: Seconds,
-    path: String,
+    patience_s: Option<Spanned<Seconds>>,
+    path: Option<Spanned<String>>,
     alone: bool,
 }
 
 impl Default for RawProbe {
     fn default() -> RawProbe {
-        RawProbe {
-            per_s: Pace(1.0),
-            patience_s: Seconds(Micros(1_000_000)),
-            path: "/health".into(),
-            alone: false,
-        }
+        RawProbe { per_s: Pace(1.0), patience_s: None, path: None, alone: false }
     }
 }
 
 fn five() -> Spanned<u32> {
     Spanned::new(0..0, 5)
 }
-fn three_seconds() -> Spanned<Seconds> {
-    Spanned::new(0..0, Seconds(Micros(3_000_000)))
-}
+
+const LEASE: Seconds = Seconds(Micros(3_000_000));
+const PATIENCE: Seconds = Seconds(Micros(1_000_000));
+const PATH: &str = "/health";
 
 /// Over 0, at most 100 a second: it is a look, not a load.
 struct Pace(f64);
@@ -155,8 +145,10 @@
 }
 
 impl Raw {
-    /// `zone` is the text and the origin of the zone that `[dns]` names.
-    pub(crate) fn check(self, zone: Option<(&str, &str)>) -> Result<Duties, Wrong> {
+    /// `at` is where the section stands; `members` reads those that a service of the zone in `[dns]` names.
+    pub(crate) fn check(
+        self, at: Range<usize>, members_of: impl Fn(&str) -> Option<Result<Vec<Member>, String>>,
+    ) -> Result<Duties, Wrong> {
         let mut members = Vec::new();
         let mut seen = BTreeSet::new();
         for m in self.member {
@@ -170,87 +162,60 @@
             members.push(Member { name: name.clone(), address: m.address });
         }
         if let Some(from) = &self.members_from {
-            let Some((text, origin)) = zone else {
-                return Err(Wrong::new(from, "needs [dns], whose zone names the members"));
-            };
-            let found = from_zone(text, origin, from.get_ref()).map_err(|e| Wrong::new(from, e))?;
+            let found = members_of(from.get_ref());
+            let found = found.ok_or_else(|| Wrong::new(from, "needs [dns], whose zone names the members"))?;
+            let found = found.map_err(|e| Wrong::new(from, e))?;
             members.extend(found.into_iter().filter(|m| seen.insert(m.name.clone())));
         }
         if members.is_empty() {
-            return Err(Wrong::new(&self.key, "no [[duties.member]] and no members_from"));
+            return Err(Wrong { at, what: "no [[duties.member]] and no members_from".into() });
         }
         let voters = *self.voters.get_ref();
         if !(1..=VOTERS_MOST).contains(&voters) {
             return Err(Wrong::new(&self.voters, format!("must be 1 to {VOTERS_MOST}")));
         }
-        let mut keys = Vec::new();
-        for k in self.key.get_ref() {
-            if keys.iter().any(|known: &Key| known.id == *k.id.get_ref()) {
-                return Err(Wrong::new(&k.id, format!("key {} stands here twice", k.id.get_ref())));
-            }
-            keys.push(Key { id: *k.id.get_ref(), secret: k.secret.0 });
-        }
-        let sign = *self.sign.get_ref();
-        if !keys.iter().any(|k| k.id == sign) {
-            return Err(Wrong::new(&self.sign, format!("there is no key {sign}")));
+        let mut seen = BTreeSet::new();
+        if let Some(k) = self.key.iter().find(|k| !seen.insert(*k.id.get_ref())) {
+            return Err(Wrong::new(&k.id, format!("key {} stands here twice", k.id.get_ref())));
         }
-        let lease = self.lease_s.get_ref().0;
+        let keys = self.key.into_iter().map(|k| Key { id: k.id.into_inner(), secret: k.secret.0 });
+        let keys = Keys::new(*self.sign.get_ref(), keys);
+        let keys =
+            keys.map_err(|NoKey| Wrong::new(&self.sign, format!("there is no key {}", self.sign.get_ref())))?;
+        let lease = self.lease_s.as_ref().map_or(LEASE, |l| *l.get_ref());
+        let patience = self.probe.patience_s.as_ref().map_or(PATIENCE, |p| *p.get_ref());
         // A probe starts only where its whole patience fits into the lease that is left.
-        if self.probe.patience_s.0 >= Micros(lease.0 / 2) {
-            return Err(Wrong::new(&self.lease_s, "must be over twice the probe's patience_s"));
+        if patience.0 >= Micros(lease.0.0 / 2) {
+            let at = self.lease_s.or(self.probe.patience_s).map_or(at, |s| s.span());
+            let what = "lease_s must be over twice the probe's patience_s".into();
+            return Err(Wrong { at, what });
         }
-        if !self.probe.path.starts_with('/') || !self.probe.path.bytes().all(|b| b.is_ascii_graphic()) {
-            return Err(Wrong::new(&self.sign, "probe.path must begin with / and hold no spaces"));
+        let path = self.probe.path.as_ref().map_or(PATH, |p| p.get_ref());
+        if let Some(p) = self
+            .probe
+            .path
+            .as_ref()
+            .filter(|_| !path.starts_with('/') || !path.bytes().all(|b| b.is_ascii_graphic()))
+        {
+            return Err(Wrong::new(p, "must begin with / and hold no spaces"));
         }
         Ok(Duties {
             listen: self.listen,
             voters: members.len().min(voters as usize),
             members,
-            lease,
+            lease: lease.0,
             probe: Probe {
                 per_s: self.probe.per_s.0,
-                patience: self.probe.patience_s.0,
-                path: self.probe.path,
+                patience: patience.0,
+                path: path.to_owned(),
                 alone: self.probe.alone,
             },
             list: self.list,
             keys,
-            sign,
         })
     }
 }
 
-/// `NAME SRV _ _ PORT HOST` and `HOST A ADDRESS`, one record a line, as in our own zone; sorted by host, so that all
-/// members have one order however the file is written.
-fn from_zone(text: &str, origin: &str, service: &str) -> Result<Vec<Member>, String> {
-    let short = |n: &str| {
-        n.trim_end_matches('.')
-            .trim_end_matches(origin.trim_end_matches('.'))
-            .trim_end_matches('.')
-            .to_owned()
-    };
-    let lines =
-        || text.lines().map(|l| l.split(';').next().unwrap_or("").split_whitespace().collect::<Vec<_>>());
-    let fields = |l: &[&str], kind: &str| {
-        let at = l.iter().skip(1).position(|w| *w == kind)? + 1;
-        Some((short(l[0]), l[at + 1..].iter().map(|w| (*w).to_owned()).collect::<Vec<_>>()))
-    };
-    let mut members = Vec::new();
-    for (_, srv) in lines().filter_map(|l| fields(&l, "SRV")).filter(|(n, _)| *n == short(service)) {
-        let [_, _, port, host] = srv.as_slice() else {
-            return Err("an SRV record without port and host".into());
-        };
-        let host = short(host);
-        let port: u16 = port.parse().map_err(|_| format!("{host}: no port"))?;
-        let a = lines().filter_map(|l| fields(&l, "A").or(fields(&l, "AAAA"))).find(|(n, _)| *n == host);
-        let ip =
-            a.and_then(|(_, f)| f.first()?.parse().ok()).ok_or_else(|| format!("{host} has no address"))?;
-        members.push(Member { name: host, address: SocketAddr::new(ip, port) });
-    }
-    members.sort_by(|a, b| a.name.cmp(&b.name));
-    if members.is_empty() { Err(format!("the zone has no SRV record {service}")) } else { Ok(members) }
-}
-
 #[cfg(test)]
 mod tests {
     use crate::product::parse;
@@ -261,16 +226,20 @@
         \"00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\"\n";
     const MEMBER: &str = "[[duties.member]]\nname = \"n1\"\naddress = \"127.0.0.1:1\"\n";
 
+    fn nobody(_: &crate::dns::Dns, _: &str) -> Result<Vec<super::Member>, String> {
+        Ok(Vec::new())
+    }
+
     fn read(head: &str, rest: &str) -> Result<super::Duties, String> {
         let text = format!("[duties]\nlisten = \"127.0.0.1:0\"\nsign = 1\n{head}{MEMBER}{rest}{KEY}");
-        parse(&text, Path::new("p.toml"), &Names::default()).map(|p| p.duties.unwrap())
+        parse(&text, Path::new("p.toml"), &Names::default(), &nobody).map(|p| p.duties.unwrap())
     }
 
     #[test]
     fn what_is_not_said_has_a_default() {
         let d = read("", "").unwrap();
         assert_eq!((d.voters, d.lease.0, d.probe.per_s), (1, 3_000_000, 1.0));
-        assert_eq!(format!("{:?}", d.keys), "[Key(1)]", "a secret is never shown");
+        assert_eq!(format!("{:?}", d.keys), "Keys { sign: 1, all: {1: Key(1)} }", "a secret is never shown");
     }
 
     #[test]
@@ -282,6 +251,8 @@
             ("", KEY, "twice"),
             ("members_from = \"_m._udp\"\n", "", "needs [dns]"),
             ("", "[duties.probe]\nper_s = 0\n", "over 0"),
+            ("", "[duties.probe]\npath = \"health\"\n", "p.toml:8: path: must begin"),
+            ("", "[duties.probe]\npatience_s = 2\n", "p.toml:8: patience_s: lease_s must be"),
         ] {
             let e = read(head, rest).expect_err(word);
             assert!(e.contains(word), "{e}");
@@ -290,21 +261,7 @@
             "[duties]\nlisten = \"127.0.0.1:0\"\nsign = 1\n{MEMBER}{}",
             KEY.replace("00112233", "beef")
         );
-        let e = parse(&short, Path::new("p.toml"), &Names::default()).unwrap_err();
+        let e = parse(&short, Path::new("p.toml"), &Names::default(), &nobody).unwrap_err();
         assert!(e.contains("64 hexadecimal digits") && !e.contains("beef"), "{e}");
     }
-
-    #[test]
-    fn members_may_stand_in_the_zone() {
-        let zone = "m2 IN A 127.0.0.2\n_m._udp 60 IN SRV 0 0 70 m2 ; second\n_m._udp SRV 0 0 71 m1.p.example.\nm1.p.example. A 127.0.0.1\n";
-        let m = super::from_zone(zone, "p.example.", "_m._udp").unwrap();
-        let shown: Vec<_> = m.iter().map(|m| format!("{} {}", m.name, m.address)).collect();
-        assert_eq!(shown, ["m1 127.0.0.1:71", "m2 127.0.0.2:70"]);
-        assert!(
-            super::from_zone("_m._udp SRV 0 0 70 m2\n", "p.example.", "_m._udp")
-                .unwrap_err()
-                .contains("no address")
-        );
-        assert!(super::from_zone("", "p.example.", "_m._udp").is_err());
-    }
 }
--- a/config/src/product.rs
+++ b/config/src/product.rs
@@ -111,17 +111,20 @@
     log: Log,
     smpp: Option<smpp::Raw>,
     dns: Option<dns::Raw>,
-    duties: Option<duties::Raw>,
+    duties: Option<Spanned<duties::Raw>>,
 }
 
+/// Reads the members that a service of the zone names.
+pub type Zones<'a> = &'a dyn Fn(&dns::Dns, &str) -> Result<Vec<duties::Member>, String>;
+
 /// Reads the file. Names of classes, tenants, kinds and zones must be those of the platform's settings.
-pub fn read(path: &Path, names: &Names) -> Result<Product, String> {
+pub fn read(path: &Path, names: &Names, zones: Zones) -> Result<Product, String> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
-    parse(&text, path, names)
+    parse(&text, path, names, zones)
 }
 
 /// Reads the text of a file; other files that it names stand beside it.
-pub fn parse(text: &str, path: &Path, names: &Names) -> Result<Product, String> {
+pub fn parse(text: &str, path: &Path, names: &Names, zones: Zones) -> Result<Product, String> {
     let line = |at: Option<Range<usize>>, what: &str| {
         // Several lines of explanation, and control characters from the file, have no place in one line.
         let what: String = what.chars().map(|c| if c.is_control() { ' ' } else { c }).collect();
@@ -134,19 +137,20 @@
     let raw: Raw = toml::from_str(text).map_err(|e| line(e.span(), e.message()))?;
     let wrong = |w: Wrong| line(Some(w.at), &w.what);
     let dns = raw.dns.map(|d| d.check(path)).transpose().map_err(wrong)?;
-    let zone = dns.as_ref().map(|d| (d.zone.as_str(), d.origin.as_str()));
+    let members = |service: &str| dns.as_ref().map(|d| zones(d, service));
+    let duties = raw.duties.map(|d| (d.span(), d.into_inner()));
+    let duties = duties.map(|(at, d)| d.check(at, members)).transpose().map_err(wrong)?;
     Ok(Product {
         log: raw.log,
         smpp: raw.smpp.map(|s| s.check(names)).transpose().map_err(wrong)?,
-        duties: raw.duties.map(|d| d.check(zone)).transpose().map_err(wrong)?,
+        duties,
         dns,
     })
 }
 
 /// The line of a place in the text, from one, and the key that its line sets.
 fn place(text: &str, at: usize) -> (usize, Option<&str>) {
-    let at = (0..=at.min(text.len())).rev().find(|i| text.is_char_boundary(*i)).unwrap_or(0);
-    let line = text[..at].matches('\n').count();
+    let line = text.get(..at).unwrap_or(text).matches('\n').count();
     let shown = text.lines().nth(line).unwrap_or("");
     let key = shown.split_once('=').map(|(key, _)| key.trim()).filter(|k| !k.is_empty());
     let header = shown.trim().starts_with('[').then(|| shown.trim());
@@ -168,14 +172,14 @@
     }
 
     fn wrong(text: &str) -> String {
-        let e = parse(text, Path::new("p.toml"), &names()).expect_err(text);
+        let e = parse(text, Path::new("p.toml"), &names(), &|_, _| Ok(Vec::new())).expect_err(text);
         assert_eq!(e.lines().count(), 1, "{e}");
         e
     }
 
     #[test]
     fn an_empty_file_switches_nothing_on() {
-        let p = parse("", Path::new("p.toml"), &names()).unwrap();
+        let p = parse("", Path::new("p.toml"), &names(), &|_, _| Ok(Vec::new())).unwrap();
         assert!(p.smpp.is_none() && p.dns.is_none() && p.duties.is_none());
         assert_eq!(p.log, Log::default());
     }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,7 +3,6 @@
 
 pub mod clock;
 pub mod counters;
-pub mod duties;
 pub mod list;
 pub mod log;
 pub mod module;
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -7,13 +7,13 @@
 use crate::module::ToModule;
 use crate::net::Shared;
 use crate::net::http::client::Conn;
-use crate::net::peers::{LIST_NEWS_MOST, ListNews, ToPeers};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::future;
 use onyxrock::core::Names;
 use onyxrock::interface::Micros;
 use onyxrock_config::list::{self, List};
+use onyxrock_sharing::{LIST_NEWS_MOST, ListNews, Role, ToList, ToPeers};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,24 +34,6 @@
     pub wait: Micros,
 }
 
-/// Who asks discovery, where instances share that.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// This instance, for itself.
-    Alone,
-    /// This instance, and it tells the others.
-    Owner,
-    /// Another, which tells this one.
-    Told,
-}
-
-/// What other actors have for the list.
-#[derive(Debug)]
-pub enum ToList {
-    Role(Role),
-    Told(ListNews),
-}
-
 enum Heard {
     Letter(ToList),
     Answer(Result<(List, Vec<u8>), String>),
--- a/daemon/src/list/zone.rs
+++ b/daemon/src/list/zone.rs
@@ -8,6 +8,7 @@
 use hickory_proto::serialize::txt::Parser;
 use onyxrock::core::Names;
 use onyxrock::interface::*;
+use onyxrock_config::duties::Member;
 use onyxrock_config::list::{List, Listed};
 use std::fmt::Write;
 use std::net::SocketAddr;
@@ -198,6 +199,10 @@
         let (mut entries, mut wrong) = (Vec::new(), Vec::new());
         for r in &self.records {
             let RData::SRV(srv) = &r.data else { continue };
+            // Others than endpoints may stand in the zone: instances, which speak UDP.
+            if r.name.iter().nth(1) == Some(b"_udp") {
+                continue;
+            }
             match self.endpoint(&r.name, srv, names) {
                 Some(listed) => entries.push(listed),
                 None => wrong.push(format!("{} {srv}: no destination, or its host has no address", r.name)),
@@ -206,6 +211,24 @@
         (List { generation: self.serial().into(), whole: true, entries }, wrong)
     }
 
+    /// The instances that a service of this zone names, in the order of their names, so that it is one everywhere: its
+    /// SRV records' hosts, by their first label.
+    pub fn members(&self, service: &str) -> Result<Vec<Member>, String> {
+        let wrong = |e: hickory_proto::ProtoError| format!("{service}: {e}");
+        let owner = Name::from_ascii(service).and_then(|n| n.append_domain(&self.origin)).map_err(wrong)?;
+        let mut members = Vec::new();
+        for r in self.set(&owner, RecordType::SRV) {
+            let RData::SRV(srv) = &r.data else { continue };
+            let ip = self.named(&srv.target).find_map(|r| r.data.ip_addr());
+            let ip = ip.ok_or_else(|| format!("{} has no address", srv.target))?;
+            let label = srv.target.iter().next().unwrap_or_default();
+            let name = String::from_utf8_lossy(label).into_owned();
+            members.push(Member { name, address: SocketAddr::new(ip, srv.port) });
+        }
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        if members.is_empty() { Err(format!("the zone has no SRV record {owner}")) } else { Ok(members) }
+    }
+
     fn endpoint(&self, owner: &Name, srv: &hickory_proto::rr::rdata::SRV, names: &Names) -> Option<Listed> {
         let labels: Vec<&[u8]> = owner.iter().collect();
         let [b"_onyxrock", b"_tcp", destination, ..] = labels.as_slice() else { return None };
@@ -296,6 +319,21 @@
         assert_eq!((again.text(), list.generation), (z.text(), 7));
     }
 
+    #[test]
+    fn a_service_names_instances_and_no_endpoints() {
+        let text = format!(
+            "{TEXT}m2 IN A 127.0.0.2\n_m._udp IN SRV 0 0 70 m2 ; second\n IN SRV 0 0 71 m1\nm1 A 127.0.0.1\n"
+        );
+        let z = Zone::parse(&text, "partners.example.").unwrap();
+        let shown: Vec<_> =
+            z.members("_m._udp").unwrap().iter().map(|m| format!("{} {}", m.name, m.address)).collect();
+        assert_eq!(shown, ["m1 127.0.0.1:71", "m2 127.0.0.2:70"]);
+        assert_eq!((z.list(&names()).0.entries.len(), z.list(&names()).1.len()), (1, 0));
+        assert!(z.members("_x._udp").unwrap_err().contains("no SRV record"));
+        let lost = Zone::parse(&text.replace("m1 A 127.0.0.1\n", ""), "partners.example.").unwrap();
+        assert!(lost.members("_m._udp").unwrap_err().contains("no address"));
+    }
+
     #[test]
     fn an_update_is_done_as_a_whole_and_counted() {
         let mut z = zone();
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! The forwarder's command line.
 
 use lexopt::prelude::*;
+use onyxrock_config::dns::Dns;
 use onyxrock_config::product;
 use onyxrock_daemon::list::zone::Zone;
 use onyxrock_daemon::show;
@@ -54,7 +55,8 @@
         let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
         let path = line.config.clone().or_else(|| var("GW_CONFIG").map(PathBuf::from));
         let config = onyxrock_config::daemon::read(&path.ok_or("no --config and no $GW_CONFIG")?, var)?;
-        let product = line.product.as_ref().map(|f| product::read(f, &config.names)).transpose()?;
+        let members = |d: &Dns, service: &str| Zone::parse(&d.zone, &d.origin)?.members(service);
+        let product = line.product.as_ref().map(|f| product::read(f, &config.names, &members)).transpose()?;
         Ok::<_, String>((config, product.unwrap_or_default()))
     };
     match line.command.as_str() {
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -1,8 +1,6 @@
 //! The actor round the module: one letter after the other, then one decision, then its steps.
 
-use crate::duties::Probing;
 use crate::net::http::endpoint;
-use crate::net::peers::{FromPeers, ToPeers};
 use crate::net::smpp::gateway;
 use crate::net::{OutboundCall, Shared, ToEndpoint};
 use crate::wal::Wal;
@@ -13,6 +11,7 @@
 };
 use onyxrock_config::list::List;
 use onyxrock_config::smpp::Gateway;
+use onyxrock_sharing::{FromPeers, Probing, ToPeers};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
@@ -70,6 +69,12 @@
     Quiet(Sender<()>),
 }
 
+impl From<FromPeers> for ToModule {
+    fn from(news: FromPeers) -> ToModule {
+        ToModule::Peers(news)
+    }
+}
+
 /// The end of a request, on its way to its client.
 #[derive(Clone, Debug)]
 pub struct Ending {
@@ -158,8 +163,7 @@
         loop {
             self.settle();
             let clock = self.shared.clock;
-            let now = clock.now();
-            let duties = self.probing.as_ref().map(|p| p.due(now));
+            let duties = self.probing.as_ref().map(Probing::due);
             let due = if self.hold { None } else { self.desk.due().into_iter().chain(duties).min() };
             let letter = async { Some(inbox.recv().await) };
             let wake = async {
@@ -210,12 +214,17 @@
             }
             ToModule::Answered(a) => self.answered(now, &a),
             ToModule::List(list) => self.list(now, list),
-            ToModule::ListFailed => self.desk.list(now, Event::ListFailed),
+            ToModule::ListFailed => {
+                if let Some(p) = &mut self.probing {
+                    p.listed(None);
+                }
+                self.desk.list(now, Event::ListFailed);
+            }
             ToModule::Told(n) => {
                 let record = self.desk.over(n);
                 self.keep(record.as_slice());
             }
-            ToModule::Peers(news) => self.from_peers(now, news),
+            ToModule::Peers(news) => self.heard(now, news),
             ToModule::Duties(reply) => {
                 drop(reply.try_send(self.probing.as_ref().map(|p| p.json(now)).unwrap_or_default()));
             }
@@ -338,7 +347,7 @@
 
     fn list(&mut self, now: Micros, list: List) {
         if let Some(p) = &mut self.probing {
-            p.listed(list.generation);
+            p.listed(Some(list.generation));
         }
         let mut entries = Vec::new();
         if list.whole {
@@ -433,17 +442,19 @@
         }
         self.tidy(now);
         if let Some(p) = self.probing.as_mut().filter(|_| !self.hold) {
-            p.settle(now, &self.shared, &mut self.desk);
+            (0..p.settle(now, &mut self.desk)).for_each(|_| self.shared.counters.leases_won.up());
         }
         let mut steps = Vec::new();
         self.desk.decide(now, !self.hold, &mut steps);
         for step in steps {
             match step {
                 Step::Call { n, attempt, to, patience } => self.call(now, n, attempt, to, patience),
-                Step::Probe { n, attempt, to, patience } => self.probe(now, n, attempt, to, patience),
+                Step::Probe { n, to, patience } => self.probe(now, n, to, patience),
                 Step::Tell(to, news) => {
-                    if let (Some(peer), Some(others)) = (self.peers.get(&to), &self.shared.peers) {
-                        let _ = others.try_send(ToPeers::Note { endpoint: peer.name.clone(), news });
+                    if let (Some(peer), Some(others)) = (self.peers.get(&to), &self.shared.peers)
+                        && others.try_send(ToPeers::Note { endpoint: peer.name.clone(), news }).is_ok()
+                    {
+                        self.shared.counters.notes_told.up();
                     }
                 }
                 Step::End { n, end } => {
@@ -473,16 +484,9 @@
 
     fn call(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, patience: Micros) {
         let Some(o) = self.desk.get(n) else { return };
-        let Some(peer) = self.peers.get_mut(&to) else {
-            // The module is owed an outcome wherever it sends.
-            let (verdict, elapsed) = (Verdict::Moot, Micros(0));
-            let gone = Answered { n, attempt, to, verdict, elapsed, finished: false, limit: (None, None) };
-            return self.answered(now, &gone);
-        };
         let t = &o.taken;
-        let call = OutboundCall {
+        self.hand(OutboundCall {
             harmful: self.desk.harmful(&t.class),
-            probe: None,
             n,
             attempt,
             to,
@@ -492,21 +496,17 @@
             body: t.body.clone(),
             started: now,
             patience,
-        };
-        let answered = call.answered(now, Verdict::Moot);
-        peer.out += 1;
-        if peer.mailbox.try_send(ToEndpoint::Call(Box::new(call))).is_err() {
-            // Its mailbox is full: the module is owed an outcome all the same.
-            self.answered(now, &answered);
-        }
+            probe: None,
+        });
     }
 
     /// The call of a probe: as any other, but nothing of it is logged or owed.
-    fn probe(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, patience: Micros) {
+    fn probe(&mut self, now: Micros, n: u64, to: ReceiverId, patience: Micros) {
         let Some(probing) = &self.probing else { return };
-        let call = OutboundCall {
+        self.hand(OutboundCall {
+            harmful: false,
             n,
-            attempt,
+            attempt: 0,
             to,
             id: String::new(),
             key: String::new(),
@@ -514,23 +514,36 @@
             body: Vec::new(),
             started: now,
             patience: patience.min(probing.patience()),
-            harmful: false,
             probe: Some(probing.path.clone()),
-        };
-        let moot = call.answered(now, Verdict::Moot);
-        let known = self.peers.get_mut(&to).filter(|_| !self.gateways.iter().any(|g| g.receiver == to));
-        let sent = known.is_some_and(|p| {
-            p.out += 1;
-            p.mailbox.try_send(ToEndpoint::Call(Box::new(call))).is_ok()
         });
-        if !sent {
+    }
+
+    /// Hands a call to its endpoint's actor. The module is owed an outcome wherever it sends: to an endpoint that is
+    /// not here any more, to one whose mailbox is full, to a gateway that knows no probes.
+    fn hand(&mut self, call: OutboundCall) {
+        let (now, moot) = (call.started, call.answered(call.started, Verdict::Moot));
+        let odd = call.probe.is_some() && self.gateways.iter().any(|g| g.receiver == call.to);
+        let Some(peer) = self.peers.get_mut(&call.to) else { return self.answered(now, &moot) };
+        peer.out += 1;
+        if odd || peer.mailbox.try_send(ToEndpoint::Call(Box::new(call))).is_err() {
             self.answered(now, &moot);
         }
     }
 
-    /// The number of an endpoint that is known by this name.
-    pub fn numbered(&self, name: &str) -> Option<ReceiverId> {
-        self.numbers.get(name).copied()
+    /// Takes what came from the other instances.
+    fn heard(&mut self, now: Micros, news: FromPeers) {
+        if let FromPeers::Note { endpoint, news } = &news {
+            match self.numbers.get(endpoint) {
+                Some(to) => {
+                    self.shared.counters.notes_heard.up();
+                    self.desk.note(now, *to, news);
+                }
+                None => self.shared.counters.notes_unknown.up(),
+            }
+        }
+        if let Some(p) = &mut self.probing {
+            p.take(now, news);
+        }
     }
 
     fn tell(&mut self, n: u64, end: End) {
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -3,7 +3,6 @@
 pub mod buffer;
 pub mod crowd;
 pub mod http;
-pub mod peers;
 pub mod smpp;
 
 use crate::clock::Clock;
@@ -13,6 +12,7 @@
 use async_executor::LocalExecutor;
 use onyxrock::core::Answered;
 use onyxrock::interface::{Micros, ReceiverId, Verdict};
+use onyxrock_sharing::ToPeers;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -37,7 +37,7 @@
     /// When an idle connection is let go; none where the platform names no limit.
     pub idle_for: Option<Micros>,
     /// The other instances, where duties are shared.
-    pub peers: Option<Sender<peers::ToPeers>>,
+    pub peers: Option<Sender<ToPeers>>,
     pub inbound_most: u64,
     pub outbound_most: u64,
     pub executor: Rc<LocalExecutor<'static>>,
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -2,12 +2,10 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::duties::{self as probing, Probing};
 use crate::list::{self, Discovery, dns};
 use crate::module::{Module, ToModule};
 use crate::net::Shared;
 use crate::net::http::inbound;
-use crate::net::peers::{self, Peers, ToPeers};
 use crate::net::smpp;
 use crate::notices;
 use crate::wal::Wal;
@@ -16,11 +14,12 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
-use onyxrock::core::{Desk, Record, recover};
+use onyxrock::core::{Desk, Record, probes, recover};
 use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::Config;
 use onyxrock_config::product::Product;
 use onyxrock_membership::Membership;
+use onyxrock_sharing::{Peers, Probing, ToPeers, listen, place, tempo};
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::TcpListener;
@@ -95,27 +94,34 @@
     // A gateway knows no idempotency key: it would carry out a repeat.
     let plain = gateways.iter().map(|g| DestinationId(g.destination)).collect();
     let mut settings = config.settings;
-    let probe_class = duties.as_ref().map(|d| probing::class(&mut settings, d));
+    let probe_class = duties.as_ref().map(|d| {
+        let shared = !d.probe.alone;
+        settings.notes = shared;
+        // Longer than a hand-over of the duty takes.
+        let hold_back = if shared { Micros(d.lease.0 * 3) } else { Micros(0) };
+        probes(&mut settings, Micros(d.probe.patience.0 * 2), hold_back)
+    });
     let desk = Desk::new(settings, config.names.clone(), plain, config.seed);
     let mut module = Module::new(shared.clone(), desk, wal, follow, fronts, slots);
     gateways.into_iter().for_each(|g| module.gateway(g));
     if let (Some(d), Some(class)) = (&duties, probe_class) {
-        let (me, now) = (probing::place(d, &config.name)?, shared.clock.now());
-        let socket = Peers::listen(d)?;
+        let (me, now) = (place(d, &config.name)?, shared.clock.now());
+        let socket = listen(d)?;
         let mut entropy = [0; 8];
         getrandom::fill(&mut entropy).map_err(|e| format!("no random numbers: {e}"))?;
         let setup = onyxrock_membership::Settings {
             me,
             members: u16::try_from(d.members.len()).map_err(|_| "[duties]: too many members")?,
-            keys: peers::keys(d.sign, &d.keys)?,
-            tempo: peers::tempo(d.lease),
+            keys: d.keys.clone(),
+            tempo: tempo(d.lease),
         };
         let membership = Membership::new(setup, now.0, u64::from_le_bytes(entropy), now);
         let boot = membership.boot();
         module.probing = Some(Probing::new(d, me, boot, now, class, to_peers.clone(), to_list));
         let at = socket.get_ref().local_addr().map_err(|e| e.to_string())?;
         tracing::info!("listens on {at} for members");
-        let peers = Peers { shared: shared.clone(), socket, membership, members: d.members.clone() };
+        let (clock, out, members) = (shared.clock, to_module.clone(), d.members.clone());
+        let peers = Peers { now: move || clock.now(), out, socket, membership, members, lost: 0 };
         executor.spawn(peers.run(peers_inbox)).detach();
     }
     // A zone of our own is later than what discovery last told.
@@ -209,16 +215,15 @@
 
 /// Keys for members hold at once; what else differs in our own file is named.
 fn reload_product(shared: &Shared, ours: &Product, new: &Product) {
-    if let (Some(peers), Some(d)) = (&shared.peers, &new.duties)
-        && let Ok(keys) = peers::keys(d.sign, &d.keys)
-    {
-        let _ = peers.try_send(ToPeers::Rekey(keys));
-        tracing::info!("reload: members sign with key {}, {} are believed", d.sign, d.keys.len());
+    if let (Some(peers), Some(d)) = (&shared.peers, &new.duties) {
+        let _ = peers.try_send(ToPeers::Rekey(d.keys.clone()));
+        tracing::info!("reload: members sign with key {}, {} are believed", d.keys.sign(), d.keys.believed());
     }
-    let rest = |p: &Product| {
-        p.duties.clone().map(|d| onyxrock_config::duties::Duties { keys: Vec::new(), sign: 0, ..d })
+    let differs = match (&ours.duties, &new.duties) {
+        (Some(ours), Some(new)) => ours.differs(new),
+        (ours, new) => ours.is_some() != new.is_some(),
     };
-    if rest(ours) != rest(new) {
+    if differs {
         tracing::warn!("reload: [duties] but for its keys will hold from the next start on");
     }
 }
--- a/daemon/src/show.rs
+++ b/daemon/src/show.rs
@@ -1,32 +1,34 @@
 //! What a running instance shows of itself, for people and for programs.
 
+use crate::clock::Clock;
+use crate::net::http::client::Conn;
+use onyxrock::interface::Micros;
 use serde_json::Value;
-use std::fmt::Write as _;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::fmt::Write;
+use std::net::SocketAddr;
 
-const PATIENCE: Duration = Duration::from_secs(2);
-const MOST: u64 = 16 << 20;
+const PATIENCE: Micros = Micros(2_000_000);
+const MOST: usize = 16 << 20;
 
 /// Asks the instance whose clients' address this is.
 pub fn fetch(at: SocketAddr, path: &str) -> Result<Value, String> {
-    let fail = |e: std::io::Error| format!("{at}: {e}");
-    let mut stream = TcpStream::connect_timeout(&at, PATIENCE).map_err(fail)?;
-    stream.set_read_timeout(Some(PATIENCE)).map_err(fail)?;
-    let request = format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n");
-    stream.write_all(request.as_bytes()).map_err(fail)?;
-    let mut bytes = Vec::new();
-    stream.take(MOST).read_to_end(&mut bytes).map_err(fail)?;
-    let mut headers = [httparse::EMPTY_HEADER; 32];
-    let mut answer = httparse::Response::new(&mut headers);
-    match (answer.parse(&bytes), answer.code) {
-        (Ok(httparse::Status::Complete(body)), Some(200)) => {
-            serde_json::from_slice(&bytes[body..]).map_err(|e| format!("{at}: {path} is not JSON: {e}"))
+    let clock = Clock::default();
+    let by = clock.now().after(PATIENCE);
+    let asked = async {
+        let mut conn = Conn::open(at, MOST).await?;
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n");
+        conn.write(request.as_bytes()).await?;
+        let answer = conn.answer(&clock, by).await?;
+        Ok::<_, std::io::Error>((answer.status, conn.body(&answer, MOST).await?.0))
+    };
+    match async_io::block_on(clock.before(by, asked)) {
+        Some(Ok((200, body))) => {
+            serde_json::from_slice(&body).map_err(|e| format!("{at}: {path} is not JSON: {e}"))
         }
-        (_, Some(404)) => Err(format!("{at}: there is no {path}; it runs without [duties]")),
-        (_, Some(code)) => Err(format!("{at}: {path}: answer {code}")),
-        _ => Err(format!("{at}: no answer that can be read")),
+        Some(Ok((404, _))) => Err(format!("{at}: there is no {path}; it runs without [duties]")),
+        Some(Ok((code, _))) => Err(format!("{at}: {path}: answer {code}")),
+        Some(Err(e)) => Err(format!("{at}: {e}")),
+        None => Err(format!("{at}: no answer in time")),
     }
 }
 
--- a/duties/src/book.rs
+++ b/duties/src/book.rs
@@ -126,8 +126,7 @@
     /// Whose a duty should be: the first of those that have been seen for a while, where there are any.
     #[must_use]
     pub fn first(&self, now: Micros, duty: Duty) -> Member {
-        let settled = self.settled(now);
-        rank(duty, settled).first().copied().unwrap_or(self.me)
+        rank::first(duty, self.settled(now)).unwrap_or(self.me)
     }
 
     /// A member that has only just come may go again, and knows little yet: duties do not move to it at once.
@@ -150,7 +149,7 @@
                     w.until = w.until.max(until);
                 }
             }
-            // What was not known to be wanted is asked for at once, at the next tick.
+            // What was not known to be wanted is asked for at the next round.
             return Vec::new();
         }
         if matches!(message, Message::Answer { .. }) && from.0 < self.voters {
@@ -206,15 +205,14 @@
         let mut tell: BTreeMap<Member, Vec<Duty>> = BTreeMap::new();
         let settled = self.settled(now);
         for (duty, w) in &mut self.wanted {
-            let first = rank(*duty, settled.iter().copied()).first().copied().unwrap_or(self.me);
+            let first = rank::first(*duty, settled.iter().copied()).unwrap_or(self.me);
             let holds = self.holder.holds(now, *duty);
             if first == self.me {
                 w.tries = if !holds && self.holder.partial(*duty) { w.tries + 1 } else { 0 };
                 if w.tries >= TRIES {
                     // Others ask too, and each has a part: all but one must step back, those behind for longer. A
                     // promise to somebody who is gone ends by itself before that.
-                    let all = rank(*duty, (0..self.members).map(Member));
-                    let place = all.iter().position(|m| *m == self.me).unwrap_or(0) as u64;
+                    let place = rank::place(*duty, self.me, (0..self.members).map(Member)) as u64;
                     w.rest = now.after(Micros(self.terms.renew().0 * place));
                     w.tries = 0;
                     back.push(*duty);
--- a/duties/src/lib.rs
+++ b/duties/src/lib.rs
@@ -16,7 +16,7 @@
 //! of one duty never overlap, and begin at least a gap apart. The argument is in `docs/design/duties.md`; the model in
 //! `tests/model.rs` runs this code through all interleavings of crash, restart, delay, loss, duplicate and split.
 //!
-//! Who *should* hold a lease is a matter of liveness alone: [`rank`] orders the members by a stable hash, so that each
+//! Who *should* hold a lease is a matter of liveness alone: rendezvous hashing orders the members, so that each
 //! duty has a first, and the first that is alive asks for it. [`Book`] puts all this together for one instance.
 //!
 //! ```
@@ -51,7 +51,6 @@
 pub use book::{Book, Output, Owned};
 pub use holder::{Holder, NotNow};
 pub use message::{DUTIES_MOST, Message};
-pub use rank::rank;
 pub use voter::Voter;
 
 use onyxrock::interface::Micros;
--- a/duties/src/rank.rs
+++ b/duties/src/rank.rs
@@ -3,20 +3,26 @@
 use crate::{Duty, Member};
 use xxhash_rust::xxh64::xxh64;
 
-/// The members in the order in which the duty is theirs: the first that is alive should do it. When a member comes or
-/// goes only its own duties move. The hash (XXH64) is the same on every machine and in every version.
+fn weight(duty: Duty, m: Member) -> u64 {
+    let mut bytes = [0; 11];
+    bytes[0] = duty.kind as u8;
+    bytes[1..9].copy_from_slice(&duty.of.to_le_bytes());
+    bytes[9..].copy_from_slice(&m.0.to_le_bytes());
+    xxh64(&bytes, 0)
+}
+
+/// Whose a duty is among these members. When one comes or goes only its own duties move. The hash (XXH64) is the same on
+/// every machine and in every version.
+#[must_use]
+pub fn first(duty: Duty, members: impl IntoIterator<Item = Member>) -> Option<Member> {
+    members.into_iter().max_by_key(|m| (weight(duty, *m), *m))
+}
+
+/// How many of these members come before this one in the order for a duty.
 #[must_use]
-pub fn rank(duty: Duty, members: impl IntoIterator<Item = Member>) -> Vec<Member> {
-    let weight = |m: Member| {
-        let mut bytes = [0; 11];
-        bytes[0] = duty.kind as u8;
-        bytes[1..9].copy_from_slice(&duty.of.to_le_bytes());
-        bytes[9..].copy_from_slice(&m.0.to_le_bytes());
-        xxh64(&bytes, 0)
-    };
-    let mut all: Vec<_> = members.into_iter().map(|m| (weight(m), m)).collect();
-    all.sort_unstable_by(|a, b| b.cmp(a));
-    all.into_iter().map(|(_, m)| m).collect()
+pub fn place(duty: Duty, member: Member, members: impl IntoIterator<Item = Member>) -> usize {
+    let own = (weight(duty, member), member);
+    members.into_iter().filter(|m| (weight(duty, *m), *m) > own).count()
 }
 
 #[cfg(test)]
@@ -26,7 +32,10 @@
     use std::collections::BTreeMap;
 
     fn first(of: u64, members: &[u16]) -> Member {
-        rank(Duty { kind: Kind::Probe, of }, members.iter().map(|m| Member(*m)))[0]
+        let (duty, all) = (Duty { kind: Kind::Probe, of }, members.iter().map(|m| Member(*m)));
+        let first = super::first(duty, all.clone()).unwrap();
+        assert_eq!(all.clone().filter(|m| place(duty, *m, all.clone()) == 0).collect::<Vec<_>>(), [first]);
+        first
     }
 
     #[test]
--- a/lab/src/daemon.rs
+++ b/lab/src/daemon.rs
@@ -28,7 +28,7 @@
     pub http: Option<SocketAddr>,
     /// Where members reach it.
     pub members: Option<SocketAddr>,
-    pub starts: u32,
+    starts: u32,
 }
 
 impl Drop for Daemon {
@@ -61,10 +61,6 @@
         Ok(Daemon { name, program, folder, discovery, known, product, senders, child, http, members, starts })
     }
 
-    pub fn is_up(&self) -> bool {
-        self.child.is_some()
-    }
-
     /// Starts the process and waits until it listens. Its log is `daemon.log` in its folder.
     pub async fn start(&mut self) -> Result<(), String> {
         self.starts += 1;
--- a/lab/src/experiments/cluster.rs
+++ b/lab/src/experiments/cluster.rs
@@ -102,12 +102,13 @@
         self.daemons[i].kill();
     }
 
-    /// Which daemons say that they hold which duty.
+    /// Which daemons say that they probe which partner.
     pub async fn owners(&self) -> BTreeMap<u64, Vec<usize>> {
         let mut owners: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
         for (i, d) in self.daemons.iter().enumerate() {
             let Some(shown) = d.show("/duties").await else { continue };
-            for o in shown["owned"].as_array().into_iter().flatten() {
+            let owned = shown["owned"].as_array().into_iter().flatten();
+            for o in owned.filter(|o| o["duty"] == "probe") {
                 owners.entry(o["of"].as_u64().unwrap_or(0)).or_default().push(i);
             }
         }
--- a/lab/src/experiments/duties.rs
+++ b/lab/src/experiments/duties.rs
@@ -3,11 +3,12 @@
 use super::Setup;
 use super::cluster::{Cluster, Plan};
 use crate::report::{Claim, Report, most_within, quantile};
-use crate::world::partner::{Mode, Strength};
+use crate::world::partner::{Mode, Partner, Strength};
 use crate::world::sleep;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::json;
+use std::rc::Rc;
 
 fn plan() -> Plan {
     Plan {
@@ -39,7 +40,7 @@
 
 /// The highest count of probes in a second at any partner, and pairs of probes at one partner at once.
 fn held(c: &Cluster) -> [Claim; 2] {
-    let rate = |p: &std::rc::Rc<crate::world::partner::Partner>| most_within(&p.probes(0.0, f64::MAX), 1.0);
+    let rate = |p: &Rc<Partner>| most_within(&p.probes(0.0, f64::MAX), 1.0);
     let most = c.partners.iter().map(rate).max().unwrap_or(usize::MAX);
     let overlaps: usize = c.partners.iter().map(|p| p.overlaps()).sum();
     [
@@ -50,7 +51,7 @@
 
 /// The longest time without a probe at any partner, in milliseconds.
 fn gap(c: &Cluster, from: f64, to: f64) -> f64 {
-    let one = |p: &std::rc::Rc<crate::world::partner::Partner>| {
+    let one = |p: &Rc<Partner>| {
         let times: Vec<_> = [vec![from], p.probes(from, to), vec![to]].concat();
         times.windows(2).map(|w| w[1] - w[0]).fold(0.0, f64::max)
     };
@@ -74,7 +75,7 @@
 }
 
 impl Takeovers {
-    /// Looks who holds what until a time. What is held within the first moments may be the dead one's, seen late.
+    /// Looks who holds what until a time, by the word of those that are up.
     async fn watch(&mut self, c: &Cluster, setup: &Setup, until: f64) {
         while setup.world.now() < until {
             let owners = c.owners().await;
@@ -163,7 +164,7 @@
             Claim::at_most("probed_again_p99_ms", quantile(&probed, 0.99), GAP_MS, "ms"),
             Claim::at_most("duty_gap_max_ms", gap(&c, began, ended), GAP_MS, "ms"),
         ],
-        figures: json!({"kills": killed.len(), "takeovers": took.len(),
+        figures: json!({"answers": *c.clients.answers.borrow(), "kills": killed.len(), "takeovers": took.len(),
             "takeover_p50_ms": quantile(&took, 0.5).round(), "probes": probes,
             "datagrams_per_s_each": datagrams.round(), "bytes_per_s_each": bytes.round()}),
     })
@@ -265,6 +266,8 @@
         claims: vec![
             Claim::at_most("probe_share_max", s.0, pace, "share"),
             Claim::at_most("probe_share_of_alone", s.0 / a.0, 0.5, "ratio"),
+            // Where nothing is probed nothing is shared.
+            Claim::at_least("probes_in_outage", s.1 as f64, 1.0, "probes"),
             Claim::at_most("probes_in_outage_ratio", s.1 as f64 / a.1 as f64, 0.5, "ratio"),
             Claim::at_most("fell_over", f64::from(u8::from(s.4)), 0.0, "partners"),
         ],
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -9,7 +9,6 @@
 pub struct Request {
     pub method: String,
     pub path: String,
-    pub body: Vec<u8>,
 }
 
 /// A connection that requests come over, one at a time.
@@ -59,8 +58,7 @@
             return Ok(None);
         }
         let text = |t: Option<&str>| t.unwrap_or("").to_owned();
-        let body = self.bytes[at..at + length].to_vec();
-        Ok(Some((Request { method: text(r.method), path: text(r.path), body }, at + length)))
+        Ok(Some((Request { method: text(r.method), path: text(r.path) }, at + length)))
     }
 
     pub async fn answer(&mut self, status: u16, headers: &str, body: &str) -> io::Result<()> {
--- a/lab/src/world/clients.rs
+++ b/lab/src/world/clients.rs
@@ -15,21 +15,20 @@
     pub at: Vec<Cell<Option<SocketAddr>>>,
     /// Answers by status; 0 for none.
     pub answers: RefCell<BTreeMap<u16, u64>>,
-    pub stop: Cell<bool>,
 }
 
 impl Clients {
     /// `rate` messages a second at each daemon, spread over the destinations; intervals are exponential.
     pub fn start(world: &World, daemons: usize, destinations: &[u64], rate: f64, seed: u64) -> Rc<Clients> {
         let at = (0..daemons).map(|_| Cell::new(None)).collect();
-        let clients = Rc::new(Clients { at, answers: RefCell::default(), stop: Cell::new(false) });
+        let clients = Rc::new(Clients { at, answers: RefCell::default() });
         for i in 0..daemons {
             let (this, w, destinations) = (clients.clone(), world.clone(), destinations.to_vec());
             let mut dice = StdRng::seed_from_u64(seed.wrapping_add(i as u64));
             world.spawn(async move {
                 let mut due = w.now();
                 let mut n = 0u64;
-                while !this.stop.get() {
+                loop {
                     due += -dice.random_range(f64::MIN_POSITIVE..1.0f64).ln() / rate;
                     let to = destinations[dice.random_range(0..destinations.len())];
                     sleep(due - w.now()).await;
--- a/lab/src/world/discovery.rs
+++ b/lab/src/world/discovery.rs
@@ -17,8 +17,6 @@
     states: RefCell<std::collections::BTreeMap<u64, &'static str>>,
     /// Questions for the list that came.
     pub asked: Cell<u64>,
-    /// Ends that came, by state.
-    pub ends: RefCell<std::collections::BTreeMap<String, u64>>,
 }
 
 impl Discovery {
@@ -31,7 +29,6 @@
             generation: Cell::new(1),
             states: RefCell::default(),
             asked: Cell::new(0),
-            ends: RefCell::default(),
         };
         let d = Rc::new(d);
         let (this, w) = (d.clone(), world.clone());
@@ -64,11 +61,6 @@
     async fn serve(self: Rc<Discovery>, mut conn: Server) {
         while let Ok(Some(request)) = conn.next().await {
             let done = if request.method == "POST" {
-                for line in request.body.split(|b| *b == b'\n').filter(|l| !l.is_empty()) {
-                    let state =
-                        serde_json::from_slice::<Value>(line).unwrap_or_default()["state"].to_string();
-                    *self.ends.borrow_mut().entry(state).or_default() += 1;
-                }
                 conn.answer(204, "", "").await
             } else {
                 let number = |key: &str| {
--- a/membership/src/seal.rs
+++ b/membership/src/seal.rs
@@ -43,7 +43,7 @@
 }
 
 /// The keys of a member: one signs, all are believed.
-#[derive(Clone, Debug)]
+#[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Keys {
     sign: u32,
     all: BTreeMap<u32, Key>,
@@ -60,6 +60,18 @@
         let all: BTreeMap<_, _> = keys.into_iter().map(|k| (k.id, k)).collect();
         if all.contains_key(&sign) { Ok(Keys { sign, all }) } else { Err(NoKey) }
     }
+
+    /// The one that signs.
+    #[must_use]
+    pub fn sign(&self) -> u32 {
+        self.sign
+    }
+
+    /// So many are believed.
+    #[must_use]
+    pub fn believed(&self) -> usize {
+        self.all.len()
+    }
 }
 
 /// Why a datagram was dropped.
@@ -188,12 +200,6 @@
         self.boot
     }
 
-    /// The member has been heard from by this process, so that it will believe what it is sent.
-    #[must_use]
-    pub fn greeted(&self, member: Member) -> bool {
-        self.peers.get(usize::from(member.0)).is_some_and(|p| p.echo != 0)
-    }
-
     /// A datagram to a member. None if the body is too long, or the member unknown.
     pub fn write(&mut self, to: Member, body: Body) -> Option<Vec<u8>> {
         let (kind, body) = match body {
--- a/roster/src/table.rs
+++ b/roster/src/table.rs
@@ -2,6 +2,7 @@
 
 use hashbrown::{DefaultHashBuilder, HashTable};
 use onyxrock::interface::Listing;
+use slab::Slab;
 use std::hash::BuildHasher;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
@@ -58,7 +59,7 @@
 struct Record {
     destination: u64,
     name_at: u32,
-    /// The next of its destination, or the next that is free.
+    /// The next of its destination.
     next: u32,
     weight: f32,
     /// The whole list that last named it.
@@ -71,21 +72,18 @@
     kind: u16,
     v6: bool,
     listing: Listing,
-    used: bool,
 }
 
 /// All endpoints that the list names.
 #[derive(Debug)]
 pub struct Roster {
     most: usize,
-    records: Vec<Record>,
-    free: u32,
-    used: usize,
+    records: Slab<Record>,
     names: Vec<u8>,
     dead_names: usize,
     zones: Vec<Box<str>>,
-    /// Addresses that are not IPv4. They are rare: one that is gone stays until another takes its place.
-    others: Vec<Option<IpAddr>>,
+    /// Addresses that are not IPv4.
+    others: Slab<IpAddr>,
     by_name: HashTable<u32>,
     /// The first record of each destination.
     by_destination: HashTable<u32>,
@@ -101,13 +99,11 @@
     pub fn new(most: usize) -> Roster {
         Roster {
             most: most.min(NONE as usize - 1),
-            records: Vec::new(),
-            free: NONE,
-            used: 0,
+            records: Slab::new(),
             names: Vec::new(),
             dead_names: 0,
             zones: Vec::new(),
-            others: Vec::new(),
+            others: Slab::new(),
             by_name: HashTable::new(),
             by_destination: HashTable::new(),
             hash: DefaultHashBuilder::default(),
@@ -119,19 +115,19 @@
     /// Endpoints that are here.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.used
+        self.records.len()
     }
     /// None is.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.used == 0
+        self.records.is_empty()
     }
 
     /// Bytes that all this takes, allocated or not yet used.
     #[must_use]
     pub fn bytes(&self) -> usize {
         let zones: usize = self.zones.iter().map(|z| z.len() + size_of::<Box<str>>()).sum();
-        self.records.capacity() * size_of::<Record>()
+        self.records.capacity() * size_of::<Option<Record>>()
             + self.names.capacity()
             + zones
             + self.others.capacity() * size_of::<Option<IpAddr>>()
@@ -146,13 +142,13 @@
     }
 
     fn record(&self, id: Id) -> Option<&Record> {
-        self.records.get(id.0 as usize).filter(|r| r.used)
+        self.records.get(id.0 as usize)
     }
 
     fn address(&self, r: &Record) -> SocketAddr {
         let ip = match r.v6 {
             false => IpAddr::V4(Ipv4Addr::from(r.ip)),
-            true => self.others.get(r.ip as usize).copied().flatten().unwrap_or(Ipv4Addr::UNSPECIFIED.into()),
+            true => self.others.get(r.ip as usize).copied().unwrap_or(Ipv4Addr::UNSPECIFIED.into()),
         };
         SocketAddr::new(ip, r.port)
     }
@@ -198,28 +194,19 @@
 
     fn zone(&mut self, name: &str) -> Result<u16, Refused> {
         let known = self.zones.iter().position(|z| &**z == name);
-        if known.is_none() && self.zones.len() < ZONES_MOST {
+        if known.is_none() {
+            if self.zones.len() >= ZONES_MOST {
+                return Err(Refused::Shape);
+            }
             self.zones.push(name.into());
         }
-        let at = known.unwrap_or(self.zones.len().saturating_sub(1));
-        if known.is_none() && self.zones.get(at).is_none_or(|z| &**z != name) {
-            return Err(Refused::Shape);
-        }
-        u16::try_from(at).map_err(|_| Refused::Shape)
+        u16::try_from(known.unwrap_or(self.zones.len() - 1)).map_err(|_| Refused::Shape)
     }
 
     fn pack(&mut self, ip: IpAddr) -> (u32, bool) {
         match ip {
             IpAddr::V4(ip) => (ip.into(), false),
-            other => {
-                let free = self.others.iter().position(Option::is_none);
-                let at = free.unwrap_or(self.others.len());
-                match self.others.get_mut(at) {
-                    Some(place) => *place = Some(other),
-                    None => self.others.push(Some(other)),
-                }
-                (at as u32, true)
-            }
+            other => (self.others.insert(other) as u32, true),
         }
     }
 
@@ -237,7 +224,7 @@
             return Ok(None);
         }
         let name_len = u16::try_from(e.name.len()).map_err(|_| Refused::Shape)?;
-        if self.used >= self.most || self.names.len() + e.name.len() > NONE as usize {
+        if self.records.len() >= self.most || self.names.len() + e.name.len() > NONE as usize {
             return Err(Refused::Full);
         }
         let zone = self.zone(e.zone)?;
@@ -257,20 +244,8 @@
             kind: e.kind,
             v6,
             listing: e.listing,
-            used: true,
-        };
-        let at = match self.free {
-            NONE => {
-                self.records.push(record);
-                (self.records.len() - 1) as u32
-            }
-            at => {
-                self.free = self.records[at as usize].next;
-                self.records[at as usize] = record;
-                at
-            }
         };
-        self.used += 1;
+        let at = self.records.insert(record) as u32;
         let Roster { by_name, records, names, hash, .. } = self;
         let hash_of = |i: &u32| {
             let r = &records[*i as usize];
@@ -317,10 +292,8 @@
 
     fn unpack(&mut self, at: u32) {
         let r = &self.records[at as usize];
-        if r.v6
-            && let Some(place) = self.others.get_mut(r.ip as usize)
-        {
-            *place = None;
+        if r.v6 {
+            self.others.try_remove(r.ip as usize);
         }
     }
 
@@ -381,10 +354,7 @@
         }
         self.leave(id.0);
         self.unpack(id.0);
-        let free = std::mem::replace(&mut self.free, id.0);
-        let record = &mut self.records[id.0 as usize];
-        (record.used, record.next) = (false, free);
-        self.used -= 1;
+        self.records.remove(id.0 as usize);
         self.dead_names += usize::from(r.name_len);
         if self.dead_names > SLACK && self.dead_names * 2 > self.names.len() {
             self.repack();
@@ -394,7 +364,7 @@
     /// Makes the arena anew from the names that are here.
     fn repack(&mut self) {
         let mut names = Vec::with_capacity(self.names.len() - self.dead_names);
-        for r in self.records.iter_mut().filter(|r| r.used) {
+        for (_, r) in &mut self.records {
             let from = r.name_at as usize;
             let name = &self.names[from..from + usize::from(r.name_len)];
             r.name_at = names.len() as u32;
@@ -413,15 +383,16 @@
     /// once all have been looked at. Entries of later lists that only tell changes may come in between.
     pub fn sweep(&mut self, most: usize, gone: &mut Vec<Change>) -> bool {
         let Some(from) = self.sweep else { return true };
-        let to = (from + most.max(1)).min(self.records.len());
+        // Numbers that name no record now are passed over, at little cost.
+        let to = (from + most.max(1)).min(self.records.capacity());
         for at in from..to {
-            let r = &mut self.records[at];
-            if r.used && r.epoch != self.epoch && r.listing != Listing::Gone {
+            let Some(r) = self.records.get_mut(at) else { continue };
+            if r.epoch != self.epoch && r.listing != Listing::Gone {
                 r.listing = Listing::Gone;
                 gone.push(Change::Gone(Id(at as u32)));
             }
         }
-        self.sweep = Some(to).filter(|to| *to < self.records.len());
+        self.sweep = Some(to).filter(|to| *to < self.records.capacity());
         self.sweep.is_none()
     }
 }
--- a/daemon/src/net/peers.rs
+++ b/sharing/src/peers.rs
@@ -1,19 +1,17 @@
 //! The other instances, over UDP: one actor that has the socket and the membership.
 
-use crate::module::ToModule;
-use crate::net::Shared;
-use async_channel::Receiver;
-use async_io::Async;
+use crate::letters::{FromPeers, ListNews, ToPeers};
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
 use futures_lite::future;
 use onyxrock::interface::Micros;
-use onyxrock_config::duties::{Duties, Key, Member as Named};
+use onyxrock_config::duties::{Duties, Member as Named};
 use onyxrock_duties::{Member, Message};
-use onyxrock_membership::{Keys, Membership, Output, Refused};
+use onyxrock_membership::{Membership, Output, Refused};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use std::collections::BTreeSet;
 use std::net::UdpSocket;
-use std::rc::Rc;
+use std::time::Duration;
 
 /// A note names an endpoint; longer names are not told.
 const NAME_MOST: usize = 512;
@@ -38,69 +36,28 @@
     },
 }
 
-/// The mailbox of the actor.
-#[derive(Debug)]
-pub enum ToPeers {
-    Duties {
-        to: Member,
-        message: Message,
-    },
-    Note {
-        endpoint: String,
-        news: Vec<u8>,
-    },
-    List(ListNews),
-    Rekey(Keys),
-    Show(async_channel::Sender<Value>),
-    /// This instance ends.
-    Leave(async_channel::Sender<()>),
-}
-
-/// What it has for the module.
-#[derive(Debug)]
-pub enum FromPeers {
-    View(BTreeSet<Member>),
-    Duties { from: Member, message: Message },
-    Note { endpoint: String, news: Vec<u8> },
-    List(ListNews),
+/// Listens where the settings say.
+pub fn listen(d: &Duties) -> Result<Async<UdpSocket>, String> {
+    Async::<UdpSocket>::bind(d.listen).map_err(|e| format!("cannot listen on {} for members: {e}", d.listen))
 }
 
-/// What the instance that asks for the list tells the others.
-#[derive(Clone, Debug)]
-pub struct ListNews {
-    /// The version before.
-    pub from: u64,
-    pub generation: u64,
-    /// Discovery's answer, if it fits.
-    pub body: Vec<u8>,
-}
-
-/// A longer answer is not passed on: the others ask for themselves.
-pub const LIST_NEWS_MOST: usize = 1200;
-
-pub fn keys(sign: u32, keys: &[Key]) -> Result<Keys, String> {
-    let keys = keys.iter().map(|k| onyxrock_membership::Key { id: k.id, secret: k.secret });
-    Keys::new(sign, keys).map_err(|_| format!("[duties]: there is no key {sign}"))
-}
-
-pub struct Peers {
-    pub shared: Rc<Shared>,
+/// The actor. `M` is what the program's mailbox holds, `N` tells its time.
+pub struct Peers<M, N> {
+    pub now: N,
+    pub out: Sender<M>,
     pub socket: Async<UdpSocket>,
     pub membership: Membership,
     pub members: Vec<Named>,
+    /// Datagrams that the socket did not take.
+    pub lost: u64,
 }
 
-impl Peers {
-    pub fn listen(d: &Duties) -> Result<Async<UdpSocket>, String> {
-        Async::<UdpSocket>::bind(d.listen)
-            .map_err(|e| format!("cannot listen on {} for members: {e}", d.listen))
-    }
-
+impl<M: From<FromPeers>, N: Fn() -> Micros> Peers<M, N> {
     pub async fn run(mut self, inbox: Receiver<ToPeers>) {
         // One byte more than any of ours: what is longer is seen to be.
         let mut bytes = vec![0; onyxrock_membership::DATAGRAM_MOST + 1];
         loop {
-            let now = self.shared.clock.now();
+            let now = (self.now)();
             self.membership.tick(now);
             if !self.carry_out().await {
                 return;
@@ -109,12 +66,15 @@
             let letter = async { Some(inbox.recv().await) };
             let wake = async {
                 let readable = async { drop(self.socket.readable().await) };
-                future::or(readable, self.shared.clock.until(Some(due))).await;
+                let late = async {
+                    Timer::after(Duration::from_micros(due.since((self.now)()).0)).await;
+                };
+                future::or(readable, late).await;
                 None
             };
             match future::or(letter, wake).await {
                 Some(Ok(ToPeers::Leave(done))) => {
-                    self.membership.leave(self.shared.clock.now());
+                    self.membership.leave((self.now)());
                     self.carry_out().await;
                     let _ = done.try_send(());
                 }
@@ -123,7 +83,7 @@
                 None => {
                     for _ in 0..AT_ONCE {
                         let Ok((n, from)) = self.socket.get_ref().recv_from(&mut bytes) else { break };
-                        let now = self.shared.clock.now();
+                        let now = (self.now)();
                         if let Err(why) = self.membership.receive(now, &bytes[..n])
                             && !matches!(why, Refused::Unproven | Refused::Hello)
                         {
@@ -139,7 +99,6 @@
         match letter {
             ToPeers::Duties { to, message } => drop(self.say(to, &Word::Duties(message))),
             ToPeers::Note { endpoint, news } if endpoint.len() <= NAME_MOST => {
-                self.shared.counters.notes_told.up();
                 self.say_all(&Word::Note { endpoint, news });
             }
             ToPeers::List(ListNews { from, generation, body }) => {
@@ -171,7 +130,7 @@
                     let Some(m) = self.members.get(usize::from(to.0)) else { continue };
                     // It is not waited for: a full buffer loses a datagram, as any network may.
                     if self.socket.get_ref().send_to(&bytes, m.address).is_err() {
-                        self.shared.counters.peer_datagrams_lost.up();
+                        self.lost += 1;
                     }
                     continue;
                 }
@@ -197,17 +156,11 @@
                     continue;
                 }
             };
-            if self.shared.module.send(ToModule::Peers(news)).await.is_err() {
+            if self.out.send(news.into()).await.is_err() {
                 return false;
             }
         }
-        !seen
-            || self
-                .shared
-                .module
-                .send(ToModule::Peers(FromPeers::View(self.membership.alive())))
-                .await
-                .is_ok()
+        !seen || self.out.send(FromPeers::View(self.membership.alive()).into()).await.is_ok()
     }
 
     fn name(&self, m: Member) -> &str {
@@ -223,7 +176,7 @@
         let pair = |p: (u64, u64)| json!({"datagrams": p.0, "bytes": p.1});
         json!({"me": self.name(self.membership.me()),
             "members": self.members.iter().enumerate().map(one).collect::<Vec<_>>(),
-            "sent": pair(c.sent), "believed": pair(c.believed), "refused": refused})
+            "sent": pair(c.sent), "lost": self.lost, "believed": pair(c.believed), "refused": refused})
     }
 }
 
--- a/daemon/src/duties.rs
+++ b/sharing/src/probing.rs
@@ -4,13 +4,10 @@
 //! handed to the module as a message without content; when its call is about to be written the lease is asked for the
 //! last time, by the clock of that moment.
 
-use crate::list::{Role, ToList};
-use crate::module::Module;
-use crate::net::Shared;
-use crate::net::peers::{FromPeers, ListNews, ToPeers};
+use crate::letters::{FromPeers, ListNews, Role, ToList, ToPeers};
 use async_channel::Sender;
 use onyxrock::core::Desk;
-use onyxrock::interface::{ClassId, ClassSettings, DestinationId, Effect, Micros, Settings};
+use onyxrock::interface::{ClassId, DestinationId, Micros};
 use onyxrock_config::duties::{Duties, Member as Named};
 use onyxrock_duties::{Book, Duty, Kind, Member, Output, Terms};
 use serde_json::{Value, json};
@@ -42,6 +39,8 @@
     pub path: Rc<str>,
     probes: BTreeMap<u64, Probe>,
     look_at: Micros,
+    /// Nothing is to be done before: a word from others, or the end of a probe, brings it forward.
+    due: Micros,
     won: u64,
     out: Sender<ToPeers>,
     list: Option<ListDuty>,
@@ -53,31 +52,13 @@
     role: Role,
     /// When the one that asks was last heard.
     heard: Option<Micros>,
-    /// The version that is held here.
+    /// The version that is held here, while discovery answers.
     generation: Option<u64>,
 }
 
-/// The class of probes, which no client can name. One is worth more than any message: nothing is lost with it, so it
-/// is the better trial of what may be out of order. Where one instance probes for all, the messages of the others wait
-/// for what it finds, and try for themselves only if that takes longer than a hand-over of the duty.
-pub fn class(settings: &mut Settings, duties: &Duties) -> ClassId {
-    settings.notes = !duties.probe.alone;
-    settings.hold_back = if duties.probe.alone { Micros(0) } else { Micros(duties.lease.0 * 3) };
-    let left = Micros(duties.probe.patience.0 * 2);
-    settings.classes.push(ClassSettings {
-        aim: left,
-        give_up: left,
-        effect: Effect::Safe,
-        worth: 1e6,
-        ..ClassSettings::default()
-    });
-    let class = ClassId(settings.classes.len() - 1);
-    settings.probe_class = Some(class);
-    class
-}
-
 impl Probing {
-    /// `boot` is a number that no other process of this instance has.
+    /// `class` is what [`core::probes`](onyxrock::core::probes) gave, `boot` a number that no other process of this
+    /// instance has. `out` is the mailbox of the other instances' actor, `list` that of the list's.
     pub fn new(
         d: &Duties, me: Member, boot: u64, now: Micros, class: ClassId, out: Sender<ToPeers>,
         list: Sender<ToList>,
@@ -93,11 +74,12 @@
         let (members, probes) = (d.members.clone(), BTreeMap::new());
         let share = d.list && !alone;
         let list = share.then_some(ListDuty { to: list, role: Role::Alone, heard: None, generation: None });
-        Probing { book, me, members, alone, class, path, probes, look_at: now, won: 0, out, list }
+        Probing { book, me, members, alone, class, path, probes, look_at: now, due: now, won: 0, out, list }
     }
 
     /// What came from the other instances. Notes are the module's.
     pub fn take(&mut self, now: Micros, news: FromPeers) {
+        self.due = now;
         match news {
             FromPeers::View(_) | FromPeers::Duties { .. } if self.alone => {}
             FromPeers::View(alive) => self.book.view(now, alive),
@@ -115,10 +97,11 @@
         }
     }
 
-    /// This version of the list is held here now.
-    pub fn listed(&mut self, generation: u64) {
+    /// Discovery told the list, and this is its version; none where it could not be asked. The others must not rely on
+    /// one that has no answer itself.
+    pub fn listed(&mut self, generation: Option<u64>) {
         if let Some(l) = &mut self.list {
-            l.generation = Some(generation);
+            l.generation = generation;
         }
     }
 
@@ -148,8 +131,12 @@
         }
     }
 
-    /// Wants, asks, renews, and hands probes that may go to the module.
-    pub fn settle(&mut self, now: Micros, shared: &Shared, desk: &mut Desk) {
+    /// Wants, asks, renews, and hands probes that may go to the module. The leases that were won since the last time.
+    /// Costs next to nothing between the times at which something is due.
+    pub fn settle(&mut self, now: Micros, desk: &mut Desk) -> u64 {
+        if now < self.due {
+            return 0;
+        }
         let look = now >= self.look_at;
         if look {
             let terms = self.book.terms();
@@ -169,10 +156,6 @@
         self.settle_list(now, look);
         let out = self.book.tick(now);
         self.send(out);
-        for _ in self.won..self.book.won() {
-            shared.counters.leases_won.up();
-        }
-        self.won = self.book.won();
         // Those that the module would not let go: a told wait, its budget for what may be cold, no slot.
         let late = |p: &Probe| !p.begun && p.by <= now;
         let over: Vec<_> = self.probes.iter().filter(|(_, p)| late(p)).map(|(n, _)| *n).collect();
@@ -191,17 +174,16 @@
             let n = desk.probe(now, self.class, DestinationId(duty.of), left);
             self.probes.insert(n, Probe { duty, by: now.after(patience), begun: false });
         }
+        let by = self.probes.values().filter(|p| !p.begun).map(|p| p.by);
+        let timed = [self.book.due(), self.book.next_ready(now)].into_iter().flatten();
+        self.due = by.chain(timed).fold(self.look_at, Micros::min);
+        let won = self.book.won();
+        won - std::mem::replace(&mut self.won, won)
     }
 
-    pub fn due(&self, now: Micros) -> Micros {
-        let by = self.probes.values().filter(|p| !p.begun).map(|p| p.by);
-        let ready = self.book.next_ready(now).filter(|t| *t > now);
-        [Some(self.look_at), self.book.due(), ready]
-            .into_iter()
-            .flatten()
-            .chain(by)
-            .min()
-            .unwrap_or(self.look_at)
+    /// When [`Probing::settle`] is due.
+    pub fn due(&self) -> Micros {
+        self.due
     }
 
     /// How long a probe's call may take.
@@ -222,6 +204,7 @@
     pub fn ended(&mut self, n: u64) {
         if let Some(p) = self.probes.remove(&n).filter(|p| p.begun) {
             self.book.end(p.duty);
+            self.due = Micros(0);
         }
     }
 
@@ -259,20 +242,80 @@
     at.ok_or_else(|| format!("[duties]: \"{name}\", this instance, is none of the members"))
 }
 
-impl Module {
-    /// Takes what came from the other instances.
-    pub fn from_peers(&mut self, now: Micros, news: FromPeers) {
-        if let FromPeers::Note { endpoint, news } = &news {
-            match self.numbered(endpoint) {
-                Some(to) => {
-                    self.shared.counters.notes_heard.up();
-                    self.desk.note(now, to, news);
-                }
-                None => self.shared.counters.notes_unknown.up(),
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use async_channel::{Receiver, bounded};
+    use onyxrock::core::{Names, probes};
+    use onyxrock::interface::Settings;
+    use onyxrock_config::duties::Probe as Pace;
+    use onyxrock_membership::{Key, Keys};
+
+    struct Rig {
+        probing: Probing,
+        desk: Desk,
+        now: Micros,
+        out: Receiver<ToPeers>,
+        list: Receiver<ToList>,
+    }
+
+    /// One of so many members, which hears from the others only what the test hands it.
+    fn rig(members: u16) -> Rig {
+        let named = |i| Named { name: format!("n{i}"), address: ([127, 0, 0, 1], 9).into() };
+        let (patience, path) = (Micros(250_000), "/health".to_owned());
+        let duties = Duties {
+            listen: ([127, 0, 0, 1], 0).into(),
+            members: (0..members).map(named).collect(),
+            voters: usize::from(members),
+            lease: Micros(1_200_000),
+            probe: Pace { per_s: 2.0, patience, path, alone: false },
+            list: true,
+            keys: Keys::new(1, [Key { id: 1, secret: [1; 32] }]).unwrap(),
+        };
+        let mut settings = Settings { slots: 4, max_held: 9, max_attempts: 3, ..Settings::default() };
+        let class = probes(&mut settings, Micros(500_000), Micros(0));
+        let desk = Desk::new(settings, Names::default(), Default::default(), 1);
+        let ((to_peers, out), (to_list, list)) = (bounded(64), bounded(64));
+        let now = Micros(1_000_000);
+        let probing = Probing::new(&duties, Member(0), 5, now, class, to_peers, to_list);
+        Rig { probing, desk, now, out, list }
+    }
+
+    impl Rig {
+        /// The news of the list that went to the others, and what the list was told.
+        fn run(&mut self, ms: u64) -> (Vec<u64>, Vec<ToList>) {
+            for _ in 0..ms / 50 {
+                self.now = self.now.after(Micros(50_000));
+                self.probing.settle(self.now, &mut self.desk);
             }
+            let news = |m| match m {
+                ToPeers::List(news) => Some(news.generation),
+                _ => None,
+            };
+            let told = std::iter::from_fn(|| self.out.try_recv().ok()).filter_map(news).collect();
+            (told, std::iter::from_fn(|| self.list.try_recv().ok()).collect())
         }
-        if let Some(p) = &mut self.probing {
-            p.take(now, news);
-        }
+    }
+
+    /// One that holds the list's duty and has lost discovery must not keep the others from asking it.
+    #[test]
+    fn who_asks_for_the_list_gives_signs_of_life_only_while_it_is_answered() {
+        let mut r = rig(1);
+        assert_eq!(r.run(3000), (vec![], vec![ToList::Role(Role::Owner)]), "it has no list yet");
+        r.probing.listed(Some(7));
+        let (told, roles) = r.run(1200);
+        assert!(told.len() >= 3 && told.iter().all(|g| *g == 7) && roles.is_empty(), "{told:?}");
+        r.probing.listed(None);
+        assert_eq!(r.run(3000), (vec![], vec![]));
+    }
+
+    #[test]
+    fn one_that_is_told_the_list_asks_for_itself_once_it_hears_nothing() {
+        let mut r = rig(3);
+        assert_eq!(r.run(2000).1, [], "it asks for itself from the start");
+        let news = ListNews { from: 7, generation: 8, body: Vec::new() };
+        r.probing.take(r.now, FromPeers::List(news.clone()));
+        assert_eq!(r.run(1000).1, [ToList::Told(news), ToList::Role(Role::Told)]);
+        assert_eq!(r.run(1000).1, [ToList::Role(Role::Alone)]);
     }
 }
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -25,8 +25,6 @@
     Probe {
         /// Its number; requests have others.
         n: u64,
-        /// Which attempt, for its outcome: the first.
-        attempt: u32,
         /// Where to.
         to: ReceiverId,
         /// How long to wait for the answer.
@@ -68,6 +66,22 @@
     pub limit: (Option<f64>, Option<f64>),
 }
 
+/// Adds the class of probes to the settings, which no client can name. One is worth more than any message: nothing is
+/// lost with it, so it is the better trial of what may be out of order. A probe that has not gone after `left` ends. Where
+/// one sender probes for all, messages hold back for a while from what it is trying.
+pub fn probes(settings: &mut Settings, left: Micros, hold_back: Micros) -> ClassId {
+    let class = ClassId(settings.classes.len());
+    settings.classes.push(ClassSettings {
+        aim: left,
+        give_up: left,
+        effect: Effect::Safe,
+        worth: 1e6,
+        ..ClassSettings::default()
+    });
+    (settings.probe_class, settings.hold_back) = (Some(class), hold_back);
+    class
+}
+
 /// An attempt may run on for so long after its request is over.
 const ID_REST: Micros = Micros(2_000_000);
 
@@ -354,7 +368,7 @@
     fn step(&mut self, now: Micros, action: Action) -> Option<Step> {
         Some(match action {
             Action::Send { id, receiver, patience } if self.probes.contains_key(&id.0) => {
-                Step::Probe { n: id.0, attempt: 0, to: receiver, patience }
+                Step::Probe { n: id.0, to: receiver, patience }
             }
             Action::Refuse { id, .. } | Action::Fail(id) if self.probes.remove(&id.0).is_some() => {
                 return None;
--- a/tests/probes.rs
+++ b/tests/probes.rs
@@ -2,22 +2,15 @@
 
 mod common;
 use common::*;
-use onyxrock::core::{Answered, Desk, Names, Step};
+use onyxrock::core::{Answered, Desk, Names, Step, probes};
 use onyxrock::interface::*;
 
 const PROBE: usize = 4;
 
 fn probed(hold_back: u64) -> Settings {
     let mut set = settings();
-    let left = ms(2000);
-    set.classes.push(ClassSettings {
-        aim: left,
-        give_up: left,
-        effect: Effect::Safe,
-        worth: 1e6,
-        ..Default::default()
-    });
-    Settings { probe_class: Some(ClassId(PROBE)), hold_back: ms(hold_back), ..set }
+    assert_eq!(probes(&mut set, ms(2000), ms(hold_back)), ClassId(PROBE));
+    set
 }
 
 /// The notes that a sender tells when a call is refused with a wait.
