--- /dev/null
+++ b/config/src/idle.rs
@@ -0,0 +1,98 @@
+//! Our own file's `[list]` and `[idle]`: how long a list may be, and what becomes of destinations that nobody uses.
+
+use crate::product::{Seconds, Wrong};
+use onyxrock::interface::Micros;
+use serde::Deserialize;
+use toml::Spanned;
+
+/// Bounds of the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Bounds {
+    /// Endpoints that are held, 1 to 10,000,000. A longer list is refused as a whole.
+    pub entries: Count<10_000_000>,
+    /// Megabytes that a list may take while it is read, 1 to 4,096.
+    pub memory_mb: Count<4096>,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds { entries: Count(100_000), memory_mb: Count(16) }
+    }
+}
+
+/// A whole number from 1 to `MOST`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Count<const MOST: u32>(pub u32);
+
+impl<'de, const MOST: u32> Deserialize<'de> for Count<MOST> {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        match i64::deserialize(d)? {
+            n if (1..=i64::from(MOST)).contains(&n) => Ok(Count(n as u32)),
+            n => Err(serde::de::Error::custom(format!("{n} is not from 1 to {MOST}"))),
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Raw {
+    #[serde(default = "rest")]
+    rest_s: Spanned<Seconds>,
+    #[serde(default = "half_life")]
+    half_life_s: Seconds,
+    #[serde(default = "forget")]
+    forget_s: Spanned<Seconds>,
+    #[serde(default = "assumed")]
+    assumed_per_s: Spanned<f64>,
+}
+
+fn at<T>(value: T) -> Spanned<T> {
+    Spanned::new(0..0, value)
+}
+fn rest() -> Spanned<Seconds> {
+    at(Seconds(Micros(300_000_000)))
+}
+fn half_life() -> Seconds {
+    Seconds(Micros(600_000_000))
+}
+fn forget() -> Spanned<Seconds> {
+    at(Seconds(Micros(14_400_000_000)))
+}
+fn assumed() -> Spanned<f64> {
+    at(10.0)
+}
+
+/// Destinations go to rest and are woken with care. Without it what was used once stays awake.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Idle {
+    /// Unused so long, a destination goes to rest.
+    pub rest: Micros,
+    /// A rate served so long ago is worth half.
+    pub half_life: Micros,
+    /// After so long nothing of it is worth anything.
+    pub forget: Micros,
+    /// Calls a second, from all instances together, that a woken destination takes where nothing says it.
+    pub assumed_per_s: f64,
+}
+
+/// Outcomes come late, and a connection is let go before its endpoint is.
+const REST_LEAST: Micros = Micros(1_000_000);
+
+impl Raw {
+    pub fn check(self) -> Result<Idle, Wrong> {
+        let (rest, half_life, forget) =
+            (self.rest_s.get_ref().0, self.half_life_s.0, self.forget_s.get_ref().0);
+        if rest < REST_LEAST {
+            return Err(Wrong::new(&self.rest_s, "less than a second"));
+        }
+        if forget < half_life {
+            return Err(Wrong::new(&self.forget_s, "less than half_life_s"));
+        }
+        let assumed_per_s = *self.assumed_per_s.get_ref();
+        if !(0.01..=1e6).contains(&assumed_per_s) {
+            return Err(Wrong::new(&self.assumed_per_s, "not from 0.01 to 1000000"));
+        }
+        Ok(Idle { rest, half_life, forget, assumed_per_s })
+    }
+}
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod daemon;
 pub mod dns;
 pub mod duties;
+pub mod idle;
 pub mod list;
 pub mod product;
 pub mod settings;
--- a/config/src/list.rs
+++ b/config/src/list.rs
@@ -1,8 +1,10 @@
-//! Discovery's list, as JSON.
+//! Discovery's list, as JSON, read in pieces as it comes.
 
 use onyxrock::core::Names;
 use onyxrock::interface::*;
+use serde::Deserialize;
 use serde_json::Value;
+use std::borrow::Cow;
 use std::net::SocketAddr;
 
 /// One endpoint as the list states it.
@@ -23,39 +25,256 @@
     pub entries: Vec<Listed>,
 }
 
+#[derive(Deserialize)]
+struct Instance<'a> {
+    #[serde(borrow, rename = "instanceId")]
+    name: Cow<'a, str>,
+    #[serde(borrow, rename = "hostPort")]
+    address: Cow<'a, str>,
+    #[serde(borrow)]
+    lifecycle: Cow<'a, str>,
+    #[serde(borrow, default)]
+    zone: Option<Cow<'a, str>>,
+    #[serde(borrow, default, rename = "machineType")]
+    kind: Option<Cow<'a, str>>,
+    #[serde(default)]
+    cell: Option<u64>,
+    #[serde(default)]
+    weight: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Head {
+    generation: u64,
+    #[serde(default)]
+    reset: Option<bool>,
+    /// Empty: the entries have been taken out.
+    instances: Vec<()>,
+}
+
 /// Reads a list. An entry that cannot be read fails it as a whole: a list with holes would look like endpoints
 /// that are gone.
 pub fn read(v: &Value, names: &Names) -> Result<List, String> {
-    let generation = v.get("generation").and_then(Value::as_u64).ok_or("list: no generation")?;
-    let whole = v.get("reset").and_then(Value::as_bool).unwrap_or(true);
-    let entries = v.get("instances").and_then(Value::as_array).ok_or("list: no instances")?;
-    let entries = entries.iter().map(|e| entry(e, names)).collect::<Result<_, _>>()?;
+    let mut reader = Reader::new(names);
+    let mut entries = Vec::new();
+    reader.feed(v.to_string().as_bytes(), |e| {
+        entries.push(e);
+        Ok(())
+    })?;
+    let (generation, whole) = reader.end()?;
     Ok(List { generation, whole, entries })
 }
 
-fn entry(v: &Value, names: &Names) -> Result<Listed, String> {
-    let text = |k: &str| v.get(k).and_then(Value::as_str).ok_or_else(|| format!("list: an entry has no {k}"));
+fn listed(bytes: &[u8], names: &Names) -> Result<Listed, String> {
+    let i: Instance = serde_json::from_slice(bytes).map_err(|e| format!("list: an entry: {e}"))?;
     let place = |map: &std::collections::BTreeMap<String, usize>, name: &str| {
         map.get(name).copied().unwrap_or(usize::MAX)
     };
-    let zone = text("zone").unwrap_or_default();
-    let listing = match text("lifecycle")? {
+    let zone = i.zone.as_deref().unwrap_or_default();
+    let listing = match &*i.lifecycle {
         "Ready" => Listing::Ready,
         "Terminating" => Listing::Draining,
         "Gone" => Listing::Gone,
-        other => return Err(format!("list: unknown lifecycle \"{other}\"")),
+        other => return Err(format!("list: unknown lifecycle {other:?}")),
     };
     Ok(Listed {
-        name: text("instanceId")?.to_owned(),
-        address: text("hostPort")?.parse().map_err(|e| format!("list: hostPort: {e}"))?,
+        address: i.address.parse().map_err(|e| format!("list: hostPort {:?}: {e}", i.address))?,
         zone: zone.to_owned(),
         entry: Entry {
             receiver: ReceiverId(0),
             listing,
-            destination: DestinationId(v.get("cell").and_then(Value::as_u64).unwrap_or(0)),
-            kind: KindId(place(&names.kinds, text("machineType").unwrap_or_default())),
+            destination: DestinationId(i.cell.unwrap_or(0)),
+            kind: KindId(place(&names.kinds, i.kind.as_deref().unwrap_or_default())),
             zone: ZoneId(place(&names.zones, zone)),
-            weight: v.get("weight").and_then(Value::as_f64).unwrap_or(0.0),
+            weight: i.weight.unwrap_or(0.0),
         },
+        name: i.name.into_owned(),
     })
 }
+
+/// The longest entry, and the longest head without its entries; nobody's is near it.
+const PIECE_MOST: usize = 16 * 1024;
+
+/// Where the reader stands in the list's array.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum At {
+    /// Not in it: before, or behind.
+    Head,
+    /// Before the first entry, or its end.
+    First,
+    /// Behind an entry: a comma, or its end.
+    Behind,
+    /// Behind a comma: an entry.
+    Next,
+    /// In an entry, so deep.
+    Entry(u32),
+}
+
+/// Reads a list of any length in the pieces in which it comes, and holds one entry at a time. It finds where entries
+/// begin and end; what they and the head say is read by `serde_json`.
+pub struct Reader<'n> {
+    names: &'n Names,
+    at: At,
+    depth: u32,
+    text: bool,
+    escaped: bool,
+    seen: bool,
+    head: Vec<u8>,
+    entry: Vec<u8>,
+}
+
+impl<'n> Reader<'n> {
+    pub fn new(names: &'n Names) -> Reader<'n> {
+        let (at, depth, text, escaped, seen) = (At::Head, 0, false, false, false);
+        Reader { names, at, depth, text, escaped, seen, head: Vec::new(), entry: Vec::new() }
+    }
+
+    /// Takes the next piece, and gives each entry that ends in it.
+    pub fn feed(
+        &mut self, bytes: &[u8], mut each: impl FnMut(Listed) -> Result<(), String>,
+    ) -> Result<(), String> {
+        for b in bytes {
+            let in_text = self.text;
+            if in_text {
+                (self.text, self.escaped) = (self.escaped || *b != b'"', !self.escaped && *b == b'\\');
+            } else if b.is_ascii_whitespace() {
+                continue;
+            } else {
+                self.text = *b == b'"';
+            }
+            match self.at {
+                At::Head => self.in_head(*b, in_text)?,
+                At::Entry(deep) => {
+                    push(&mut self.entry, *b)?;
+                    self.at = match b {
+                        _ if in_text => At::Entry(deep),
+                        b'{' | b'[' => At::Entry(deep + 1),
+                        b'}' | b']' if deep == 1 => {
+                            each(listed(&self.entry, self.names)?)?;
+                            self.entry.clear();
+                            At::Behind
+                        }
+                        b'}' | b']' => At::Entry(deep - 1),
+                        _ => At::Entry(deep),
+                    };
+                }
+                At::First | At::Behind if *b == b']' => {
+                    self.head.push(b']');
+                    self.at = At::Head;
+                }
+                At::Behind if *b == b',' => self.at = At::Next,
+                At::First | At::Next if *b == b'{' => {
+                    self.entry.push(b'{');
+                    self.at = At::Entry(1);
+                }
+                _ => return Err(format!("list: {:?} between its entries", char::from(*b))),
+            }
+        }
+        Ok(())
+    }
+
+    fn in_head(&mut self, b: u8, in_text: bool) -> Result<(), String> {
+        push(&mut self.head, b)?;
+        match b {
+            _ if in_text => {}
+            b'[' if self.depth == 1 && self.head.ends_with(b"\"instances\":[") => {
+                if std::mem::replace(&mut self.seen, true) {
+                    return Err("list: instances twice".into());
+                }
+                self.at = At::First;
+            }
+            b'{' | b'[' => self.depth += 1,
+            b'}' | b']' => self.depth = self.depth.saturating_sub(1),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// The list has ended: its version, and whether it was a whole one.
+    pub fn end(self) -> Result<(u64, bool), String> {
+        if self.at != At::Head {
+            return Err("list: it ends among its entries".into());
+        }
+        let head: Head = serde_json::from_slice(&self.head).map_err(|e| format!("list: {e}"))?;
+        if !self.seen || !head.instances.is_empty() {
+            return Err("list: no instances".into());
+        }
+        Ok((head.generation, head.reset.unwrap_or(true)))
+    }
+}
+
+fn push(piece: &mut Vec<u8>, b: u8) -> Result<(), String> {
+    if piece.len() >= PIECE_MOST {
+        return Err(format!("list: one part of it is over {PIECE_MOST} bytes"));
+    }
+    piece.push(b);
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const LIST: &str = r#" { "reset" : false, "note": {"instances": [1, "]"]}, "instances": [
+        {"instanceId": "a\"}]\\", "hostPort": "127.0.0.1:7", "zone": "z", "machineType": "m", "cell": 3,
+         "lifecycle": "Ready", "weight": 1.5, "extra": [{"x": []}]} ,
+        {"instanceId": "b", "hostPort": "[::1]:8", "lifecycle": "Gone", "zone": null} ], "generation": 41 }"#;
+
+    fn read_in(pieces: impl Iterator<Item = Vec<u8>>) -> Result<List, String> {
+        let names = Names::default();
+        let mut reader = Reader::new(&names);
+        let mut entries = Vec::new();
+        for p in pieces {
+            reader.feed(&p, |e| {
+                entries.push(e);
+                Ok(())
+            })?;
+        }
+        let (generation, whole) = reader.end()?;
+        Ok(List { generation, whole, entries })
+    }
+
+    #[test]
+    fn a_list_reads_the_same_in_whatever_pieces_it_comes() {
+        let whole = format!("{:?}", read_in([LIST.as_bytes().to_vec()].into_iter()).unwrap());
+        for size in 1..40 {
+            let pieces = LIST.as_bytes().chunks(size).map(<[u8]>::to_vec);
+            assert_eq!(format!("{:?}", read_in(pieces).unwrap()), whole, "{size}");
+        }
+        let l = read_in([LIST.as_bytes().to_vec()].into_iter()).unwrap();
+        assert_eq!((l.generation, l.whole, l.entries.len()), (41, false, 2));
+        assert_eq!((l.entries[0].name.as_str(), l.entries[0].entry.weight), ("a\"}]\\", 1.5));
+        assert_eq!((l.entries[1].entry.listing, l.entries[1].zone.as_str()), (Listing::Gone, ""));
+        let empty = read_in([br#"{"generation":1,"instances":[]}"#.to_vec()].into_iter()).unwrap();
+        assert!(empty.whole && empty.entries.is_empty());
+    }
+
+    /// A list with a hole would look like endpoints that are gone.
+    #[test]
+    fn what_is_no_whole_list_is_refused() {
+        for cut in 0..LIST.len() - 1 {
+            assert!(read_in([LIST.as_bytes()[..cut].to_vec()].into_iter()).is_err(), "{cut}");
+        }
+        let one = r#"{"instanceId":"a","hostPort":"127.0.0.1:7","lifecycle":"Ready"}"#;
+        for text in [
+            format!("{{\"generation\":1,\"instances\":[{one}{one}]}}"),
+            format!("{{\"generation\":1,\"instances\":[{one},]}}"),
+            format!("{{\"generation\":1,\"instances\":[,{one}]}}"),
+            format!("{{\"generation\":1,\"instances\":[{one}],\"instances\":[]}}"),
+            format!("{{\"instances\":[{one}]}}"),
+            "{\"generation\":1}".into(),
+            "{\"generation\":1,\"instances\":[1]}".into(),
+            "{\"generation\":1,\"instances\":{}}".into(),
+            "{\"generation\":1,\"instances\":[]}]".into(),
+            format!("{{\"generation\":1,\"instances\":[{}]}}", one.replace("Ready", "Asleep")),
+            format!("{{\"generation\":1,\"instances\":[{}]}}", one.replace("127.0.0.1:7", "club")),
+            format!("{{\"generation\":1,\"instances\":[{}]}}", one.replace('a', &"a".repeat(20_000))),
+        ] {
+            assert!(
+                read_in([text.clone().into_bytes()].into_iter()).is_err(),
+                "{}",
+                &text[..80.min(text.len())]
+            );
+        }
+    }
+}
--- a/config/src/product.rs
+++ b/config/src/product.rs
@@ -4,7 +4,7 @@
 //! line, `FILE:LINE: KEY: what is wrong`, and nothing of a file with an error is used.
 
 use crate::duties::{self, Duties};
-use crate::{dns, smpp};
+use crate::{dns, idle, smpp};
 use onyxrock::core::Names;
 use onyxrock::interface::Micros;
 use serde::{Deserialize, Deserializer, de};
@@ -19,6 +19,8 @@
     pub smpp: Option<smpp::Smpp>,
     pub dns: Option<dns::Dns>,
     pub duties: Option<Duties>,
+    pub list: idle::Bounds,
+    pub idle: Option<idle::Idle>,
 }
 
 /// How the log is written.
@@ -112,6 +114,9 @@
     smpp: Option<smpp::Raw>,
     dns: Option<dns::Raw>,
     duties: Option<Spanned<duties::Raw>>,
+    #[serde(default)]
+    list: idle::Bounds,
+    idle: Option<idle::Raw>,
 }
 
 /// Reads the members that a service of the zone names.
@@ -145,6 +150,8 @@
         smpp: raw.smpp.map(|s| s.check(names)).transpose().map_err(wrong)?,
         duties,
         dns,
+        list: raw.list,
+        idle: raw.idle.map(idle::Raw::check).transpose().map_err(wrong)?,
     })
 }
 
@@ -212,6 +219,11 @@
                 "this machine",
             ),
             ("[dns\n", "p.toml:1: ", ""),
+            ("[list]\nentries = 0\n", "p.toml:2: entries: ", "from 1"),
+            ("[list]\nmemory_mb = 5000\n", "p.toml:2: memory_mb: ", "4096"),
+            ("[idle]\nrest_s = 0.5\n", "p.toml:2: rest_s: ", "second"),
+            ("[idle]\nhalf_life_s = 60\nforget_s = 30\n", "p.toml:3: forget_s: ", "half_life_s"),
+            ("[idle]\nassumed_per_s = 0\n", "p.toml:2: assumed_per_s: ", "0.01"),
         ] {
             let e = wrong(text);
             assert!(e.starts_with(start) && e.contains(word), "{e}");
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -13,6 +13,9 @@
     pub fn down(&self) {
         self.0.set(self.0.get().saturating_sub(1));
     }
+    pub fn set(&self, n: usize) {
+        self.0.set(n as u64);
+    }
     pub fn get(&self) -> u64 {
         self.0.get()
     }
@@ -43,7 +46,9 @@
     // ends
     failed, returned, notices_sent, notices_retried,
     // the list
-    reloads, reloads_refused, list_answers, list_failures, list_told, dns_messages,
+    reloads, reloads_refused, list_answers, list_failures, list_refused, list_told, list_old, dns_messages,
+    // destinations at rest and in use
+    listed, awake, wakes, rests, remembered,
     // the log
     wal_records, wal_refused, wal_compactions,
     // duties shared with other instances
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -7,18 +7,25 @@
 use crate::module::ToModule;
 use crate::net::Shared;
 use crate::net::http::client::Conn;
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender, bounded};
 use async_io::Timer;
 use futures_lite::future;
 use onyxrock::core::Names;
 use onyxrock::interface::Micros;
-use onyxrock_config::list::{self, List};
+use onyxrock_config::idle::Bounds;
+use onyxrock_config::list::{List, Listed, Reader};
+use onyxrock_roster::{Endpoint, Refused, Staged};
 use onyxrock_sharing::{LIST_NEWS_MOST, ListNews, Role, ToList, ToPeers};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-const LIST_MOST: usize = 1 << 20;
+/// A list comes in pieces; so much of it is read at once.
+const PIECE: usize = 64 * 1024;
+/// Entries that the module takes in one turn.
+const SLICE: usize = 256;
+/// Records that it looks at in one turn for what a whole list no longer names.
+pub const SWEEP: usize = 2048;
 /// What a call may take beyond the wait that it asks for.
 const GRACE: Micros = Micros(1_500_000);
 /// A watch goes on if the next call comes within 200 ms.
@@ -32,11 +39,44 @@
     /// How long a call may wait for news. Shorter than discovery would allow: on a connection that has gone
     /// silent nothing else tells that news is missed.
     pub wait: Micros,
+    pub bounds: Bounds,
+}
+
+/// A list as it was read, and its text where that is short enough to be told to others.
+struct Answer {
+    generation: u64,
+    whole: bool,
+    entries: Staged,
+    text: Vec<u8>,
+}
+
+enum Failed {
+    /// There was no answer, or none that can be read.
+    Lost(String),
+    /// It is longer than may be held.
+    TooLong(String),
+}
+
+impl From<String> for Failed {
+    fn from(why: String) -> Failed {
+        Failed::Lost(why)
+    }
+}
+
+/// One part of a list that is too long for one turn of the module.
+#[derive(Debug)]
+pub enum Part {
+    /// A whole list follows.
+    Begin,
+    Entries(Rc<Staged>, std::ops::Range<usize>),
+    /// Look for what it no longer names; false if there is more to look at.
+    Sweep(Sender<bool>),
+    End(u64),
 }
 
 enum Heard {
     Letter(ToList),
-    Answer(Result<(List, Vec<u8>), String>),
+    Answer(Result<Answer, Failed>),
     /// There is another discovery now.
     Moved,
 }
@@ -51,6 +91,7 @@
     let mut role = Role::Alone;
     // What was told does not follow from what is held: ask once.
     let mut behind = false;
+    let mut complained = String::new();
     loop {
         let wish = async { wishes.recv().await.is_ok() };
         let moved = async { moves.recv().await.is_ok() };
@@ -67,9 +108,8 @@
                 if stands_by {
                     return future::pending().await;
                 }
-                let asked = ask(&shared.clock, &discovery, wait, address, &mut conn);
-                let answer = shared.clock.before(by, asked).await;
-                Heard::Answer(answer.unwrap_or_else(|| Err("no answer in time".into())))
+                let answer = ask(&shared.clock, &discovery, by, wait, address, &mut conn).await;
+                Heard::Answer(answer)
             };
             let moved = async {
                 match moves.recv().await {
@@ -104,18 +144,17 @@
                     // Versions of the old one mean nothing to the new one.
                     (conn, discovery.generation) = (None, None);
                 }
-                Heard::Answer(Ok((list, body))) => {
+                Heard::Answer(Ok(list)) => {
                     shared.counters.list_answers.up();
-                    behind = false;
+                    (behind, complained) = (false, String::new());
                     let quick = shared.clock.now().since(asked) < Micros(20_000);
                     if let (Role::Owner, Some(peers)) = (role, &shared.peers) {
                         let from = discovery.generation.unwrap_or(list.generation);
-                        let body = if body.len() <= LIST_NEWS_MOST { body } else { Vec::new() };
-                        let news = ListNews { from, generation: list.generation, body };
+                        let news = ListNews { from, generation: list.generation, body: list.text };
                         let _ = peers.try_send(ToPeers::List(news));
                     }
                     discovery.generation = Some(list.generation);
-                    if shared.module.send(ToModule::List(list)).await.is_err() {
+                    if pass(&shared, list.generation, list.whole, list.entries).await.is_none() {
                         return;
                     }
                     // Whatever makes it answer at once, all forwarders share it.
@@ -123,11 +162,25 @@
                         Timer::after(PAUSE).await;
                     }
                 }
-                Heard::Answer(Err(why)) => {
+                Heard::Answer(Err(failed)) => {
                     shared.counters.list_failures.up();
-                    tracing::warn!("list: {why}");
+                    // A list that is too long stays so for a while: one line tells.
+                    let why = match failed {
+                        Failed::Lost(why) => {
+                            tracing::warn!("list: {why}");
+                            why
+                        }
+                        Failed::TooLong(why) => {
+                            shared.counters.list_refused.up();
+                            if complained != why {
+                                tracing::error!("list: {why}; the list that was held stays");
+                            }
+                            complained.clone_from(&why);
+                            why
+                        }
+                    };
                     conn = None;
-                    if shared.module.send(ToModule::ListFailed).await.is_err() {
+                    if shared.module.send(ToModule::ListFailed(why)).await.is_err() {
                         return;
                     }
                     break;
@@ -137,32 +190,110 @@
     }
 }
 
+/// Hands a list to the module in parts, so that no turn of it takes long.
+async fn pass(shared: &Shared, generation: u64, whole: bool, entries: Staged) -> Option<()> {
+    let entries = Rc::new(entries);
+    let send = async |part| shared.module.send(ToModule::Part(part)).await.ok();
+    if whole {
+        send(Part::Begin).await?;
+    }
+    let mut from = 0;
+    while from < entries.len() {
+        let to = (from + SLICE).min(entries.len());
+        send(Part::Entries(entries.clone(), from..to)).await?;
+        from = to;
+        future::yield_now().await;
+    }
+    loop {
+        let (reply, done) = bounded(1);
+        send(Part::Sweep(reply)).await?;
+        if done.recv().await.ok()? {
+            return send(Part::End(generation)).await;
+        }
+    }
+}
+
+/// Asks for the list. The answer may begin until `by`; then each piece of it must come in time.
 async fn ask(
-    clock: &Clock, d: &Discovery, wait: Micros, address: SocketAddr, kept: &mut Option<Conn>,
-) -> Result<(List, Vec<u8>), String> {
+    clock: &Clock, d: &Discovery, by: Micros, wait: Micros, address: SocketAddr, kept: &mut Option<Conn>,
+) -> Result<Answer, Failed> {
     let fail = |e: std::io::Error| e.to_string();
-    let mut conn = match kept.take().filter(|c| !c.stale()) {
-        Some(conn) => conn,
-        None => Conn::open(address, LIST_MOST).await.map_err(fail)?,
+    let late = || "no answer in time".to_owned();
+    let begin = async {
+        let mut conn = match kept.take().filter(|c| !c.stale()) {
+            Some(conn) => conn,
+            None => Conn::open(address, PIECE).await.map_err(fail)?,
+        };
+        let query = match d.generation {
+            None => String::new(),
+            Some(g) => format!("?since={g}&timeout_ms={}", wait.0 / 1000),
+        };
+        let request = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+        conn.write(request.as_bytes()).await.map_err(fail)?;
+        let answer = conn.answer(clock, by).await.map_err(|e| fail(e.into()))?;
+        Ok::<_, String>((conn, answer))
     };
-    let query = match d.generation {
-        None => String::new(),
-        Some(g) => format!("?since={g}&timeout_ms={}", wait.0 / 1000),
-    };
-    let request = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-    conn.write(request.as_bytes()).await.map_err(fail)?;
-    let by = clock.now().after(wait).after(GRACE);
-    let answer = conn.answer(clock, by).await.map_err(|e| fail(e.into()))?;
-    let (body, again) = conn.body(&answer, LIST_MOST).await.map_err(fail)?;
+    let (mut conn, answer) = clock.before(by, begin).await.ok_or_else(late)??;
+    let (most, most_bytes) = (d.bounds.entries.0 as usize, d.bounds.memory_mb.0 as usize * 1_000_000);
+    let mut entries = Staged::new(most, most_bytes);
+    let mut reader = Reader::new(&d.names);
+    let (mut text, mut refused) = (Vec::new(), None);
+    let mut body = conn.body(&answer, usize::MAX).map_err(fail)?;
+    loop {
+        let soon = clock.now().after(GRACE);
+        let part = clock.before(soon, conn.part(&mut body)).await.ok_or_else(late)?;
+        let Some(part) = part.map_err(fail)? else { break };
+        if answer.status != 200 {
+            continue;
+        }
+        if text.len() <= LIST_NEWS_MOST {
+            text.extend_from_slice(part);
+        }
+        let read = reader.feed(part, |l| {
+            entries.push(&endpoint(&l)).map_err(|e| {
+                refused = Some(e);
+                "a name or the number of zones is out of bounds".into()
+            })
+        });
+        if refused == Some(Refused::Full) {
+            let mb = d.bounds.memory_mb.0;
+            return Err(Failed::TooLong(format!("over {most} entries or {mb} MB, its bounds in [list]")));
+        }
+        read?;
+        // Nobody waits for the rest of a long list.
+        future::yield_now().await;
+    }
     if answer.status != 200 {
-        return Err(format!("answer {}", answer.status));
+        return Err(Failed::Lost(format!("answer {}", answer.status)));
+    }
+    let (generation, whole) = reader.end()?;
+    if text.len() > LIST_NEWS_MOST {
+        text = Vec::new();
+    }
+    *kept = body.again.then_some(conn);
+    Ok(Answer { generation, whole, entries, text })
+}
+
+/// An entry of the list, as the table takes it.
+pub fn endpoint(l: &Listed) -> Endpoint<'_> {
+    Endpoint {
+        name: &l.name,
+        address: l.address,
+        zone: &l.zone,
+        kind: u16::try_from(l.entry.kind.0).unwrap_or(u16::MAX),
+        destination: l.entry.destination.0,
+        weight: l.entry.weight as f32,
+        listing: l.entry.listing,
     }
-    let list = parse(&body, &d.names)?;
-    *kept = again.then_some(conn);
-    Ok((list, body))
 }
 
 fn parse(body: &[u8], names: &Names) -> Result<List, String> {
-    let v = serde_json::from_slice(body).map_err(|e| e.to_string())?;
-    list::read(&v, names)
+    let mut reader = Reader::new(names);
+    let mut entries = Vec::new();
+    reader.feed(body, |l| {
+        entries.push(l);
+        Ok(())
+    })?;
+    let (generation, whole) = reader.end()?;
+    Ok(List { generation, whole, entries })
 }
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -1,26 +1,24 @@
 //! The actor round the module: one letter after the other, then one decision, then its steps.
 
+use crate::list::{Part, SWEEP, endpoint as listed_endpoint};
 use crate::net::http::endpoint;
 use crate::net::smpp::gateway;
-use crate::net::{OutboundCall, Shared, ToEndpoint};
+use crate::net::{Held, OutboundCall, Shared, ToEndpoint};
 use crate::wal::Wal;
 use async_channel::{Receiver, Sender, TrySendError};
 use onyxrock::core::{Answered, Desk, End, Owed, Record, Step, Taken};
-use onyxrock::interface::{
-    DestinationId, Entry, Event, KindId, Listing, Micros, ReceiverId, Verdict, ZoneId,
-};
+use onyxrock::interface::{Event, Listing, Micros, ReceiverId, Verdict};
 use onyxrock_config::list::List;
 use onyxrock_config::smpp::Gateway;
+use onyxrock_roster::{Directory, Endpoint, Follows, Order, Refused, Standing};
 use onyxrock_sharing::{FromPeers, Probing, ToPeers};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 /// Nothing may go out later than a second after the list told of a drain; a queued call stops well before.
 const DRAIN_GRACE: Micros = Micros(500_000);
-/// An endpoint that is gone is kept so long for calls that come late.
-const PEER_REST: Micros = Micros(3_000_000);
-/// The module forgets an endpoint a minute after it was last used.
-const FORGET: Micros = Micros(75_000_000);
+/// When to come back for a destination that is not in the list just now, or while there is no list.
+const LIST_WAIT: Micros = Micros(1_000_000);
 
 #[derive(Debug)]
 pub struct HandIn {
@@ -56,7 +54,9 @@
     },
     Answered(Answered),
     List(List),
-    ListFailed,
+    /// One part of a list that is too long for one letter.
+    Part(Part),
+    ListFailed(String),
     /// A client has been told of an end.
     Told(u64),
     /// From other instances.
@@ -85,19 +85,6 @@
     pub end: End,
 }
 
-struct Peer {
-    name: String,
-    zone: String,
-    mailbox: Sender<ToEndpoint>,
-    address: std::net::SocketAddr,
-    /// When the list told that it drains or is gone.
-    drains: Option<Micros>,
-    /// The list does not name it any more, or as gone.
-    gone: bool,
-    /// Calls that its actor has, and has not told the end of.
-    out: usize,
-}
-
 pub struct Module {
     pub shared: Rc<Shared>,
     pub desk: Desk,
@@ -108,23 +95,21 @@
     pub slots: usize,
     /// Duties shared with other instances; none where that is off.
     pub probing: Option<Probing>,
-    peers: BTreeMap<ReceiverId, Peer>,
-    /// Numbers by name. One that is gone keeps its number for a while: the module still knows of waits there.
-    numbers: BTreeMap<String, ReceiverId>,
-    last_number: u64,
-    forget: VecDeque<(Micros, String)>,
+    /// Calls a second that a woken destination takes where nothing says it; none where what was used stays awake.
+    pub assumed: Option<f64>,
+    pub directory: Directory,
+    /// Those of the endpoints in use.
+    mailboxes: BTreeMap<ReceiverId, Sender<ToEndpoint>>,
     /// Ends that wait for room in a front's mailbox.
     waiting: VecDeque<Ending>,
     quiet: Vec<Sender<()>>,
     hold: bool,
-    /// Endpoints that no discovery lists.
-    gateways: Vec<Entry>,
 }
 
 impl Module {
     pub fn new(
         shared: Rc<Shared>, desk: Desk, wal: Wal, follow: Sender<()>, fronts: BTreeMap<u8, Sender<Ending>>,
-        slots: usize,
+        slots: usize, directory: Directory,
     ) -> Module {
         Module {
             shared,
@@ -134,14 +119,12 @@
             fronts,
             slots,
             probing: None,
-            peers: BTreeMap::new(),
-            numbers: BTreeMap::new(),
-            last_number: 0,
-            forget: VecDeque::new(),
+            assumed: None,
+            directory,
+            mailboxes: BTreeMap::new(),
             waiting: VecDeque::new(),
             quiet: Vec::new(),
             hold: false,
-            gateways: Vec::new(),
         }
     }
 
@@ -151,6 +134,7 @@
             self.shared.counters.resumed.up();
             let now = self.shared.clock.now();
             let (n, given) = (o.taken.n, o.given);
+            self.used(now, o.taken.destination);
             if self.desk.resume(now, o)
                 && let Some(end) = given
             {
@@ -214,7 +198,12 @@
             }
             ToModule::Answered(a) => self.answered(now, &a),
             ToModule::List(list) => self.list(now, list),
-            ToModule::ListFailed => {
+            ToModule::Part(part) => self.part(now, part),
+            ToModule::ListFailed(why) => {
+                if self.directory.had_list() {
+                    self.shared.counters.list_old.set(1);
+                    *self.shared.list.borrow_mut() = Held::Old(why);
+                }
                 if let Some(p) = &mut self.probing {
                     p.listed(None);
                 }
@@ -245,9 +234,18 @@
             let _ = reply.try_send(Reply::Unknown);
             return;
         }
-        if !self.desk.listed(taken.destination) {
-            let _ = reply.try_send(Reply::Nowhere);
-            return;
+        match self.directory.standing(now, taken.destination) {
+            Standing::Here => {}
+            Standing::Unknown => {
+                let _ = reply.try_send(Reply::Nowhere);
+                return;
+            }
+            // What cannot be delivered now is not taken on.
+            Standing::NoList | Standing::Left => {
+                counters.fail_fast.up();
+                let _ = reply.try_send(Reply::FailFast(Some(LIST_WAIT)));
+                return;
+            }
         }
         if !self.desk.fresh(now, &taken.id) {
             counters.ids_again.up();
@@ -270,13 +268,14 @@
             return;
         }
         self.shared.counters.taken.up();
+        self.used(now, taken.destination);
         self.desk.take(now, taken);
         let _ = reply.try_send(Reply::Taken(n));
     }
 
     /// The last look before a call is written. It may have waited for a connection meanwhile.
     fn writing(&mut self, now: Micros, n: u64, to: ReceiverId) -> bool {
-        let Some(peer) = self.peers.get(&to).filter(|_| !self.hold) else { return false };
+        let Some(peer) = self.directory.peer(to).filter(|_| !self.hold) else { return false };
         if peer.drains.is_some_and(|t| now.since(t) > DRAIN_GRACE) {
             return false;
         }
@@ -314,119 +313,146 @@
             Verdict::Moot => &c.moot,
         }
         .up();
-        if let Some(p) = self.peers.get_mut(&a.to) {
-            p.out = p.out.saturating_sub(1);
-        }
+        self.directory.ended(a.to);
         let record = self.desk.answered(now, a);
         self.keep(record.as_slice());
     }
 
     /// A gateway is an endpoint of its destination, and stays one.
     pub fn gateway(&mut self, g: Gateway) {
-        let receiver = self.number();
-        self.numbers.insert(format!("gateway {}", g.name), receiver);
-        self.gateways.push(Entry {
-            receiver,
-            listing: Listing::Ready,
-            destination: DestinationId(g.destination),
-            kind: KindId(g.kind),
-            zone: ZoneId(g.zone_at),
-            weight: g.weight,
-        });
-        let peer = Peer {
-            name: g.name.clone(),
-            zone: g.zone.clone(),
-            address: g.address,
-            mailbox: gateway::start(&self.shared, g, self.slots * 2 + 16),
-            drains: None,
-            gone: false,
-            out: 0,
-        };
-        self.peers.insert(receiver, peer);
+        let now = self.shared.clock.now();
+        let (to, entry) = self.directory.fix(
+            now,
+            &Endpoint {
+                name: &g.name,
+                address: g.address,
+                zone: &g.zone,
+                kind: u16::try_from(g.kind).unwrap_or(u16::MAX),
+                destination: g.destination,
+                weight: g.weight as f32,
+                listing: Listing::Ready,
+            },
+        );
+        self.desk.list(now, Event::ListChanges(vec![entry]));
+        let mailbox = gateway::start(&self.shared, g, self.room());
+        self.mailboxes.insert(to, mailbox);
     }
 
-    fn list(&mut self, now: Micros, list: List) {
-        if let Some(p) = &mut self.probing {
-            p.listed(Some(list.generation));
-        }
-        let mut entries = Vec::new();
-        if list.whole {
-            entries.extend(self.gateways.iter().cloned());
-            let mut named: Vec<_> = list.entries.iter().map(|l| l.name.as_str()).collect();
-            named.sort_unstable();
-            let fixed = |to: &ReceiverId| self.gateways.iter().any(|g| g.receiver == *to);
-            let gone =
-                |to: &ReceiverId, p: &Peer| !fixed(to) && named.binary_search(&p.name.as_str()).is_err();
-            for (_, p) in self.peers.iter_mut().filter(|(to, p)| gone(to, p)) {
-                p.drains.get_or_insert(now);
-                p.gone = true;
-                let _ = p.mailbox.try_send(ToEndpoint::CloseIdle);
+    /// As many calls as may be out to one destination, and letters of other kinds.
+    fn room(&self) -> usize {
+        self.slots * 3 / 4 + 8
+    }
+
+    /// A destination is used: it wakes, if it was at rest.
+    fn used(&mut self, now: Micros, destination: u64) {
+        let mut follows = Follows::default();
+        let Some(woken) = self.directory.touch(now, destination, &mut follows) else { return };
+        self.shared.counters.wakes.up();
+        self.order(follows.orders);
+        match self.assumed {
+            Some(assumed) => self.desk.wake(now, destination, woken.whole, woken.each, assumed),
+            None => {
+                let entries = woken.each.into_iter().map(|(e, _)| e).collect();
+                self.desk.list(now, Event::ListChanges(entries));
             }
         }
-        for listed in list.entries {
-            // Word that an endpoint is gone which was never here needs no actor.
-            let known = self.numbers.get(&listed.name).copied();
-            if listed.entry.listing == Listing::Gone && known.is_none_or(|to| !self.peers.contains_key(&to)) {
-                continue;
-            }
-            let to = known.unwrap_or_else(|| self.number());
-            if known.is_none() {
-                self.numbers.insert(listed.name.clone(), to);
-            }
-            let mut entry = listed.entry;
-            entry.receiver = to;
-            let peer = self.peers.entry(to).or_insert_with(|| Peer {
-                mailbox: endpoint::start(&self.shared, listed.address, self.slots * 2 + 16),
-                name: listed.name,
-                zone: listed.zone.clone(),
-                address: listed.address,
-                drains: None,
-                gone: false,
-                out: 0,
-            });
-            peer.gone = entry.listing == Listing::Gone;
-            if peer.address != listed.address {
-                peer.address = listed.address;
-                let _ = peer.mailbox.try_send(ToEndpoint::Moved(listed.address));
-            }
-            match entry.listing {
-                Listing::Ready => peer.drains = None,
-                Listing::Draining => drop(peer.drains.get_or_insert(now)),
-                Listing::Gone => {
-                    peer.drains.get_or_insert(now);
-                    let _ = peer.mailbox.try_send(ToEndpoint::CloseIdle);
+    }
+
+    /// Carries out what is to be done at endpoints.
+    fn order(&mut self, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Open(to, address) => {
+                    let mailbox = endpoint::start(&self.shared, address, self.room());
+                    self.mailboxes.insert(to, mailbox);
                 }
+                // Its actor ends with its mailbox, once nothing is out there.
+                Order::Close(to) => drop(self.mailboxes.remove(&to)),
+                Order::CloseIdle(to) => self.letter(to, ToEndpoint::CloseIdle),
+                Order::Moved(to, address) => self.letter(to, ToEndpoint::Moved(Box::new(address))),
             }
-            entries.push(entry);
         }
-        let event = if list.whole { Event::FullList(entries) } else { Event::ListChanges(entries) };
-        self.desk.list(now, event);
     }
 
-    fn number(&mut self) -> ReceiverId {
-        self.last_number += 1;
-        ReceiverId(self.last_number)
+    fn letter(&self, to: ReceiverId, letter: ToEndpoint) {
+        if let Some(mailbox) = self.mailboxes.get(&to) {
+            let _ = mailbox.try_send(letter);
+        }
     }
 
-    /// Lets go of endpoints that are gone: of the actor once nothing is out there and no call may still ask whether
-    /// it may be written, of the number once the module has forgotten it too.
-    fn tidy(&mut self, now: Micros) {
-        let past = |p: &Peer| p.gone && p.out == 0 && p.drains.is_some_and(|t| now.since(t) > PEER_REST);
-        let forget = &mut self.forget;
-        self.peers.retain(|_, p| {
-            let past = past(p);
-            if past {
-                forget.push_back((now.after(FORGET), p.name.clone()));
+    fn follow_up(&mut self, now: Micros, follows: Follows) {
+        self.order(follows.orders);
+        if !follows.entries.is_empty() {
+            self.desk.list(now, Event::ListChanges(follows.entries));
+        }
+    }
+
+    fn put(&mut self, now: Micros, e: Endpoint<'_>, follows: &mut Follows) {
+        if let Err(why) = self.directory.put(now, e.clone(), follows) {
+            self.shared.counters.list_refused.up();
+            let why = match why {
+                Refused::Full => "there is no place for it",
+                Refused::Shape => "its name or zone is out of bounds",
+            };
+            tracing::error!("list: {} is left out: {why}", e.name);
+        }
+    }
+
+    /// A list in one letter.
+    fn list(&mut self, now: Micros, list: List) {
+        let mut follows = Follows::default();
+        if list.whole {
+            self.directory.begin();
+        }
+        for l in &list.entries {
+            self.put(now, listed_endpoint(l), &mut follows);
+        }
+        while !self.directory.sweep(now, usize::MAX, &mut follows) {}
+        self.follow_up(now, follows);
+        self.has_list(now, list.generation);
+    }
+
+    fn part(&mut self, now: Micros, part: Part) {
+        let mut follows = Follows::default();
+        match part {
+            Part::Begin => self.directory.begin(),
+            Part::Entries(staged, range) => {
+                for e in range.filter_map(|i| staged.get(i)) {
+                    self.put(now, e, &mut follows);
+                }
             }
-            !past
-        });
-        while self.forget.front().is_some_and(|(t, _)| *t <= now) {
-            let Some((_, name)) = self.forget.pop_front() else { return };
-            // It may be back meanwhile.
-            if self.numbers.get(&name).is_some_and(|to| !self.peers.contains_key(to)) {
-                self.numbers.remove(&name);
+            Part::Sweep(reply) => {
+                let done = self.directory.sweep(now, SWEEP, &mut follows);
+                let _ = reply.try_send(done);
             }
+            Part::End(generation) => self.has_list(now, generation),
+        }
+        self.follow_up(now, follows);
+    }
+
+    /// A list has been taken.
+    fn has_list(&mut self, now: Micros, generation: u64) {
+        if let Some(p) = &mut self.probing {
+            p.listed(Some(generation));
         }
+        self.shared.counters.list_old.set(0);
+        self.shared.counters.listed.set(self.directory.listed());
+        *self.shared.list.borrow_mut() = Held::Current;
+        self.desk.list(now, Event::ListChanges(Vec::new()));
+    }
+
+    /// Lets endpoints go that are gone, and destinations rest that nobody uses.
+    fn tidy(&mut self, now: Micros) {
+        let mut follows = Follows::default();
+        self.directory.tidy(now, &mut follows);
+        while let Some(destination) = self.directory.tired(now) {
+            let Some((whole, each)) = self.desk.rest(now, destination) else { continue };
+            self.shared.counters.rests.up();
+            self.directory.rested(now, destination, whole, &each, &mut follows);
+        }
+        self.order(follows.orders);
+        self.shared.counters.awake.set(self.directory.awake());
+        self.shared.counters.remembered.set(self.directory.memories().len());
     }
 
     /// The list as it was last held.
@@ -451,7 +477,7 @@
                 Step::Call { n, attempt, to, patience } => self.call(now, n, attempt, to, patience),
                 Step::Probe { n, to, patience } => self.probe(now, n, to, patience),
                 Step::Tell(to, news) => {
-                    if let (Some(peer), Some(others)) = (self.peers.get(&to), &self.shared.peers)
+                    if let (Some(peer), Some(others)) = (self.directory.peer(to), &self.shared.peers)
                         && others.try_send(ToPeers::Note { endpoint: peer.name.clone(), news }).is_ok()
                     {
                         self.shared.counters.notes_told.up();
@@ -463,11 +489,7 @@
                     }
                     self.tell(n, end);
                 }
-                Step::CloseIdle(to) => {
-                    if let Some(p) = self.peers.get(&to) {
-                        let _ = p.mailbox.try_send(ToEndpoint::CloseIdle);
-                    }
-                }
+                Step::CloseIdle(to) => self.letter(to, ToEndpoint::CloseIdle),
                 Step::Follow => drop(self.follow.try_send(())),
                 Step::Log(text) => tracing::info!("module: {text}"),
             }
@@ -522,10 +544,12 @@
     /// not here any more, to one whose mailbox is full, to a gateway that knows no probes.
     fn hand(&mut self, call: OutboundCall) {
         let (now, moot) = (call.started, call.answered(call.started, Verdict::Moot));
-        let odd = call.probe.is_some() && self.gateways.iter().any(|g| g.receiver == call.to);
-        let Some(peer) = self.peers.get_mut(&call.to) else { return self.answered(now, &moot) };
-        peer.out += 1;
-        if odd || peer.mailbox.try_send(ToEndpoint::Call(Box::new(call))).is_err() {
+        let odd = call.probe.is_some() && self.directory.is_fixed(call.to);
+        let mailbox = self.mailboxes.get(&call.to).filter(|_| !odd);
+        let Some(mailbox) = mailbox.filter(|_| self.directory.goes(call.to)) else {
+            return self.answered(now, &moot);
+        };
+        if mailbox.try_send(ToEndpoint::Call(Box::new(call))).is_err() {
             self.answered(now, &moot);
         }
     }
@@ -533,10 +557,14 @@
     /// Takes what came from the other instances.
     fn heard(&mut self, now: Micros, news: FromPeers) {
         if let FromPeers::Note { endpoint, news } = &news {
-            match self.numbers.get(endpoint) {
+            // A wait that another was told holds for what rests here, too.
+            if let Some(destination) = self.directory.destination_of(endpoint) {
+                self.used(now, destination);
+            }
+            match self.directory.number_of(endpoint) {
                 Some(to) => {
                     self.shared.counters.notes_heard.up();
-                    self.desk.note(now, *to, news);
+                    self.desk.note(now, to, news);
                 }
                 None => self.shared.counters.notes_unknown.up(),
             }
@@ -576,7 +604,9 @@
     use crate::clock::Clock;
     use async_channel::bounded;
     use onyxrock::interface::{ClassSettings, Effect, KindSettings, Settings};
+    use onyxrock::interface::{DestinationId, Entry, KindId, ZoneId};
     use onyxrock_config::list::Listed;
+    use onyxrock_roster::{Rules, Terms};
     use std::cell::Cell;
 
     fn module(folder: &std::path::Path) -> Module {
@@ -592,6 +622,7 @@
             crowd: Default::default(),
             reuse: Default::default(),
             stopping: Cell::new(false),
+            list: Default::default(),
             discovery: Cell::new("127.0.0.1:1".parse().unwrap()),
             connect_timeout: Micros(1_000_000),
             idle_for: None,
@@ -614,7 +645,8 @@
         let names = onyxrock::core::Names { classes, ..Default::default() };
         let desk = Desk::new(settings, names, Default::default(), 1);
         let wal = Wal::open(folder, 1_000_000).unwrap().0;
-        Module::new(shared, desk, wal, bounded(1).0, BTreeMap::new(), 4)
+        let rules = Rules { most: 100, rest: None, terms: Terms::default(), zones: BTreeMap::new() };
+        Module::new(shared, desk, wal, bounded(1).0, BTreeMap::new(), 4, Directory::new(rules))
     }
 
     fn list(listing: Listing) -> List {
@@ -631,55 +663,6 @@
         List { generation: 1, whole: false, entries: vec![listed] }
     }
 
-    #[test]
-    fn an_endpoint_that_was_never_here_may_be_gone() {
-        let folder = std::env::temp_dir().join(format!("onyxrock-gone-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let mut m = module(&folder);
-        let now = m.shared.clock.now();
-        m.list(now, list(Listing::Gone));
-        assert!(m.peers.is_empty());
-        m.list(now, list(Listing::Ready));
-        m.list(now, list(Listing::Gone));
-        assert_eq!(m.peers.values().map(|p| p.drains).collect::<Vec<_>>(), [Some(now)]);
-        std::fs::remove_dir_all(&folder).unwrap();
-    }
-
-    /// On a long day endpoints come and go without end: whatever is kept for each that was ever here is a leak.
-    #[test]
-    fn an_endpoint_that_is_gone_is_let_go_and_its_address_serves_another() {
-        let folder = std::env::temp_dir().join(format!("onyxrock-tidy-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
-        let mut m = module(&folder);
-        let mut now = m.shared.clock.now();
-        for i in 0..100 {
-            for state in [Listing::Ready, Listing::Draining, Listing::Gone] {
-                let mut one = list(state);
-                one.entries[0].name = format!("e{i}");
-                m.list(now, one);
-                now = now.after(Micros(1_000_000));
-                m.tidy(now);
-            }
-        }
-        let rest = FORGET.after(PEER_REST).0 / 3_000_000 + 2;
-        assert!(
-            m.peers.len() <= 3 && m.numbers.len() as u64 <= rest,
-            "{} {}",
-            m.peers.len(),
-            m.numbers.len()
-        );
-        assert_eq!(m.last_number, 100, "each has a number of its own, however its address was used before");
-        // With a call out it stays until that has ended.
-        m.peers.values_mut().for_each(|p| p.out = 1);
-        m.tidy(now.after(FORGET));
-        assert!(!m.peers.is_empty());
-        m.peers.values_mut().for_each(|p| p.out = 0);
-        m.tidy(now.after(FORGET));
-        m.tidy(now.after(FORGET).after(FORGET));
-        assert_eq!((m.peers.len(), m.numbers.len()), (0, 0));
-        std::fs::remove_dir_all(&folder).unwrap();
-    }
-
     /// A call may wait for its connection for longer than a drain leaves time to send.
     #[test]
     fn a_queued_call_is_not_written_once_its_endpoint_drains() {
@@ -688,6 +671,7 @@
         let mut m = module(&folder);
         let now = m.shared.clock.now();
         m.list(now, list(Listing::Ready));
+        m.used(now, 1);
         let taken = Taken {
             n: 1,
             class: "a".into(),
--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -138,48 +138,65 @@
     /// Reads the rest of an answer and keeps nothing of it. Whether the connection can take another call; an
     /// error where the answer does not end as its head says. Reading again reads nothing.
     pub async fn rest(&mut self, answer: &mut Answer) -> io::Result<bool> {
-        let again = self.each(answer, BODY_MOST, |_| ()).await?;
+        let mut body = self.body(answer, BODY_MOST)?;
+        while self.part(&mut body).await?.is_some() {}
+        let again = body.again;
         answer.framing = Some(Framing { length: Some(0), chunked: false, close: !again });
         Ok(again)
     }
 
-    /// The same, for a body that somebody wants.
-    pub async fn body(&mut self, answer: &Answer, most: usize) -> io::Result<(Vec<u8>, bool)> {
-        let mut body = Vec::new();
-        let again = self.each(answer, most, |part| body.extend_from_slice(part)).await?;
-        Ok((body, again))
-    }
-
-    async fn each(&mut self, answer: &Answer, most: usize, mut part: impl FnMut(&[u8])) -> io::Result<bool> {
-        let f = answer.framing.ok_or_else(|| bad("only its first line can be read"))?;
-        if matches!(answer.status, 204 | 304) {
-            return Ok(!f.close);
-        }
-        if f.chunked {
+    /// Begins to read the body of an answer, of so many bytes at most.
+    pub fn body(&self, answer: &Answer, most: usize) -> io::Result<Body> {
+        let framing = answer.framing.ok_or_else(|| bad("only its first line can be read"))?;
+        if framing.chunked && !matches!(answer.status, 204 | 304) {
             return Err(bad("chunked answers are not read"));
         }
-        let mut read = 0;
-        loop {
+        let over = matches!(answer.status, 204 | 304);
+        Ok(Body { framing, most, read: 0, pending: 0, over, again: !framing.close })
+    }
+
+    /// The next part of it; none at its end.
+    pub async fn part(&mut self, body: &mut Body) -> io::Result<Option<&[u8]>> {
+        self.buffer.consume(std::mem::take(&mut body.pending));
+        while !body.over {
             // More than anybody may send is not waited for.
-            if f.length.is_some_and(|l| l > most) || read > most {
+            if body.framing.length.is_some_and(|l| l > body.most) || body.read > body.most {
                 return Err(bad("body too long"));
             }
-            let left = f.length.map_or(usize::MAX, |l| l - read);
+            let left = body.framing.length.map_or(usize::MAX, |l| l - body.read);
             let n = left.min(self.buffer.data().len());
-            part(&self.buffer.data()[..n]);
-            self.buffer.consume(n);
-            read += n;
-            if n == left {
-                return Ok(!f.close);
+            if n > 0 {
+                (body.read, body.pending) = (body.read + n, n);
+                return Ok(Some(&self.buffer.data()[..n]));
+            }
+            if left == 0 {
+                body.over = true;
+                break;
             }
             match self.more().await {
                 Ok(()) => {}
                 // Without a length the end of the connection is the end of the body.
-                Err(Lost::Broken(e)) if f.length.is_none() && e.kind() == io::ErrorKind::UnexpectedEof => {
-                    return Ok(false);
+                Err(Lost::Broken(e))
+                    if body.framing.length.is_none() && e.kind() == io::ErrorKind::UnexpectedEof =>
+                {
+                    (body.over, body.again) = (true, false);
                 }
                 Err(lost) => return Err(lost.into()),
             }
         }
+        Ok(None)
     }
 }
+
+/// How far the body of an answer has been read.
+#[derive(Debug)]
+pub struct Body {
+    framing: Framing,
+    most: usize,
+    read: usize,
+    /// Given, and still in the buffer.
+    pending: usize,
+    over: bool,
+    /// Once it has ended: the connection can take another call.
+    pub again: bool,
+}
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -44,7 +44,8 @@
         let now = shared.clock.now();
         match back {
             // Near the bound on descriptors no connection is kept for later; none outlives its address.
-            Some(Back::Sound(conn, to)) => {
+            Some(Back::Sound(sound)) => {
+                let (conn, to) = *sound;
                 if to != address || shared.counters.outbound_open.get() > shared.outbound_most {
                     shared.counters.outbound_open.down();
                 } else {
@@ -77,7 +78,7 @@
             }
             Some(Ok(ToEndpoint::CloseIdle)) => close_all(&shared, &mut idle),
             Some(Ok(ToEndpoint::Moved(to))) => {
-                address = to;
+                address = *to;
                 close_all(&shared, &mut idle);
             }
         }
@@ -93,7 +94,8 @@
 
 /// What a call says of the connection that it used.
 enum Back {
-    Sound(Conn, SocketAddr),
+    /// Boxed: there is room for many.
+    Sound(Box<(Conn, SocketAddr)>),
     Suspect,
 }
 
@@ -131,7 +133,7 @@
     let tail = shared.clock.now().after(TAIL);
     if let (Some(mut answer), Some(mut conn)) = (answer, conn)
         && let Some(Ok(true)) = shared.clock.before(tail, conn.rest(&mut answer)).await
-        && give_back.try_send(Back::Sound(conn, address)).is_ok()
+        && give_back.try_send(Back::Sound(Box::new((conn, address)))).is_ok()
     {
         return;
     }
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -2,9 +2,9 @@
 
 use super::{BODY_MOST, Framing, HEAD_MOST, HEADERS, framing, seconds};
 use crate::module::{HandIn, Reply, ToModule};
-use crate::net::Shared;
 use crate::net::buffer::Buffer;
 use crate::net::smpp::Note;
+use crate::net::{Held, Shared};
 use async_channel::{Receiver, Sender, bounded};
 use async_io::Async;
 use futures_lite::{AsyncWriteExt, future};
@@ -35,7 +35,9 @@
 /// A deadline counts from the client's sending, which lies a little before it is read here; and a notice
 /// needs its way too.
 const MARGIN: Micros = Micros(100_000);
-/// When to come back to a forwarder that holds as much as it may.
+/// When to come back to a forwarder that has no list yet ...
+const LIST_WAIT: Micros = Micros(500_000);
+/// ... and to one that holds as much as it may.
 const FULL_WAIT: Micros = Micros(1_000_000);
 /// Connections that wait to be accepted. A crowd must not fill the row.
 const BACKLOG: i32 = 1024;
@@ -159,7 +161,7 @@
             let wrong = self.wrong;
             let done = match parse(&bytes, body_at, at) {
                 Err(bad) => self.turn_away(bad, close).await,
-                Ok(Ask::Ready) => self.answer(200, None, "ready", close).await,
+                Ok(Ask::Ready) => self.ready(close).await,
                 Ok(Ask::Counters) => {
                     let text = counters.json().to_string();
                     self.answer(200, None, &text, close).await
@@ -183,6 +185,16 @@
         }
     }
 
+    /// Without any list nothing can be delivered; with an old one most can.
+    async fn ready(&mut self, close: bool) -> std::io::Result<()> {
+        let held = self.shared.list.borrow().clone();
+        match held {
+            Held::None => self.answer(503, Some(LIST_WAIT), "no list yet", close).await,
+            Held::Current => self.answer(200, None, "ready", close).await,
+            Held::Old(why) => self.answer(200, None, &format!("ready, with an old list: {why}"), close).await,
+        }
+    }
+
     /// What one of the actors shows, as JSON; there is nothing here where duties are not shared.
     async fn show(
         &mut self, close: bool, ask: impl AsyncFnOnce(&Shared, Sender<Value>) -> bool,
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -31,6 +31,8 @@
     /// The inbound connections that may be closed to make room.
     pub crowd: crowd::Crowd,
     pub stopping: Cell<bool>,
+    /// The list that is held.
+    pub list: std::cell::RefCell<Held>,
     /// Where the list comes from and ends are told; the file that names it may be replaced.
     pub discovery: Cell<std::net::SocketAddr>,
     pub connect_timeout: Micros,
@@ -43,6 +45,17 @@
     pub executor: Rc<LocalExecutor<'static>>,
 }
 
+/// What is known of the list.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub enum Held {
+    /// None has ever been had: nothing can be delivered.
+    #[default]
+    None,
+    Current,
+    /// The last question for it failed, or its answer was not taken.
+    Old(String),
+}
+
 impl Shared {
     /// A number that no other caller in this process gets.
     pub fn serial(&self) -> u64 {
@@ -94,5 +107,5 @@
     /// Boxed: a mailbox holds room for many.
     Call(Box<OutboundCall>),
     CloseIdle,
-    Moved(std::net::SocketAddr),
+    Moved(Box<std::net::SocketAddr>),
 }
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -19,6 +19,7 @@
 use onyxrock_config::daemon::Config;
 use onyxrock_config::product::Product;
 use onyxrock_membership::Membership;
+use onyxrock_roster::{Directory, Rules, Terms};
 use onyxrock_sharing::{Peers, Probing, ToPeers, listen, place, tempo};
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -48,7 +49,7 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("cannot wait for signals: {e}"))?;
     let started = config.clone();
-    let Product { smpp, dns, duties, .. } = product.clone();
+    let Product { smpp, dns, duties, list: bounds, idle: resting, .. } = product.clone();
     // The kept zone, old and new, shares the folder with the log.
     let zones = if dns.is_some() { 2 * dns::KEPT_MOST as u64 } else { 0 };
     let (wal, scan) = Wal::open(&config.state, config.disk_bytes.saturating_sub(zones))
@@ -72,6 +73,7 @@
         reuse: Default::default(),
         serials: Cell::new(0),
         stopping: Cell::new(false),
+        list: Default::default(),
         discovery: Cell::new(config.discovery),
         connect_timeout: config.connect_timeout,
         idle_for: (idle > Micros(0)).then_some(Micros(idle.0 * 4 / 5)),
@@ -102,7 +104,11 @@
         probes(&mut settings, Micros(d.probe.patience.0 * 2), hold_back)
     });
     let desk = Desk::new(settings, config.names.clone(), plain, config.seed);
-    let mut module = Module::new(shared.clone(), desk, wal, follow, fronts, slots);
+    let terms = resting.map(|i| Terms { half_life: i.half_life, forget: i.forget }).unwrap_or_default();
+    let zones = config.names.zones.clone();
+    let rules = Rules { most: bounds.entries.0 as usize, rest: resting.map(|i| i.rest), terms, zones };
+    let mut module = Module::new(shared.clone(), desk, wal, follow, fronts, slots, Directory::new(rules));
+    module.assumed = resting.map(|i| i.assumed_per_s);
     gateways.into_iter().for_each(|g| module.gateway(g));
     if let (Some(d), Some(class)) = (&duties, probe_class) {
         let (me, now) = (place(d, &config.name)?, shared.clock.now());
@@ -148,6 +154,7 @@
     let discovery = Discovery {
         names: config.names,
         generation: None,
+        bounds,
         wait: wait.clamp(Micros(1_000_000), Micros(20_000_000)),
     };
     if let Some(dns) = zone {
@@ -223,6 +230,9 @@
         (Some(ours), Some(new)) => ours.differs(new),
         (ours, new) => ours.is_some() != new.is_some(),
     };
+    if (ours.list, ours.idle) != (new.list, new.idle) {
+        tracing::warn!("reload: [list] and [idle] will hold from the next start on");
+    }
     if differs {
         tracing::warn!("reload: [duties] but for its keys will hold from the next start on");
     }
--- a/daemon/src/show.rs
+++ b/daemon/src/show.rs
@@ -19,7 +19,11 @@
         let request = format!("GET {path} HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n");
         conn.write(request.as_bytes()).await?;
         let answer = conn.answer(&clock, by).await?;
-        Ok::<_, std::io::Error>((answer.status, conn.body(&answer, MOST).await?.0))
+        let (mut text, mut body) = (Vec::new(), conn.body(&answer, MOST)?);
+        while let Some(part) = conn.part(&mut body).await? {
+            text.extend_from_slice(part);
+        }
+        Ok::<_, std::io::Error>((answer.status, text))
     };
     match async_io::block_on(clock.before(by, asked)) {
         Some(Ok((200, body))) => {
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -120,6 +120,10 @@
     dns: bool,
     /// The section of duties; empty where they are off.
     duties: String,
+    /// Sections of our own file, as they are.
+    sections: String,
+    /// The file names no list.
+    unknown: bool,
     dns_at: Option<SocketAddr>,
     listing: Arc<Mutex<Listing>>,
     child: Option<Child>,
@@ -147,6 +151,8 @@
             gateways: Vec::new(),
             dns,
             duties: String::new(),
+            sections: String::new(),
+            unknown: false,
             dns_at,
             listing,
             child,
@@ -209,6 +215,14 @@
                 self.duties = rest.join("\n");
                 Ok(())
             }
+            ["given", "section", name, rest @ ..] => {
+                self.sections += &format!("[{name}]\n{}\n", rest.join("\n"));
+                Ok(())
+            }
+            ["given", "list", "unknown"] => {
+                self.unknown = true;
+                Ok(())
+            }
             ["given", "dns"] => {
                 self.dns = true;
                 Ok(())
@@ -375,8 +389,9 @@
     fn configure(&self) -> PathBuf {
         let settings: Value = serde_json::from_str(include_str!("settings.json")).unwrap();
         let platform = self.who["platform"].address.unwrap().to_string();
+        let known = if self.unknown { Value::Null } else { self.listing.lock().unwrap().json() };
         let config = json!({"name": "n1", "seed": "1f", "limits": self.limits, "discovery": platform,
-            "known": self.listing.lock().unwrap().json(), "settings": settings});
+            "known": known, "settings": settings});
         let file = self.folder.join("config.json");
         std::fs::write(&file, config.to_string()).unwrap();
         file
@@ -411,6 +426,7 @@
                 self.duties
             );
         }
+        toml += &self.sections;
         let product = self.folder.join("product.toml");
         std::fs::write(&product, toml).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_onyxrock"))
--- /dev/null
+++ b/roster/src/directory.rs
@@ -0,0 +1,486 @@
+//! Which endpoints are listed, which of them are in use, and what is to be done about a change.
+
+use crate::awake::Awake;
+use crate::memory::{Memories, Terms, Whose};
+use crate::table::{Change, Endpoint, Id, Refused, Roster};
+use hashbrown::HashMap;
+use onyxrock::interface::{DestinationId, Entry, KindId, Listing, Micros, ReceiverId, Repute, ZoneId};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+/// An endpoint that is gone is kept so long for calls that come late.
+const PEER_REST: Micros = Micros(3_000_000);
+/// The module forgets an endpoint a minute after it was last used; its number and its destination are kept longer.
+const FORGET: Micros = Micros(75_000_000);
+
+/// What a directory is made with.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// Endpoints that the list may name; while one whole list follows another, both are held.
+    pub most: usize,
+    /// Unused so long, a destination may rest; never, where there is none.
+    pub rest: Option<Micros>,
+    /// How what was learned ages.
+    pub terms: Terms,
+    /// Numbers of zones by name.
+    pub zones: BTreeMap<String, usize>,
+}
+
+/// An endpoint in use.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Peer {
+    /// Its name, by which other processes know it.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its destination.
+    pub destination: u64,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// When the list told that it drains or is gone.
+    pub drains: Option<Micros>,
+    /// The list does not name it any more, or as gone.
+    gone: bool,
+    /// No list names it, and it stays.
+    fixed: bool,
+    /// Calls that it has and has not told the end of.
+    pub out: usize,
+}
+
+/// Something for the caller to carry out at an endpoint.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Order {
+    /// It comes into use.
+    Open(ReceiverId, SocketAddr),
+    /// Nothing new will go there: close the connections that are idle.
+    CloseIdle(ReceiverId),
+    /// It has another address now.
+    Moved(ReceiverId, SocketAddr),
+    /// It is in use no more, and nothing is out there.
+    Close(ReceiverId),
+}
+
+/// What follows from a change: orders for the endpoints in use, and what the module is told of them.
+#[derive(Clone, Debug, Default)]
+pub struct Follows {
+    /// In the order in which they are to be carried out.
+    pub orders: Vec<Order>,
+    /// Changed lines of the list.
+    pub entries: Vec<Entry>,
+}
+
+/// What is known of a destination that wakes.
+#[derive(Clone, Debug, Default)]
+pub struct Woken {
+    /// Of itself.
+    pub whole: Repute,
+    /// Its endpoints, and what is known of each.
+    pub each: Vec<(Entry, Repute)>,
+}
+
+/// Whether something may be taken on for a destination.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Standing {
+    /// It is listed, or in use.
+    Here,
+    /// No list has ever been had.
+    NoList,
+    /// The list does not name it any more, as of late: it may come back.
+    Left,
+    /// No list has named it.
+    Unknown,
+}
+
+/// All endpoints: the listed in a [`Roster`], those in use as [`Peer`]s with numbers that the module knows.
+#[derive(Debug)]
+pub struct Directory {
+    rules: Rules,
+    roster: Roster,
+    awake: Awake,
+    memories: Memories,
+    peers: BTreeMap<ReceiverId, Peer>,
+    /// Numbers by name. One that is gone keeps its number for a while: the module still knows of waits there.
+    numbers: HashMap<String, ReceiverId>,
+    last: u64,
+    /// Those that are gone, and when to look whether they can be let go.
+    leaving: BTreeSet<(Micros, ReceiverId)>,
+    forget: VecDeque<(Micros, String)>,
+    /// Destinations that have left the list, and until when that is known.
+    left: HashMap<u64, Micros>,
+    left_order: VecDeque<(Micros, u64)>,
+    /// Destinations of endpoints that no list names.
+    fixed: BTreeSet<u64>,
+    had_list: bool,
+    /// A whole list is being taken.
+    whole: bool,
+}
+
+impl Directory {
+    /// An empty one.
+    #[must_use]
+    pub fn new(rules: Rules) -> Directory {
+        Directory {
+            // A whole list is taken before what it does not name goes.
+            roster: Roster::new(rules.most.saturating_mul(2)),
+            awake: Awake::new(rules.rest),
+            memories: Memories::new(rules.terms),
+            peers: BTreeMap::new(),
+            numbers: HashMap::new(),
+            last: 0,
+            leaving: BTreeSet::new(),
+            forget: VecDeque::new(),
+            left: HashMap::new(),
+            left_order: VecDeque::new(),
+            fixed: BTreeSet::new(),
+            had_list: false,
+            whole: false,
+            rules,
+        }
+    }
+
+    /// Endpoints that the list names.
+    #[must_use]
+    pub fn listed(&self) -> usize {
+        self.roster.len()
+    }
+    /// Destinations that are in use.
+    #[must_use]
+    pub fn awake(&self) -> usize {
+        self.awake.len()
+    }
+    /// Endpoints that are in use.
+    #[must_use]
+    pub fn peers(&self) -> &BTreeMap<ReceiverId, Peer> {
+        &self.peers
+    }
+    /// One of them.
+    #[must_use]
+    pub fn peer(&self, to: ReceiverId) -> Option<&Peer> {
+        self.peers.get(&to)
+    }
+    /// The number of one that is in use, or was a moment ago.
+    #[must_use]
+    pub fn number_of(&self, name: &str) -> Option<ReceiverId> {
+        self.numbers.get(name).copied()
+    }
+    /// The destination of an endpoint that the list names.
+    #[must_use]
+    pub fn destination_of(&self, name: &str) -> Option<u64> {
+        Some(self.roster.get(self.roster.find(name)?)?.destination)
+    }
+    /// What is kept of those at rest.
+    #[must_use]
+    pub fn memories(&self) -> &Memories {
+        &self.memories
+    }
+    /// The same, to put back what an earlier process kept.
+    pub fn memories_mut(&mut self) -> &mut Memories {
+        &mut self.memories
+    }
+    /// A list has been had.
+    #[must_use]
+    pub fn had_list(&self) -> bool {
+        self.had_list
+    }
+
+    /// Whether something may be taken on for a destination.
+    #[must_use]
+    pub fn standing(&self, now: Micros, destination: u64) -> Standing {
+        if self.roster.lists(destination) || self.awake.contains(destination) {
+            Standing::Here
+        } else if !self.had_list {
+            Standing::NoList
+        } else if self.left.get(&destination).is_some_and(|until| *until > now) {
+            Standing::Left
+        } else {
+            Standing::Unknown
+        }
+    }
+
+    /// A call goes to an endpoint.
+    pub fn goes(&mut self, to: ReceiverId) -> bool {
+        self.peers.get_mut(&to).map(|p| p.out += 1).is_some()
+    }
+    /// A call there has ended.
+    pub fn ended(&mut self, to: ReceiverId) {
+        if let Some(p) = self.peers.get_mut(&to) {
+            p.out = p.out.saturating_sub(1);
+        }
+    }
+
+    fn number(&mut self) -> ReceiverId {
+        self.last += 1;
+        ReceiverId(self.last)
+    }
+
+    /// An endpoint that no list names and that stays in use.
+    pub fn fix(&mut self, now: Micros, e: &Endpoint<'_>) -> (ReceiverId, Entry) {
+        let to = self.number();
+        self.awake.touch(now, e.destination);
+        self.fixed.insert(e.destination);
+        let (name, zone) = (e.name.to_owned(), e.zone.to_owned());
+        self.numbers.insert(format!("gateway {name}"), to);
+        let (destination, address) = (e.destination, e.address);
+        let peer = Peer { name, zone, destination, address, drains: None, gone: false, fixed: true, out: 0 };
+        self.peers.insert(to, peer);
+        (to, self.entry(to, e))
+    }
+
+    /// This one stays, whatever the list says.
+    #[must_use]
+    pub fn is_fixed(&self, to: ReceiverId) -> bool {
+        self.peers.get(&to).is_some_and(|p| p.fixed)
+    }
+
+    fn entry(&self, receiver: ReceiverId, e: &Endpoint<'_>) -> Entry {
+        Entry {
+            receiver,
+            listing: e.listing,
+            destination: DestinationId(e.destination),
+            kind: KindId(if e.kind == u16::MAX { usize::MAX } else { usize::from(e.kind) }),
+            zone: ZoneId(self.rules.zones.get(e.zone).copied().unwrap_or(usize::MAX)),
+            weight: f64::from(e.weight),
+        }
+    }
+
+    /// A destination is used. What is known of it, if it was at rest.
+    pub fn touch(&mut self, now: Micros, destination: u64, follows: &mut Follows) -> Option<Woken> {
+        if !self.awake.touch(now, destination) {
+            return None;
+        }
+        let whole = self.memories.take(now, &Whose::Destination(destination));
+        let ids: Vec<_> = self.roster.of(destination).collect();
+        let each = ids.into_iter().filter_map(|id| self.rouse(now, id, follows)).collect();
+        Some(Woken { whole, each })
+    }
+
+    /// Brings an endpoint into use.
+    fn rouse(&mut self, now: Micros, id: Id, follows: &mut Follows) -> Option<(Entry, Repute)> {
+        let e = self.roster.get(id)?;
+        let known = self.numbers.get(e.name).copied();
+        let to = known.unwrap_or(ReceiverId(self.last + 1));
+        let entry = self.entry(to, &e);
+        // One that drained meanwhile has no time left in which a call might go.
+        let drains = (e.listing != Listing::Ready).then_some(Micros(0));
+        let (name, zone) = (e.name.to_owned(), e.zone.to_owned());
+        let (destination, address) = (e.destination, e.address);
+        let peer = Peer {
+            name: name.clone(),
+            zone,
+            destination,
+            address,
+            drains,
+            gone: false,
+            fixed: false,
+            out: 0,
+        };
+        if known.is_none() {
+            self.last += 1;
+            self.numbers.insert(name.clone(), to);
+        }
+        match self.peers.get_mut(&to) {
+            // It had not been let go yet.
+            Some(p) => {
+                if p.address != address {
+                    follows.orders.push(Order::Moved(to, address));
+                }
+                let out = p.out;
+                *p = Peer { out, ..peer };
+            }
+            None => {
+                self.peers.insert(to, peer);
+                follows.orders.push(Order::Open(to, address));
+            }
+        }
+        Some((entry, self.memories.take(now, &Whose::Endpoint(name.into()))))
+    }
+
+    /// A whole list follows.
+    pub fn begin(&mut self) {
+        self.whole = true;
+        self.roster.begin();
+    }
+
+    /// Takes an entry of the list.
+    ///
+    /// # Errors
+    /// [`Refused`]: it has no place; all else is as before.
+    pub fn put(&mut self, now: Micros, e: Endpoint<'_>, follows: &mut Follows) -> Result<(), Refused> {
+        if !self.whole && self.roster.len() >= self.rules.most && self.roster.find(e.name).is_none() {
+            return Err(Refused::Full);
+        }
+        if let Some(change) = self.roster.put(e)? {
+            self.changed(now, change, follows);
+        }
+        Ok(())
+    }
+
+    /// The entries have ended: looks at so many of those that are held for what a whole list did not name. True once
+    /// all have been looked at.
+    pub fn sweep(&mut self, now: Micros, most: usize, follows: &mut Follows) -> bool {
+        self.had_list = true;
+        let mut gone = Vec::new();
+        let done = self.roster.sweep(most, &mut gone);
+        self.whole &= !done;
+        for change in gone {
+            self.changed(now, change, follows);
+        }
+        done
+    }
+
+    fn changed(&mut self, now: Micros, change: Change, follows: &mut Follows) {
+        let (Change::Added(id) | Change::Changed(id) | Change::Gone(id)) = change;
+        let Some(e) = self.roster.get(id) else { return };
+        let (destination, to) = (e.destination, self.numbers.get(e.name).copied());
+        let peer = to.and_then(|to| Some((to, self.peers.get(&to)?)));
+        match (change, peer) {
+            // What the module knows of it belongs to the destination that it had.
+            (_, Some((to, p))) if p.destination != destination && !p.fixed => {
+                let (before, name) = (p.destination, p.name.clone());
+                self.leave(now, to, follows);
+                self.numbers.remove(&name);
+                if !self.roster.lists(before) {
+                    self.departs(now, before);
+                }
+                if change == Change::Gone(id) {
+                    self.roster.remove(id);
+                } else {
+                    self.added(now, id, destination, follows);
+                }
+            }
+            (Change::Gone(_), peer) => {
+                let to = peer.map(|(to, _)| to);
+                self.roster.remove(id);
+                if let Some(to) = to {
+                    self.leave(now, to, follows);
+                }
+                if !self.roster.lists(destination) {
+                    self.departs(now, destination);
+                }
+            }
+            (Change::Changed(_), Some((to, p))) if !p.gone => {
+                let entry = self.entry(to, &e);
+                let (address, zone) = (e.address, e.zone.to_owned());
+                let Some(p) = self.peers.get_mut(&to) else { return };
+                if p.address != address {
+                    p.address = address;
+                    follows.orders.push(Order::Moved(to, address));
+                }
+                p.zone = zone;
+                p.drains = if entry.listing == Listing::Ready { None } else { p.drains.or(Some(now)) };
+                follows.entries.push(entry);
+            }
+            _ => self.added(now, id, destination, follows),
+        }
+    }
+
+    /// It is new to a destination: brought into use if that is.
+    fn added(&mut self, now: Micros, id: Id, destination: u64, follows: &mut Follows) {
+        self.left.remove(&destination);
+        if self.awake.contains(destination)
+            && let Some((entry, _)) = self.rouse(now, id, follows)
+        {
+            follows.entries.push(entry);
+        }
+    }
+
+    /// An endpoint in use is gone.
+    fn leave(&mut self, now: Micros, to: ReceiverId, follows: &mut Follows) {
+        let Some(p) = self.peers.get_mut(&to).filter(|p| !p.gone && !p.fixed) else { return };
+        p.drains.get_or_insert(now);
+        p.gone = true;
+        follows.orders.push(Order::CloseIdle(to));
+        follows.entries.push(Entry {
+            receiver: to,
+            listing: Listing::Gone,
+            destination: DestinationId(p.destination),
+            kind: KindId(usize::MAX),
+            zone: ZoneId(usize::MAX),
+            weight: 0.0,
+        });
+        self.leaving.insert((now.after(PEER_REST), to));
+    }
+
+    /// The last endpoint of a destination has left the list.
+    fn departs(&mut self, now: Micros, destination: u64) {
+        let until = now.after(FORGET);
+        self.left.insert(destination, until);
+        self.left_order.push_back((until, destination));
+    }
+
+    /// Lets go of endpoints that are gone: of the endpoint once nothing is out there and no call may still ask whether
+    /// it may be written, of the number once the module has forgotten it too.
+    pub fn tidy(&mut self, now: Micros, follows: &mut Follows) {
+        while let Some((at, to)) = self.leaving.first().copied().filter(|l| l.0 <= now) {
+            self.leaving.remove(&(at, to));
+            let Some(p) = self.peers.get(&to).filter(|p| p.gone) else { continue };
+            if p.out > 0 {
+                self.leaving.insert((now.after(PEER_REST), to));
+                continue;
+            }
+            if let Some(p) = self.peers.remove(&to) {
+                follows.orders.push(Order::Close(to));
+                self.forget.push_back((now.after(FORGET), p.name));
+            }
+        }
+        while self.forget.front().is_some_and(|(t, _)| *t <= now) {
+            let Some((_, name)) = self.forget.pop_front() else { break };
+            // It may be back meanwhile.
+            if self.numbers.get(&name).is_some_and(|to| !self.peers.contains_key(to)) {
+                self.numbers.remove(&name);
+            }
+        }
+    }
+
+    /// A destination that may rest, if its module can do without it.
+    pub fn tired(&mut self, now: Micros) -> Option<u64> {
+        while let Some((until, destination)) = self.left_order.front().copied().filter(|l| l.0 <= now) {
+            self.left_order.pop_front();
+            if self.left.get(&destination) != Some(&until) {
+                continue;
+            }
+            if self.awake.contains(destination) {
+                // What is held for it may not have ended yet.
+                self.departs(now, destination);
+                return Some(destination);
+            }
+            self.left.remove(&destination);
+        }
+        loop {
+            let destination = self.awake.tired(now)?;
+            if !self.fixed.contains(&destination) {
+                return Some(destination);
+            }
+        }
+    }
+
+    /// The module has forgotten a destination, and this is what it was like.
+    pub fn rested(
+        &mut self, now: Micros, destination: u64, whole: Repute, each: &[(ReceiverId, Repute)],
+        follows: &mut Follows,
+    ) {
+        self.memories.keep(now, Whose::Destination(destination), whole);
+        for (to, repute) in each {
+            if let Some(p) = self.peers.get(to) {
+                self.memories.keep(now, Whose::Endpoint(p.name.as_str().into()), *repute);
+            }
+        }
+        let names: Vec<_> = self
+            .roster
+            .of(destination)
+            .filter_map(|id| self.roster.get(id))
+            .map(|e| e.name.to_owned())
+            .collect();
+        for name in names {
+            if let Some(to) = self.numbers.remove(&name)
+                && self.peers.remove(&to).is_some()
+            {
+                follows.orders.push(Order::Close(to));
+            }
+        }
+        self.awake.rested(now, destination);
+        if !self.roster.lists(destination) {
+            self.left.remove(&destination);
+        }
+    }
+}
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -7,9 +7,13 @@
 //!   found by name and by destination through hash tables of record numbers. A whole list is taken as a difference:
 //!   [`Roster::begin`], [`Roster::put`] for each entry, [`Roster::sweep`] in slices for what the list no longer names.
 //!   What changed comes out as [`Change`]s, so that nobody walks the whole.
+//! - [`Directory`] is all of it together: it takes the list and each use of a destination, and says what follows for
+//!   the endpoints in use ([`Order`]) and for the module round which they are ([`Follows`], [`Woken`]).
+//! - [`Staged`] holds a list while it is read: the table takes a list as a whole or not at all.
+//! - [`Awake`] says which destinations are in use, and which have not been for long enough to rest.
 //! - [`Memory`] is what is kept of a destination that goes to rest: its served rate, a wait it had told, whether it was
 //!   out of order. It ages: after a half-life the rate is worth half, and after a few nothing is left but the caution
-//!   that is due to any destination that nobody has heard of for a while.
+//!   that is due to any destination that nobody has heard of for a while. [`Memories`] holds them all.
 //!
 //! ```
 //! use onyxrock::interface::Listing;
@@ -40,8 +44,14 @@
 //! assert_eq!(gone, [Change::Gone(id)]);
 //! ```
 
+mod awake;
+mod directory;
 mod memory;
+mod staged;
 mod table;
 
-pub use memory::{Memory, Recall, Terms};
+pub use awake::Awake;
+pub use directory::{Directory, Follows, Order, Peer, Rules, Standing, Woken};
+pub use memory::{Memories, Memory, Terms, Whose};
+pub use staged::Staged;
 pub use table::{Change, Endpoint, Id, Refused, Roster};
--- a/roster/src/table.rs
+++ b/roster/src/table.rs
@@ -384,7 +384,7 @@
     pub fn sweep(&mut self, most: usize, gone: &mut Vec<Change>) -> bool {
         let Some(from) = self.sweep else { return true };
         // Numbers that name no record now are passed over, at little cost.
-        let to = (from + most.max(1)).min(self.records.capacity());
+        let to = (from.saturating_add(most.max(1))).min(self.records.capacity());
         for at in from..to {
             let Some(r) = self.records.get_mut(at) else { continue };
             if r.epoch != self.epoch && r.listing != Listing::Gone {
--- /dev/null
+++ b/roster/tests/directory.rs
@@ -0,0 +1,227 @@
+//! What is listed, in use and at rest, through the changes that lists bring.
+
+use onyxrock::interface::{Listing, Micros, ReceiverId, Repute};
+use onyxrock_roster::{Directory, Endpoint, Follows, Order, Refused, Rules, Standing, Terms, Whose};
+use std::net::SocketAddr;
+
+fn s(secs: f64) -> Micros {
+    Micros::from_secs(secs)
+}
+
+fn rules(rest: Option<Micros>) -> Rules {
+    let zones = [("z".to_owned(), 3)].into_iter().collect();
+    Rules { most: 60_000, rest, terms: Terms { half_life: s(600.0), forget: s(3600.0) }, zones }
+}
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn one(name: &str, destination: u64, listing: Listing) -> Endpoint<'_> {
+    Endpoint { name, address: at(7), zone: "z", kind: 1, destination, weight: 2.0, listing }
+}
+
+fn put(d: &mut Directory, now: Micros, e: Endpoint<'_>) -> Follows {
+    let mut follows = Follows::default();
+    d.put(now, e, &mut follows).unwrap();
+    d.sweep(now, usize::MAX, &mut follows);
+    follows
+}
+
+/// A whole list of these.
+fn whole(d: &mut Directory, now: Micros, names: &[String]) -> Follows {
+    let mut follows = Follows::default();
+    d.begin();
+    for (i, name) in names.iter().enumerate() {
+        d.put(now, one(name, i as u64, Listing::Ready), &mut follows).unwrap();
+    }
+    while !d.sweep(now, 1000, &mut follows) {}
+    follows
+}
+
+fn names(from: usize, to: usize) -> Vec<String> {
+    (from..to).map(|i| format!("e-{i}")).collect()
+}
+
+fn wake(d: &mut Directory, now: Micros, destination: u64) -> (Vec<ReceiverId>, Follows, Repute) {
+    let mut follows = Follows::default();
+    let woken = d.touch(now, destination, &mut follows).expect("it was at rest");
+    (woken.each.iter().map(|(e, _)| e.receiver).collect(), follows, woken.whole)
+}
+
+#[test]
+fn what_nobody_uses_has_nothing_but_its_line() {
+    let mut d = Directory::new(rules(None));
+    assert_eq!(d.standing(s(0.0), 7), Standing::NoList);
+    let follows = whole(&mut d, s(0.0), &names(0, 50_000));
+    assert!(follows.orders.is_empty() && follows.entries.is_empty());
+    assert_eq!((d.listed(), d.awake(), d.peers().len()), (50_000, 0, 0));
+    assert_eq!((d.standing(s(0.0), 7), d.standing(s(0.0), 50_000)), (Standing::Here, Standing::Unknown));
+    let (to, follows, _) = wake(&mut d, s(1.0), 7);
+    assert_eq!(follows.orders, [Order::Open(to[0], at(7))]);
+    let e = d.touch(s(1.0), 8, &mut Follows::default()).unwrap().each[0].0.clone();
+    assert_eq!((e.zone.0, e.kind.0, e.weight, e.listing), (3, 1, 2.0, Listing::Ready));
+    assert!(d.touch(s(2.0), 7, &mut Follows::default()).is_none(), "awake already");
+}
+
+#[test]
+fn ten_thousand_wake_at_once_and_all_rest_again() {
+    let mut d = Directory::new(rules(Some(s(10.0))));
+    whole(&mut d, s(0.0), &names(0, 50_000));
+    for i in 0..10_000u64 {
+        wake(&mut d, s(1.0 + i as f64 * 1e-4), i);
+    }
+    assert_eq!((d.awake(), d.peers().len()), (10_000, 10_000));
+    assert_eq!(d.tired(s(10.9)), None);
+    let (mut follows, mut rests) = (Follows::default(), 0);
+    while let Some(destination) = d.tired(s(12.1)) {
+        let served = Repute { served: 4.0, ..Repute::default() };
+        d.rested(s(12.1), destination, served, &[], &mut follows);
+        rests += 1;
+    }
+    assert_eq!((rests, d.awake(), d.peers().len(), follows.orders.len()), (10_000, 0, 0, 10_000));
+    assert_eq!(d.memories().len(), 10_000);
+    let (to, _, whole) = wake(&mut d, s(612.1), 5);
+    assert_eq!(
+        (whole.served, to),
+        (2.0, vec![ReceiverId(10_001)]),
+        "worth half after a half-life; a number of its own"
+    );
+}
+
+#[test]
+fn half_of_all_go_in_one_change_and_the_list_shrinks_to_one_and_back() {
+    let mut d = Directory::new(rules(None));
+    whole(&mut d, s(0.0), &names(0, 50_000));
+    let (to, _, _) = wake(&mut d, s(0.5), 40_000);
+    let follows = whole(&mut d, s(1.0), &names(0, 25_000));
+    assert_eq!((d.listed(), follows.entries.len()), (25_000, 1), "the module hears of the one that it knows");
+    assert_eq!(follows.orders, [Order::CloseIdle(to[0])]);
+    assert_eq!(d.standing(s(1.0), 30_000), Standing::Left);
+    assert_eq!(d.standing(s(1.0), 40_000), Standing::Here, "something may be held for it");
+    for i in 0..10 {
+        let n = if i % 2 == 0 { 1 } else { 50_000 };
+        whole(&mut d, s(2.0 + f64::from(i)), &names(0, n));
+        assert_eq!(d.listed(), n);
+    }
+    assert_eq!(d.standing(s(12.0), 30_000), Standing::Here);
+}
+
+/// The bound holds for what is held, while one whole list may take another's place.
+#[test]
+fn a_whole_list_may_be_exchanged_for_another_and_changes_have_a_bound() {
+    let mut d = Directory::new(Rules { most: 100, ..rules(None) });
+    whole(&mut d, s(0.0), &names(0, 100));
+    whole(&mut d, s(1.0), &names(100, 200));
+    assert_eq!(d.listed(), 100);
+    let refused = d.put(s(2.0), one("more", 999, Listing::Ready), &mut Follows::default());
+    assert_eq!((refused, d.listed()), (Err(Refused::Full), 100));
+    put(&mut d, s(2.0), one("e-150", 50, Listing::Draining));
+}
+
+#[test]
+fn one_that_drains_or_goes_at_rest_gets_nothing_when_its_destination_wakes() {
+    let mut d = Directory::new(rules(None));
+    put(&mut d, s(0.0), one("a", 1, Listing::Ready));
+    put(&mut d, s(0.0), one("b", 1, Listing::Ready));
+    put(&mut d, s(1.0), one("a", 1, Listing::Draining));
+    put(&mut d, s(1.0), one("b", 1, Listing::Gone));
+    let (to, _, _) = wake(&mut d, s(5.0), 1);
+    assert_eq!(to.len(), 1);
+    let a = d.peer(to[0]).unwrap();
+    assert_eq!((a.name.as_str(), a.drains), ("a", Some(Micros(0))), "no time is left from its drain");
+}
+
+#[test]
+fn one_that_drains_while_awake_has_the_time_from_when_it_was_told() {
+    let mut d = Directory::new(rules(None));
+    put(&mut d, s(0.0), one("a", 1, Listing::Ready));
+    let (to, _, _) = wake(&mut d, s(1.0), 1);
+    let follows = put(&mut d, s(2.0), one("a", 1, Listing::Draining));
+    assert_eq!((follows.entries[0].listing, follows.orders.len()), (Listing::Draining, 0));
+    put(&mut d, s(3.0), one("a", 1, Listing::Gone));
+    assert_eq!(d.peer(to[0]).unwrap().drains, Some(s(2.0)));
+    put(&mut d, s(4.0), one("a", 1, Listing::Ready));
+    assert_eq!(
+        (d.number_of("a"), d.peer(to[0]).unwrap().drains),
+        (Some(to[0]), None),
+        "back under its number"
+    );
+}
+
+/// On a long day endpoints come and go without end: whatever is kept for each that was ever here is a leak.
+#[test]
+fn what_is_gone_is_let_go_with_no_call_out_and_its_address_serves_another() {
+    let mut d = Directory::new(rules(None));
+    for i in 0..300u64 {
+        let (now, name) = (s(i as f64), format!("e-{i}"));
+        put(&mut d, now, one(&name, i, Listing::Ready));
+        let (to, follows, _) = wake(&mut d, now, i);
+        assert_eq!(
+            (to[0], &follows.orders[0]),
+            (ReceiverId(i + 1), &Order::Open(to[0], at(7))),
+            "a number of its own"
+        );
+        put(&mut d, now, one(&name, i, Listing::Gone));
+        let mut follows = Follows::default();
+        d.tidy(now, &mut follows);
+        while let Some(destination) = d.tired(now) {
+            d.rested(now, destination, Repute::default(), &[], &mut follows);
+        }
+    }
+    assert!(d.peers().len() <= 4 && d.awake() <= 77, "{} {}", d.peers().len(), d.awake());
+    let last = *d.peers().last_key_value().unwrap().0;
+    assert!(d.goes(last));
+    let mut follows = Follows::default();
+    d.tidy(s(400.0), &mut follows);
+    assert_eq!(d.peers().len(), 1, "a call is out there");
+    d.ended(last);
+    d.tidy(s(500.0), &mut follows);
+    assert_eq!((d.peers().len(), follows.orders.last()), (0, Some(&Order::Close(last))));
+    assert!(d.number_of("e-299").is_some(), "the module may know of a wait there");
+    d.tidy(s(600.0), &mut follows);
+    assert_eq!((d.number_of("e-299"), d.standing(s(600.0), 299)), (None, Standing::Here));
+}
+
+/// A message to an endpoint of another destination would void all.
+#[test]
+fn an_endpoint_that_moves_to_another_destination_is_another_one() {
+    let mut d = Directory::new(rules(None));
+    put(&mut d, s(0.0), one("a", 1, Listing::Ready));
+    let (to, _, _) = wake(&mut d, s(1.0), 1);
+    wake(&mut d, s(1.0), 2);
+    let follows = put(&mut d, s(2.0), one("a", 2, Listing::Ready));
+    let told: Vec<_> = follows.entries.iter().map(|e| (e.destination.0, e.listing)).collect();
+    assert_eq!(told, [(1, Listing::Gone), (2, Listing::Ready)]);
+    assert_ne!(d.number_of("a"), Some(to[0]));
+    assert_eq!(d.peer(to[0]).unwrap().drains, Some(s(2.0)));
+    // At rest there is nothing to tell.
+    put(&mut d, s(3.0), one("b", 8, Listing::Ready));
+    assert!(put(&mut d, s(3.0), one("b", 9, Listing::Ready)).entries.is_empty());
+    assert_eq!((d.standing(s(3.0), 8), wake(&mut d, s(4.0), 9).0.len()), (Standing::Unknown, 1));
+}
+
+#[test]
+fn a_wait_outlives_its_rest_and_its_endpoint_a_changed_address_and_a_name_that_was_away() {
+    let mut d = Directory::new(rules(Some(s(1.0))));
+    put(&mut d, s(0.0), one("a", 1, Listing::Ready));
+    let (to, _, _) = wake(&mut d, s(0.0), 1);
+    assert_eq!(d.tired(s(1.0)), Some(1));
+    let waits = Repute { wait_until: s(100.0), sick: true, served: 9.0 };
+    d.rested(s(1.0), 1, waits, &[(to[0], waits)], &mut Follows::default());
+    assert_eq!(d.memories().len(), 2);
+    put(&mut d, s(2.0), one("a", 1, Listing::Gone));
+    put(&mut d, s(3.0), Endpoint { address: at(8), ..one("a", 1, Listing::Ready) });
+    put(&mut d, s(3.0), one("b", 1, Listing::Ready));
+    let mut follows = Follows::default();
+    let woken = d.touch(s(50.0), 1, &mut follows).unwrap();
+    let still = Repute { served: 0.0, ..waits };
+    assert_eq!(woken.whole, still, "of the destination, whoever serves it now");
+    let each: Vec<_> =
+        woken.each.iter().map(|(e, r)| (d.peer(e.receiver).unwrap().name.clone(), *r)).collect();
+    assert!(
+        each.contains(&("a".into(), still)) && each.contains(&("b".into(), Repute::default())),
+        "{each:?}"
+    );
+    assert!(d.memories().iter().all(|(w, _)| !matches!(w, Whose::Destination(_))), "taken with it");
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,6 +7,8 @@
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
+mod rest;
+
 // --- The mechanism (refusals decide the pace) -----------------------------------------------------------
 const TARGET_SHARE: f64 = 0.05; // l: one refusal in twenty of this sender's calls ...
 const TARGET_FLOOR_PER_S: f64 = 0.05; // ... and at least one in twenty seconds
@@ -117,7 +119,7 @@
     fn on_refusal(&mut self, now: Micros, scale: Scale, told: f64) -> bool {
         self.note_refusal(now, scale);
         self.told = told;
-        self.floor = scale.floor.max(told * FLOOR_OF_TOLD);
+        self.floor = scale.floor.max(if self.woken { 0.0 } else { told * FLOOR_OF_TOLD });
         if let Some(c) = &mut self.control {
             c.refused += 1;
         } else if self.refusals.len() >= BURST_COUNT {
@@ -161,7 +163,7 @@
             c.rate = ceiling;
             let since = *c.ending.get_or_insert(now);
             if now.since(since) >= TERMINATION {
-                self.control = None;
+                (self.control, self.woken) = (None, false);
                 self.refusals.clear();
             }
         }
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -101,9 +101,8 @@
     most: usize,
     give_up: Vec<Micros>,
     harmful: Vec<bool>,
-    /// Ids of hand-ins, and destinations that the list has named.
+    /// Ids of hand-ins.
     ids: Ids,
-    listed: BTreeSet<DestinationId>,
     given: usize,
     wakes: BTreeSet<Micros>,
     receipts: Vec<u64>,
@@ -133,7 +132,6 @@
             ),
             harmful: settings.classes.iter().map(|c| c.effect == Effect::Unsafe).collect(),
             give_up: settings.classes.iter().map(|c| c.give_up).collect(),
-            listed: BTreeSet::new(),
             brain: Brain::new(settings, seed),
             names,
             plain,
@@ -207,9 +205,9 @@
         self.names.classes.contains_key(class)
             && (tenant.is_empty() || self.names.tenants.is_empty() || self.names.tenants.contains_key(tenant))
     }
-    /// The list has named this destination, or no list is held yet.
-    pub fn listed(&self, destination: u64) -> bool {
-        self.listed.is_empty() || self.listed.contains(&DestinationId(destination))
+    /// The number of a zone; one that no settings name has none that anything else has.
+    pub fn zone(&self, name: &str) -> ZoneId {
+        ZoneId(self.names.zones.get(name).copied().unwrap_or(usize::MAX))
     }
     /// Takes note of the id of a hand-in. False if it came before and could still run, whoever sends it: a second
     /// request with it would be a second copy at an endpoint.
@@ -260,8 +258,7 @@
         self.next = self.next.max(n + 1);
         let message = self.message(now, &owed.taken);
         self.ids.fresh(now, &owed.taken.id);
-        let zone = |z: &String| ZoneId(self.names.zones.get(z).copied().unwrap_or(usize::MAX));
-        let maybe_ran = owed.maybe_ran.as_ref().map(|(at, z)| (*at, zone(z)));
+        let maybe_ran = owed.maybe_ran.as_ref().map(|(at, z)| (*at, self.zone(z)));
         let past = Past { attempts: owed.attempts, maybe_ran };
         let given = owed.given.is_some();
         self.attempts.insert(n, owed.attempts);
@@ -278,12 +275,22 @@
 
     /// The list, or word that it could not be had.
     pub fn list(&mut self, now: Micros, event: Event) {
-        if let Event::DiskList(entries) | Event::FullList(entries) | Event::ListChanges(entries) = &event {
-            self.listed.extend(entries.iter().map(|e| e.destination));
-        }
         self.brain.on_event(now, event, &mut self.actions);
     }
 
+    /// Has the module forget a destination for which nothing is held or out: what it was like, and what its endpoints
+    /// were like. None if it cannot rest now.
+    pub fn rest(&mut self, now: Micros, destination: u64) -> Option<(Repute, Vec<(ReceiverId, Repute)>)> {
+        self.brain.rest(now, DestinationId(destination))
+    }
+
+    /// Takes a destination in that has rested; see [`Brain::wake`].
+    pub fn wake(
+        &mut self, now: Micros, destination: u64, whole: Repute, each: Vec<(Entry, Repute)>, assumed: f64,
+    ) {
+        self.brain.wake(now, DestinationId(destination), whole, each, assumed);
+    }
+
     /// An attempt is about to be made: its record. None if it must not be, since the request is over.
     pub fn attempt(&mut self, n: u64, endpoint: &str, zone: &str, at: Micros) -> Option<Record> {
         let o = self.owed.get_mut(&n).filter(|o| o.out.is_none() && o.given.is_none())?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -241,6 +241,17 @@
     pub maybe_ran: Option<(Micros, ZoneId)>,
 }
 
+/// What a destination, or a route apart, was like when it went to rest, or what that is still worth when it wakes.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub struct Repute {
+    /// Calls a second that it served this sender; zero if nothing is known.
+    pub served: f64,
+    /// Nothing may go there before.
+    pub wait_until: Micros,
+    /// It was out of order, and nothing has been heard of it since.
+    pub sick: bool,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Verdict {
--- a/src/state.rs
+++ b/src/state.rs
@@ -247,6 +247,8 @@
     pub refused_run: u32, // refusals since the last delivery
     pub refused_since: Micros,
     pub doubt: Doubt,
+    /// It rested, and its control has not ended since: what is told of its limit is not believed yet.
+    pub woken: bool,
 }
 
 /// Since when this sender has doubted a destination, and where in its gap its first call then falls.
