Laboratory: idle-50k, 50,000 destinations of which few are in use

An idle connection to an endpoint holds no buffer; of the destinations that have left the list 16,384 are remembered.

--- a/daemon/src/net/buffer.rs
+++ b/daemon/src/net/buffer.rs
@@ -33,6 +33,12 @@
             }
         }
     }
+    /// Nothing is expected for a while: an empty buffer needs no room.
+    pub fn release(&mut self) {
+        if self.is_empty() {
+            (self.bytes, self.start, self.end) = (Vec::new(), 0, 0);
+        }
+    }
     /// Reads once. The bytes read, 0 at the end of the stream; an error when the cap is reached.
     pub async fn fill(&mut self, from: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
         if self.end == self.bytes.len() {
--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -71,6 +71,11 @@
         !silent || !self.buffer.is_empty()
     }
 
+    /// It waits for its next call.
+    pub fn rest_buffer(&mut self) {
+        self.buffer.release();
+    }
+
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes).await
     }
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -45,10 +45,11 @@
         match back {
             // Near the bound on descriptors no connection is kept for later; none outlives its address.
             Some(Back::Sound(sound)) => {
-                let (conn, to) = *sound;
+                let (mut conn, to) = *sound;
                 if to != address || shared.counters.outbound_open.get() > shared.outbound_most {
                     shared.counters.outbound_open.down();
                 } else {
+                    conn.rest_buffer();
                     idle.push(Idle { since: now, conn });
                 }
             }
--- a/lab/src/daemon.rs
+++ b/lab/src/daemon.rs
@@ -151,6 +151,18 @@
         serde_json::from_str(&body).ok().filter(|_| status == 200)
     }
 
+    /// Times that its threads have gone to sleep by themselves.
+    pub fn sleeps(&self) -> Option<u64> {
+        let pid = self.child.as_ref()?.id();
+        let mut sum = 0;
+        for thread in std::fs::read_dir(format!("/proc/{pid}/task")).ok()?.flatten() {
+            let status = std::fs::read_to_string(thread.path().join("status")).ok()?;
+            let line = status.lines().find_map(|l| l.strip_prefix("voluntary_ctxt_switches:"))?;
+            sum += line.trim().parse::<u64>().ok()?;
+        }
+        Some(sum)
+    }
+
     /// Kilobytes of memory, and seconds of the processor.
     pub fn cost(&self) -> Option<(u64, f64)> {
         let pid = self.child.as_ref()?.id();
--- a/lab/src/experiments/mod.rs
+++ b/lab/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod duties;
+mod idle;
 
 use crate::report::Report;
 use crate::world::World;
@@ -55,6 +56,11 @@
         about: "one daemon's probe is told to wait 3 s; none of 5 may call before",
         run: |s| block(s, duties::wait(s)),
     },
+    Experiment {
+        name: "idle-50k",
+        about: "50,000 destinations of which few are in use: memory, processor, list, waking, rest",
+        run: |s| block(s, idle::run(s)),
+    },
 ];
 
 fn block(setup: &Setup, script: impl Future<Output = Result<Report, String>>) -> Result<Report, String> {
--- a/roster/src/directory.rs
+++ b/roster/src/directory.rs
@@ -13,6 +13,9 @@
 /// The module forgets an endpoint a minute after it was last used; its number and its destination are kept longer.
 const FORGET: Micros = Micros(75_000_000);
 
+/// Destinations that have left the list and are known to have, at most; and those of them that are in use.
+const LEFT_MOST: usize = 16_384;
+
 /// What a directory is made with.
 #[derive(Clone, Debug)]
 pub struct Rules {
@@ -406,6 +409,18 @@
         let until = now.after(FORGET);
         self.left.insert(destination, until);
         self.left_order.push_back((until, destination));
+        // Of many that go at once the first are known no more; those in use stay until they rest.
+        let mut looks = self.left_order.len().saturating_sub(LEFT_MOST).min(2);
+        while looks > 0
+            && let Some((until, destination)) = self.left_order.pop_front()
+        {
+            looks -= 1;
+            if self.awake.contains(destination) {
+                self.left_order.push_back((until, destination));
+            } else if self.left.get(&destination) == Some(&until) {
+                self.left.remove(&destination);
+            }
+        }
     }
 
     /// Lets go of endpoints that are gone: of the endpoint once nothing is out there and no call may still ask whether
