What is remembered of destinations at rest outlives the process; a list goes in by blocks

Need: a restart forgot waits and outages of destinations at rest; and a list of 50,000 was held twice while it was taken, so that memory rose from 19 to 30 MB over three whole exchanges.

Change: `keep_kb` in [idle] writes memories to a checksummed, versioned file in the state folder, in slices, inside `disk_mb`; a damaged one is left out with one line. Off unless set. A staged list is blocks of 256 entries, each freed as it is taken.

--- a/config/src/idle.rs
+++ b/config/src/idle.rs
@@ -45,6 +45,8 @@
     forget_s: Spanned<Seconds>,
     #[serde(default = "assumed")]
     assumed_per_s: Spanned<f64>,
+    #[serde(default = "keep")]
+    keep_kb: Spanned<u64>,
 }
 
 fn at<T>(value: T) -> Spanned<T> {
@@ -59,6 +61,9 @@
 fn forget() -> Spanned<Seconds> {
     at(Seconds(Micros(14_400_000_000)))
 }
+fn keep() -> Spanned<u64> {
+    at(0)
+}
 fn assumed() -> Spanned<f64> {
     at(10.0)
 }
@@ -74,11 +79,15 @@
     pub forget: Micros,
     /// Calls a second, from all instances together, that a woken destination takes where nothing says it.
     pub assumed_per_s: f64,
+    /// Bytes that the file of what is remembered may take, and as many while a new one is written; 0: there is none.
+    pub keep: u64,
 }
 
 /// Outcomes come late, and a connection is let go before its endpoint is.
 const REST_LEAST: Micros = Micros(1_000_000);
 
+const KEEP_MOST_KB: u64 = 65_536;
+
 impl Raw {
     pub fn check(self) -> Result<Idle, Wrong> {
         let (rest, half_life, forget) =
@@ -93,6 +102,10 @@
         if !(0.01..=1e6).contains(&assumed_per_s) {
             return Err(Wrong::new(&self.assumed_per_s, "not from 0.01 to 1000000"));
         }
-        Ok(Idle { rest, half_life, forget, assumed_per_s })
+        let keep = *self.keep_kb.get_ref();
+        if keep > KEEP_MOST_KB {
+            return Err(Wrong::new(&self.keep_kb, format!("more than {KEEP_MOST_KB}")));
+        }
+        Ok(Idle { rest, half_life, forget, assumed_per_s, keep: keep * 1024 })
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod clock;
 pub mod counters;
+pub mod keep;
 pub mod list;
 pub mod log;
 pub mod module;
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -14,7 +14,7 @@
 use onyxrock::interface::Micros;
 use onyxrock_config::idle::Bounds;
 use onyxrock_config::list::{List, Listed, Reader};
-use onyxrock_roster::{Endpoint, Refused, Staged};
+use onyxrock_roster::{Block, Endpoint, Refused, Staged};
 use onyxrock_sharing::{LIST_NEWS_MOST, ListNews, Role, ToList, ToPeers};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,8 +22,6 @@
 
 /// A list comes in pieces; so much of it is read at once.
 const PIECE: usize = 64 * 1024;
-/// Entries that the module takes in one turn.
-const SLICE: usize = 256;
 /// Records that it looks at in one turn for what a whole list no longer names.
 pub const SWEEP: usize = 2048;
 /// What a call may take beyond the wait that it asks for.
@@ -68,7 +66,7 @@
 pub enum Part {
     /// A whole list follows.
     Begin,
-    Entries(Rc<Staged>, std::ops::Range<usize>),
+    Entries(Block),
     /// Look for what it no longer names; false if there is more to look at.
     Sweep(Sender<bool>),
     End(u64),
@@ -192,16 +190,12 @@
 
 /// Hands a list to the module in parts, so that no turn of it takes long.
 async fn pass(shared: &Shared, generation: u64, whole: bool, entries: Staged) -> Option<()> {
-    let entries = Rc::new(entries);
     let send = async |part| shared.module.send(ToModule::Part(part)).await.ok();
     if whole {
         send(Part::Begin).await?;
     }
-    let mut from = 0;
-    while from < entries.len() {
-        let to = (from + SLICE).min(entries.len());
-        send(Part::Entries(entries.clone(), from..to)).await?;
-        from = to;
+    for block in entries.into_blocks() {
+        send(Part::Entries(block)).await?;
         future::yield_now().await;
     }
     loop {
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -10,13 +10,15 @@
 use onyxrock::interface::{Event, Listing, Micros, ReceiverId, Verdict};
 use onyxrock_config::list::List;
 use onyxrock_config::smpp::Gateway;
-use onyxrock_roster::{Directory, Endpoint, Follows, Order, Refused, Standing};
+use onyxrock_roster::{Directory, Endpoint, Follows, Memory, Order, Refused, Standing, Whose};
 use onyxrock_sharing::{FromPeers, Probing, ToPeers};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 /// Nothing may go out later than a second after the list told of a drain; a queued call stops well before.
 const DRAIN_GRACE: Micros = Micros(500_000);
+/// What is remembered is kept so often at most.
+const KEEP_EVERY: Micros = Micros(15_000_000);
 /// When to come back for a destination that is not in the list just now, or while there is no list.
 const LIST_WAIT: Micros = Micros(1_000_000);
 
@@ -98,6 +100,10 @@
     /// Calls a second that a woken destination takes where nothing says it; none where what was used stays awake.
     pub assumed: Option<f64>,
     pub directory: Directory,
+    /// Where what is remembered goes, to be kept for the next process.
+    pub keep: Option<Sender<Vec<(Whose, Memory)>>>,
+    /// When that is due, and the changes that the last one had.
+    keep_at: (Micros, u64),
     /// Those of the endpoints in use.
     mailboxes: BTreeMap<ReceiverId, Sender<ToEndpoint>>,
     /// Ends that wait for room in a front's mailbox.
@@ -121,6 +127,8 @@
             probing: None,
             assumed: None,
             directory,
+            keep: None,
+            keep_at: (Micros(0), 0),
             mailboxes: BTreeMap::new(),
             waiting: VecDeque::new(),
             quiet: Vec::new(),
@@ -416,8 +424,8 @@
         let mut follows = Follows::default();
         match part {
             Part::Begin => self.directory.begin(),
-            Part::Entries(staged, range) => {
-                for e in range.filter_map(|i| staged.get(i)) {
+            Part::Entries(block) => {
+                for e in block.iter() {
                     self.put(now, e, &mut follows);
                 }
             }
@@ -453,6 +461,7 @@
         self.order(follows.orders);
         self.shared.counters.awake.set(self.directory.awake());
         self.shared.counters.remembered.set(self.directory.memories().len());
+        self.keep_memories(now);
     }
 
     /// The list as it was last held.
@@ -461,6 +470,20 @@
         self.list(now, List { whole: true, ..list });
     }
 
+    /// Has what is remembered kept, if that is another thing than was kept last.
+    fn keep_memories(&mut self, now: Micros) {
+        let changes = self.directory.memories().changes();
+        let Some(keep) = self.keep.as_ref().filter(|_| now >= self.keep_at.0 && changes != self.keep_at.1)
+        else {
+            return;
+        };
+        let all = self.directory.memories().iter().map(|(w, m)| (w.clone(), *m)).collect();
+        // While one is still being written the next waits.
+        if keep.try_send(all).is_ok() {
+            self.keep_at = (now.after(KEEP_EVERY), changes);
+        }
+    }
+
     fn settle(&mut self) {
         let now = self.shared.clock.now();
         if !self.hold && self.desk.due().is_some_and(|t| now.since(t) > Micros(50_000)) {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::keep;
 use crate::list::{self, Discovery, dns};
 use crate::module::{Module, ToModule};
 use crate::net::Shared;
@@ -52,7 +53,15 @@
     let Product { smpp, dns, duties, list: bounds, idle: resting, .. } = product.clone();
     // The kept zone, old and new, shares the folder with the log.
     let zones = if dns.is_some() { 2 * dns::KEPT_MOST as u64 } else { 0 };
-    let (wal, scan) = Wal::open(&config.state, config.disk_bytes.saturating_sub(zones))
+    let kept = resting.map_or(0, |i| i.keep);
+    if 2 * kept + zones > config.disk_bytes / 2 {
+        return Err(format!(
+            "[idle]: keep_kb: twice that is more than half of disk_mb, {} bytes",
+            config.disk_bytes
+        ));
+    }
+    // The file of what is remembered, old and new, too.
+    let (wal, scan) = Wal::open(&config.state, config.disk_bytes.saturating_sub(zones + 2 * kept))
         .map_err(|e| format!("cannot open the log in {}: {e}", config.state.display()))?;
     if scan.damaged > 0 {
         tracing::warn!("log: {} bytes belong to no whole record and are left out", scan.damaged);
@@ -109,6 +118,15 @@
     let rules = Rules { most: bounds.entries.0 as usize, rest: resting.map(|i| i.rest), terms, zones };
     let mut module = Module::new(shared.clone(), desk, wal, follow, fronts, slots, Directory::new(rules));
     module.assumed = resting.map(|i| i.assumed_per_s);
+    if kept > 0 {
+        let now = shared.clock.now();
+        for (whose, memory) in keep::load(&config.state, kept as usize) {
+            module.directory.memories_mut().restore(now, whose, memory);
+        }
+        let (to_keep, keeping) = bounded(1);
+        module.keep = Some(to_keep);
+        executor.spawn(keep::run(config.state.clone(), kept as usize, keeping)).detach();
+    }
     gateways.into_iter().for_each(|g| module.gateway(g));
     if let (Some(d), Some(class)) = (&duties, probe_class) {
         let (me, now) = (place(d, &config.name)?, shared.clock.now());
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -268,6 +268,13 @@
                 bytes.extend([0xa7, 0x1e, 200, 0, 0, 0, 1, 2, 3]);
                 std::fs::write(path, bytes).map_err(|e| e.to_string())
             }
+            ["given", "idle", "damaged"] => {
+                let path = self.folder.join("state/onyxrock.idle");
+                let mut bytes = std::fs::read(&path).map_err(|e| e.to_string())?;
+                let last = bytes.len() - 1;
+                bytes[last] ^= 1;
+                std::fs::write(path, bytes).map_err(|e| e.to_string())
+            }
             ["wait", ms] => {
                 std::thread::sleep(Duration::from_millis(ms.parse().map_err(|_| "wait how long?")?));
                 Ok(())
--- a/lab/src/experiments/idle.rs
+++ b/lab/src/experiments/idle.rs
@@ -32,9 +32,9 @@
 
 pub async fn run(setup: &Setup) -> Result<Report, String> {
     let sizes = if setup.short {
-        Sizes { listed: 5_000, cpu: 5.0, rounds: 2 }
+        Sizes { listed: 5_000, cpu: 5.0, rounds: 4 }
     } else {
-        Sizes { listed: 50_000, cpu: 20.0, rounds: 4 }
+        Sizes { listed: 50_000, cpu: 20.0, rounds: 7 }
     };
     let mut claims = many(setup, &sizes).await?;
     let figures = waking(setup, &mut claims).await?;
@@ -182,7 +182,25 @@
         soak.push(cost(&big)?.0 as f64 / 1024.0);
         setup.progress(&format!("{:.1} MB after {} destinations", soak[soak.len() - 1], round * n));
     }
-    let growth = soak[soak.len() - 1] - soak[0];
+    // The table has its size once one list has taken another's place a few times.
+    let growth = soak[soak.len() - 1] - soak[2];
+    let most = soak.iter().copied().fold(0.0, f64::max);
+
+    // As many at once as one after the other can be asked for before the first may rest.
+    let before = (cost(&big)?.0, counter(&big, "awake").await.ok_or("no counters")?);
+    let (began, mut woken) = (world.now(), 0);
+    while world.now() - began < 4.0 && woken < n / 5 {
+        let d = 1_000_000 * sizes.rounds + 1000 + woken;
+        let statuses =
+            futures_lite::future::zip(hand_in(big.http, d, d), hand_in(big.http, d + 1, d + 1)).await;
+        if statuses != (Some(202), Some(202)) {
+            return Err(format!("messages for {d} and the next were answered {statuses:?}"));
+        }
+        woken += 2;
+    }
+    let after = (cost(&big)?.0, counter(&big, "awake").await.ok_or("no counters")?);
+    let kb_each = (after.0 as f64 - before.0 as f64) / (after.1 - before.1);
+    setup.progress(&format!("{woken} woken in {:.1} s, {kb_each:.1} kB each", world.now() - began));
 
     hundred.at[0].set(None);
     at(1, None);
@@ -205,6 +223,7 @@
         Claim::at_most("rss_mb", rss[0], 25.0, "MB"),
         Claim::at_most("rss_few_mb", rss[1], 25.0, "MB"),
         Claim::at_least("awake", awake, 100.0, ""),
+        Claim::at_most("rss_soak_mb", most, 25.0, "MB"),
         Claim::at_most("rss_growth_mb", growth, 2.5, "MB"),
         Claim::at_most("cpu_per_message_ratio", each[0] / each[1], 1.15, ""),
         Claim::at_most("list_load_ms", load, 2000.0, "ms"),
@@ -212,6 +231,7 @@
         Claim::at_most("longest_stall_ms", quantile(&pings, 1.0), 20.0, "ms"),
         Claim::at_most("hand_ins_late", late, 0.0, ""),
         Claim::at_most("hand_ins_refused", others as f64, 0.0, ""),
+        Claim::at_most("kb_per_awake", kb_each, 8.0, "kB"),
         Claim::at_most("idle_wakeups_per_s", wakeups, 3.0, "1/s"),
         Claim::at_most("awake_at_rest", rested, 0.0, ""),
     ])
--- a/roster/benches/table.rs
+++ b/roster/benches/table.rs
@@ -1,8 +1,8 @@
 //! Lookup, change, removal and list difference at several sizes: `cargo bench -p onyxrock-roster`.
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
-use onyxrock::interface::Listing;
-use onyxrock_roster::{Endpoint, Roster};
+use onyxrock::interface::{Listing, Micros, Repute};
+use onyxrock_roster::{Directory, Endpoint, Follows, Roster, Rules, Terms};
 use std::hint::black_box;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -58,5 +58,59 @@
     group.finish();
 }
 
-criterion_group!(benches, table);
+/// One that wakes and rests again, while a hundred others are awake; and half of all that go and come back.
+fn directory(c: &mut Criterion) {
+    let mut group = c.benchmark_group("directory");
+    group
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(300))
+        .measurement_time(Duration::from_millis(700));
+    for n in [1_000u32, 10_000, 100_000, 1_000_000] {
+        let rest = Some(Micros(1_000_000));
+        let mut d = Directory::new(Rules {
+            most: n as usize,
+            rest,
+            terms: Terms::default(),
+            zones: Default::default(),
+        });
+        let mut follows = Follows::default();
+        let names: Vec<_> = (0..n).map(|i| format!("club-{i:08}")).collect();
+        let put = |d: &mut Directory, i: u32, follows: &mut Follows| {
+            let address = SocketAddr::from((i.to_be_bytes(), 7070));
+            let (name, destination) = (names[i as usize].as_str(), u64::from(i));
+            let (kind, weight, listing) = (1, 1.0, Listing::Ready);
+            let e = Endpoint { name, address, zone: "floor-2", kind, destination, weight, listing };
+            d.put(Micros(0), e, follows).expect("there is room");
+        };
+        let whole = |d: &mut Directory, to: u32, follows: &mut Follows| {
+            d.begin();
+            (0..to).for_each(|i| put(d, i, follows));
+            while !d.sweep(Micros(0), 4096, follows) {}
+        };
+        whole(&mut d, n, &mut follows);
+        (0..100).for_each(|i| drop(d.touch(Micros(0), i, &mut follows)));
+        let mut i = 0u32;
+        group.bench_function(BenchmarkId::new("wake_and_rest", n), |b| {
+            b.iter(|| {
+                i = i.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+                let at = u64::from(100 + i % (n - 100));
+                let woken = d.touch(Micros(0), at, &mut follows).expect("it was at rest");
+                let each: Vec<_> = woken.each.iter().map(|(e, r)| (e.receiver, *r)).collect();
+                let whole = Repute { served: 2.0, ..Repute::default() };
+                d.rested(Micros(0), at, whole, &each, &mut follows);
+                follows.orders.clear();
+            });
+        });
+        group.bench_function(BenchmarkId::new("half_go_and_come_back", n), |b| {
+            b.iter(|| {
+                whole(&mut d, n / 2, &mut follows);
+                whole(&mut d, n, &mut follows);
+                follows = Follows::default();
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, table, directory);
 criterion_main!(benches);
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`Memory`] is what is kept of a destination that goes to rest: its served rate, a wait it had told, whether it was
 //!   out of order. It ages: after a half-life the rate is worth half, and after a few nothing is left but the caution
 //!   that is due to any destination that nobody has heard of for a while. [`Memories`] holds them all.
+//! - [`Writer`] puts memories into the blocks of a file, and [`read`] takes them out of it or says what is wrong with it.
 //!
 //! ```
 //! use onyxrock::interface::Listing;
@@ -47,11 +48,13 @@
 mod awake;
 mod directory;
 mod memory;
+mod snapshot;
 mod staged;
 mod table;
 
 pub use awake::Awake;
 pub use directory::{Directory, Follows, Order, Peer, Rules, Standing, Woken};
 pub use memory::{Memories, Memory, Terms, Whose};
-pub use staged::Staged;
+pub use snapshot::{Writer, read};
+pub use staged::{Block, Staged};
 pub use table::{Change, Endpoint, Id, Refused, Roster};
--- a/roster/src/memory.rs
+++ b/roster/src/memory.rs
@@ -2,6 +2,7 @@
 
 use hashbrown::HashMap;
 use onyxrock::interface::{Micros, Repute};
+use serde::{Deserialize, Serialize};
 
 /// How fast what was learned ages.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -62,7 +63,7 @@
 }
 
 /// Whose memory it is. A route may leave the list and come back under its name with its wait still running.
-#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
 pub enum Whose {
     /// A destination's, by its number.
     Destination(u64),
@@ -75,8 +76,10 @@
 pub struct Memories {
     terms: Terms,
     all: HashMap<Whose, Memory>,
-    /// When all are looked at next, and how many there were then: a look costs no more than what came since.
+    /// How many there were when all were last looked at: a look costs no more than what came since.
     looked: usize,
+    /// Changes since the start.
+    changes: u64,
 }
 
 impl Memories {
@@ -103,6 +106,7 @@
             self.all.remove(&whose);
             return;
         }
+        self.changes += 1;
         self.all.insert(whose, m);
         if self.all.len() > 2 * self.looked.max(512) {
             let terms = self.terms;
@@ -113,7 +117,14 @@
     }
     /// Takes out what is still known of one.
     pub fn take(&mut self, now: Micros, whose: &Whose) -> Repute {
-        self.all.remove(whose).map(|m| m.recall(now, self.terms)).unwrap_or_default()
+        let known = self.all.remove(whose);
+        self.changes += u64::from(known.is_some());
+        known.map(|m| m.recall(now, self.terms)).unwrap_or_default()
+    }
+    /// How often something has come or gone.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
+        self.changes
     }
     /// All of them, in no order.
     pub fn iter(&self) -> impl Iterator<Item = (&Whose, &Memory)> {
--- a/roster/src/staged.rs
+++ b/roster/src/staged.rs
@@ -4,6 +4,9 @@
 use onyxrock::interface::Listing;
 use std::net::SocketAddr;
 
+/// Entries of one block. It is what a table takes in one turn, and small enough that freed ones are used again.
+const BLOCK: usize = 256;
+
 #[derive(Clone, Copy, Debug)]
 struct Line {
     destination: u64,
@@ -15,17 +18,25 @@
     listing: Listing,
 }
 
-/// Entries of a list that is still being read: the table takes it as a whole or not at all. Names lie in one run of
-/// bytes, so that it comes and goes in a few large pieces.
+/// Some entries of a list, in its order; their names lie in one run of bytes.
 #[derive(Debug, Default)]
-pub struct Staged {
-    most: usize,
-    most_bytes: usize,
+pub struct Block {
     names: String,
     zones: Vec<Box<str>>,
     lines: Vec<Line>,
 }
 
+/// Entries of a list that is still being read: the table takes it as a whole or not at all. Each block goes as soon as
+/// it has been taken, so that a long list is not held twice.
+#[derive(Debug, Default)]
+pub struct Staged {
+    most: usize,
+    most_bytes: usize,
+    len: usize,
+    name_bytes: usize,
+    blocks: Vec<Block>,
+}
+
 impl Staged {
     /// For so many entries, in so many bytes, at most.
     #[must_use]
@@ -35,17 +46,17 @@
     /// Entries that are here.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.lines.len()
+        self.len
     }
     /// None is.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.lines.is_empty()
+        self.len == 0
     }
     /// Bytes that they take.
     #[must_use]
     pub fn bytes(&self) -> usize {
-        self.names.len() + self.lines.len() * size_of::<Line>()
+        self.name_bytes + self.len.next_multiple_of(BLOCK) * size_of::<Line>()
     }
 
     /// Takes one more.
@@ -53,43 +64,56 @@
     /// # Errors
     /// [`Refused::Full`] beyond a bound, [`Refused::Shape`] for one that no table takes.
     pub fn push(&mut self, e: &Endpoint<'_>) -> Result<(), Refused> {
-        if self.lines.len() >= self.most
-            || self.bytes() + e.name.len() + size_of::<Line>() > self.most_bytes
-            || u16::try_from(e.name.len()).is_err()
-        {
-            return Err(if e.name.len() > usize::from(u16::MAX) { Refused::Shape } else { Refused::Full });
+        if u16::try_from(e.name.len()).is_err() {
+            return Err(Refused::Shape);
+        }
+        let block = if self.len.is_multiple_of(BLOCK) { BLOCK * size_of::<Line>() } else { 0 };
+        if self.len >= self.most || self.bytes() + e.name.len() + block > self.most_bytes {
+            return Err(Refused::Full);
         }
-        let at = self.zones.iter().rposition(|z| &**z == e.zone).unwrap_or_else(|| {
-            self.zones.push(e.zone.into());
-            self.zones.len() - 1
+        if block > 0 {
+            self.blocks.push(Block { lines: Vec::with_capacity(BLOCK), ..Block::default() });
+        }
+        let Some(b) = self.blocks.last_mut() else { return Err(Refused::Full) };
+        let at = b.zones.iter().rposition(|z| &**z == e.zone).unwrap_or_else(|| {
+            b.zones.push(e.zone.into());
+            b.zones.len() - 1
         });
         let zone = u16::try_from(at).map_err(|_| Refused::Shape)?;
-        self.names.push_str(e.name);
-        self.lines.push(Line {
+        b.names.push_str(e.name);
+        b.lines.push(Line {
             destination: e.destination,
             address: e.address,
-            name_end: u32::try_from(self.names.len()).map_err(|_| Refused::Full)?,
+            name_end: u32::try_from(b.names.len()).map_err(|_| Refused::Shape)?,
             weight: e.weight,
             zone,
             kind: e.kind,
             listing: e.listing,
         });
+        (self.len, self.name_bytes) = (self.len + 1, self.name_bytes + e.name.len());
         Ok(())
     }
 
-    /// One of them.
-    #[must_use]
-    pub fn get(&self, i: usize) -> Option<Endpoint<'_>> {
-        let l = self.lines.get(i)?;
-        let from = i.checked_sub(1).map_or(0, |before| self.lines[before].name_end as usize);
-        Some(Endpoint {
-            name: self.names.get(from..l.name_end as usize)?,
-            address: l.address,
-            zone: self.zones.get(usize::from(l.zone))?,
-            kind: l.kind,
-            destination: l.destination,
-            weight: l.weight,
-            listing: l.listing,
+    /// Them all, in order.
+    pub fn into_blocks(self) -> impl Iterator<Item = Block> {
+        self.blocks.into_iter()
+    }
+}
+
+impl Block {
+    /// Its entries.
+    pub fn iter(&self) -> impl Iterator<Item = Endpoint<'_>> {
+        let from = std::iter::once(0).chain(self.lines.iter().map(|l| l.name_end as usize));
+        self.lines.iter().zip(from).filter_map(|(l, from)| {
+            Some(Endpoint {
+                name: self.names.get(from..l.name_end as usize)?,
+                address: l.address,
+                zone: self.zones.get(usize::from(l.zone))?,
+                kind: l.kind,
+                destination: l.destination,
+                weight: l.weight,
+                listing: l.listing,
+            })
         })
     }
 }
@@ -100,7 +124,6 @@
 
     #[test]
     fn entries_come_out_as_they_went_in_and_bounds_hold() {
-        let mut s = Staged::new(3, 10_000);
         let one = |name, zone, listing| Endpoint {
             name,
             address: "[::1]:7".parse().unwrap(),
@@ -112,14 +135,16 @@
         };
         let all =
             [one("a", "x", Listing::Ready), one("", "y", Listing::Gone), one("cc", "x", Listing::Draining)];
-        all.iter().for_each(|e| s.push(e).unwrap());
-        for (i, e) in all.iter().enumerate() {
-            assert_eq!(s.get(i).as_ref(), Some(e));
-        }
-        assert_eq!((s.push(&all[0]), s.len()), (Err(Refused::Full), 3));
-        let mut small = Staged::new(1000, 200);
-        let taken = (0..1000).take_while(|_| small.push(&all[0]).is_ok()).count();
-        assert!((1..10).contains(&taken) && small.bytes() <= 200, "{taken}");
+        let mut s = Staged::new(900, 1 << 20);
+        (0..900).for_each(|i| s.push(&all[i % 3]).unwrap());
+        assert_eq!((s.push(&all[0]), s.len()), (Err(Refused::Full), 900));
+        let blocks: Vec<_> = s.into_blocks().collect();
+        let out: Vec<_> = blocks.iter().flat_map(Block::iter).collect();
+        assert!(out.len() == 900 && out.iter().enumerate().all(|(i, e)| *e == all[i % 3]));
+        let bytes = 3 * BLOCK * size_of::<Line>();
+        let mut small = Staged::new(10_000, bytes);
+        let taken = (0..10_000).take_while(|_| small.push(&all[1]).is_ok()).count();
+        assert!(taken == 3 * BLOCK && small.bytes() <= bytes, "{taken}");
         let long = "n".repeat(70_000);
         assert_eq!(Staged::new(9, 1 << 20).push(&one(&long, "x", Listing::Ready)), Err(Refused::Shape));
     }
