--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -393,6 +393,9 @@
         if !follows.entries.is_empty() {
             self.desk.list(now, Event::ListChanges(follows.entries));
         }
+        for (to, repute) in follows.recalled {
+            self.desk.recall(now, to, repute);
+        }
     }
 
     fn put(&mut self, now: Micros, e: Endpoint<'_>, follows: &mut Follows) {
--- a/roster/src/directory.rs
+++ b/roster/src/directory.rs
@@ -70,6 +70,8 @@
     pub orders: Vec<Order>,
     /// Changed lines of the list.
     pub entries: Vec<Entry>,
+    /// What is still known of those among them that come into use.
+    pub recalled: Vec<(ReceiverId, Repute)>,
 }
 
 /// What is known of a destination that wakes.
@@ -381,8 +383,12 @@
     fn added(&mut self, now: Micros, id: Id, destination: u64, follows: &mut Follows) {
         self.left.remove(&destination);
         if self.awake.contains(destination)
-            && let Some((entry, _)) = self.rouse(now, id, follows)
+            && let Some((entry, repute)) = self.rouse(now, id, follows)
         {
+            // A route may come back under its name while others of its destination are in use.
+            if repute != Repute::default() {
+                follows.recalled.push((entry.receiver, repute));
+            }
             follows.entries.push(entry);
         }
     }
--- a/roster/tests/directory.rs
+++ b/roster/tests/directory.rs
@@ -245,3 +245,20 @@
     }
     assert_eq!((rests, d.awake()), (100, 0), "each is let go in the end");
 }
+
+/// The others of its destination are in use when a route comes back: its wait is not lost with its waking.
+#[test]
+fn a_route_that_comes_back_to_a_destination_in_use_brings_its_wait() {
+    let mut d = Directory::new(rules(Some(s(1.0))));
+    put(&mut d, s(0.0), one("a", 1, Listing::Ready));
+    put(&mut d, s(0.0), one("b", 1, Listing::Ready));
+    let (to, _, _) = wake(&mut d, s(0.0), 1);
+    let waits = Repute { wait_until: s(100.0), ..Repute::default() };
+    let a = d.number_of("a").unwrap();
+    d.rested(s(1.0), 1, Repute::default(), &[(a, waits)], &mut Follows::default());
+    put(&mut d, s(2.0), one("a", 1, Listing::Gone));
+    let (again, _, _) = wake(&mut d, s(3.0), 1);
+    assert_eq!((to.len(), again.len()), (2, 1));
+    let follows = put(&mut d, s(4.0), one("a", 1, Listing::Ready));
+    assert_eq!(follows.recalled, [(d.number_of("a").unwrap(), waits)]);
+}
--- a/src/brain/rest.rs
+++ b/src/brain/rest.rs
@@ -57,6 +57,18 @@
         d.pace.start_woken(now, whole, told_all, share, cold, self.scale);
         self.agenda.look(id, now);
     }
+
+    /// A receiver of a destination in use is back in the list, and this is still known of it.
+    pub fn recall(&mut self, now: Micros, to: ReceiverId, repute: Repute) {
+        let Some(r) = self.receivers.get_mut(&to) else { return };
+        r.pace.wait_until = r.pace.wait_until.max(repute.wait_until);
+        if repute.sick && r.health == Health::Well {
+            r.health = Health::Sick { since: now, trial_at: now, backoff: TRIAL_FIRST };
+            if let Some(d) = self.destinations.get_mut(&r.destination) {
+                d.trouble_at = now;
+            }
+        }
+    }
 }
 
 impl Pace {
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -152,6 +152,11 @@
         self.brain.in_question()
     }
 
+    /// An endpoint of a destination in use is back in the list; see [`Brain::recall`].
+    pub fn recall(&mut self, now: Micros, to: ReceiverId, repute: Repute) {
+        self.brain.recall(now, to, repute);
+    }
+
     /// Has the module make one call to a destination, with nothing in it: it keeps every rule that a request's call
     /// keeps, and goes after them all. Nobody is owed its end, and no log has it. Its number.
     pub fn probe(&mut self, now: Micros, class: ClassId, destination: DestinationId, left: Micros) -> u64 {
--- a/tests/waking.rs
+++ b/tests/waking.rs
@@ -272,3 +272,18 @@
     );
     assert_eq!(w.delivered, 2, "over the other route");
 }
+
+#[test]
+fn a_route_that_is_back_with_a_wait_is_not_used_before() {
+    let mut w = World::new(settings());
+    w.event(Event::FullList(vec![entry(1, 1, 9.0)]));
+    let wait = Repute { wait_until: w.now.after(s(1.0)), ..Repute::default() };
+    w.brain.recall(w.now, ReceiverId(1), wait);
+    w.submit(5.0);
+    w.run(0.99);
+    assert!(w.sent.is_empty());
+    w.run(0.1);
+    assert_eq!(w.sent.len(), 1);
+    w.brain.recall(w.now, ReceiverId(1), Repute { sick: true, ..Repute::default() });
+    assert_eq!(w.brain.in_question().count(), 1);
+}
