--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -39,7 +39,7 @@
 
 counters! {
     // the clients' side
-    inbound_open, inbound_opened, inbound_turned_away, inbound_sent_off, inbound_silent, taken, fail_fast, bad_requests, ids_again, unheard, resumed,
+    inbound_open, inbound_opened, inbound_turned_away, inbound_sent_off, inbound_given_back, inbound_silent, taken, fail_fast, bad_requests, ids_again, unheard, resumed,
     // the endpoints' side
     outbound_open, outbound_opened, outbound_reused, outbound_passed_over, outbound_calls,
     delivered, spoilt, error, full, timed_out, connect_failed, reset, stale, moot, cancelled, late_decisions,
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -22,6 +22,10 @@
 const WHOLE: Micros = Micros(2_200_000);
 /// A connection without a request is closed so long after its last answer ...
 const QUIET: Micros = Micros(5_000_000);
+/// ... sooner while more than a quarter of the room is taken: a front that deals out connections has only so many, and
+/// one that is kept open here is not given back to it ...
+const QUIET_MANY: Micros = Micros(200_000);
+const MANY: u64 = 4;
 /// ... or to make room for others, if it has been quiet for this.
 const SPARE: Micros = Micros(50_000);
 /// A client that does not read its answer is not waited for.
@@ -235,10 +239,12 @@
                 }
             }
             // Time counts from the connection for its first request, and from the first byte for later ones.
+            let c = &self.shared.counters;
+            let many = c.inbound_open.get() * MANY > self.shared.inbound_most;
             let until = match (self.answered, since) {
                 (false, _) => self.since.after(WHOLE),
                 (true, Some(at)) => at.after(WHOLE),
-                (true, None) => self.since.after(QUIET),
+                (true, None) => self.since.after(if many { QUIET_MANY } else { QUIET }),
             };
             let shared = self.shared;
             let fill = async { Some(self.buffer.fill(&mut self.stream).await) };
@@ -260,6 +266,8 @@
                 None => {
                     if !self.answered {
                         shared.counters.inbound_silent.up();
+                    } else if many && shared.clock.now() >= until {
+                        shared.counters.inbound_given_back.up();
                     }
                     return Next::Closed;
                 }
