--- a/config/src/idle.rs
+++ b/config/src/idle.rs
@@ -40,7 +40,7 @@
     #[serde(default = "rest")]
     rest_s: Spanned<Seconds>,
     #[serde(default = "half_life")]
-    half_life_s: Seconds,
+    half_life_s: Spanned<Seconds>,
     #[serde(default = "forget")]
     forget_s: Spanned<Seconds>,
     #[serde(default = "assumed")]
@@ -49,14 +49,15 @@
     keep_kb: Spanned<u64>,
 }
 
+/// A default, which stands nowhere in the file.
 fn at<T>(value: T) -> Spanned<T> {
     Spanned::new(0..0, value)
 }
 fn rest() -> Spanned<Seconds> {
     at(Seconds(Micros(300_000_000)))
 }
-fn half_life() -> Seconds {
-    Seconds(Micros(600_000_000))
+fn half_life() -> Spanned<Seconds> {
+    at(Seconds(Micros(600_000_000)))
 }
 fn forget() -> Spanned<Seconds> {
     at(Seconds(Micros(14_400_000_000)))
@@ -91,12 +92,14 @@
 impl Raw {
     pub fn check(self) -> Result<Idle, Wrong> {
         let (rest, half_life, forget) =
-            (self.rest_s.get_ref().0, self.half_life_s.0, self.forget_s.get_ref().0);
+            (self.rest_s.get_ref().0, self.half_life_s.get_ref().0, self.forget_s.get_ref().0);
         if rest < REST_LEAST {
             return Err(Wrong::new(&self.rest_s, "less than a second"));
         }
         if forget < half_life {
-            return Err(Wrong::new(&self.forget_s, "less than half_life_s"));
+            // At least one of the two was written.
+            let written = if self.forget_s.span().is_empty() { &self.half_life_s } else { &self.forget_s };
+            return Err(Wrong::new(written, "forget_s is less than half_life_s"));
         }
         let assumed_per_s = *self.assumed_per_s.get_ref();
         if !(0.01..=1e6).contains(&assumed_per_s) {
--- a/config/src/list.rs
+++ b/config/src/list.rs
@@ -55,12 +55,23 @@
 /// Reads a list. An entry that cannot be read fails it as a whole: a list with holes would look like endpoints
 /// that are gone.
 pub fn read(v: &Value, names: &Names) -> Result<List, String> {
+    parse(v.to_string().as_bytes(), names)
+}
+
+/// The same, of its text.
+pub fn parse(text: &[u8], names: &Names) -> Result<List, String> {
+    collect(std::iter::once(text), names)
+}
+
+fn collect<'t>(pieces: impl Iterator<Item = &'t [u8]>, names: &Names) -> Result<List, String> {
     let mut reader = Reader::new(names);
     let mut entries = Vec::new();
-    reader.feed(v.to_string().as_bytes(), |e| {
-        entries.push(e);
-        Ok(())
-    })?;
+    for piece in pieces {
+        reader.feed(piece, |e| {
+            entries.push(e);
+            Ok::<_, String>(())
+        })?;
+    }
     let (generation, whole) = reader.end()?;
     Ok(List { generation, whole, entries })
 }
@@ -130,14 +141,14 @@
     }
 
     /// Takes the next piece, and gives each entry that ends in it.
-    pub fn feed(
-        &mut self, bytes: &[u8], mut each: impl FnMut(Listed) -> Result<(), String>,
-    ) -> Result<(), String> {
+    pub fn feed<E: From<String>>(
+        &mut self, bytes: &[u8], mut each: impl FnMut(Listed) -> Result<(), E>,
+    ) -> Result<(), E> {
         for b in bytes {
             let in_text = self.text;
             if in_text {
                 (self.text, self.escaped) = (self.escaped || *b != b'"', !self.escaped && *b == b'\\');
-            } else if b.is_ascii_whitespace() {
+            } else if b.is_ascii_whitespace() && !matches!(self.at, At::Head | At::Entry(_)) {
                 continue;
             } else {
                 self.text = *b == b'"';
@@ -167,7 +178,7 @@
                     self.entry.push(b'{');
                     self.at = At::Entry(1);
                 }
-                _ => return Err(format!("list: {:?} between its entries", char::from(*b))),
+                _ => return Err(format!("list: {:?} between its entries", char::from(*b)).into()),
             }
         }
         Ok(())
@@ -177,7 +188,7 @@
         push(&mut self.head, b)?;
         match b {
             _ if in_text => {}
-            b'[' if self.depth == 1 && self.head.ends_with(b"\"instances\":[") => {
+            b'[' if self.depth == 1 && opens_instances(&self.head) => {
                 if std::mem::replace(&mut self.seen, true) {
                     return Err("list: instances twice".into());
                 }
@@ -203,6 +214,12 @@
     }
 }
 
+/// The bracket at the end of the head is the one behind `"instances":`.
+fn opens_instances(head: &[u8]) -> bool {
+    let key = head.strip_suffix(b"[").and_then(|h| h.trim_ascii_end().strip_suffix(b":"));
+    key.is_some_and(|k| k.trim_ascii_end().ends_with(b"\"instances\""))
+}
+
 fn push(piece: &mut Vec<u8>, b: u8) -> Result<(), String> {
     if piece.len() >= PIECE_MOST {
         return Err(format!("list: one part of it is over {PIECE_MOST} bytes"));
@@ -215,23 +232,14 @@
 mod tests {
     use super::*;
 
-    const LIST: &str = r#" { "reset" : false, "note": {"instances": [1, "]"]}, "instances": [
+    const LIST: &str = r#" { "reset" : false, "note": {"instances": [1, "]"]}, "instances" : [
         {"instanceId": "a\"}]\\", "hostPort": "127.0.0.1:7", "zone": "z", "machineType": "m", "cell": 3,
          "lifecycle": "Ready", "weight": 1.5, "extra": [{"x": []}]} ,
         {"instanceId": "b", "hostPort": "[::1]:8", "lifecycle": "Gone", "zone": null} ], "generation": 41 }"#;
 
     fn read_in(pieces: impl Iterator<Item = Vec<u8>>) -> Result<List, String> {
-        let names = Names::default();
-        let mut reader = Reader::new(&names);
-        let mut entries = Vec::new();
-        for p in pieces {
-            reader.feed(&p, |e| {
-                entries.push(e);
-                Ok(())
-            })?;
-        }
-        let (generation, whole) = reader.end()?;
-        Ok(List { generation, whole, entries })
+        let pieces: Vec<_> = pieces.collect();
+        collect(pieces.iter().map(Vec::as_slice), &Names::default())
     }
 
     #[test]
@@ -262,6 +270,11 @@
             format!("{{\"generation\":1,\"instances\":[,{one}]}}"),
             format!("{{\"generation\":1,\"instances\":[{one}],\"instances\":[]}}"),
             format!("{{\"instances\":[{one}]}}"),
+            "{\"generation\":1 2,\"instances\":[]}".into(),
+            format!(
+                "{{\"generation\":1,\"instances\":[{}]}}",
+                one.replace("Ready\"", "Ready\",\"cell\":1 2")
+            ),
             "{\"generation\":1}".into(),
             "{\"generation\":1,\"instances\":[1]}".into(),
             "{\"generation\":1,\"instances\":{}}".into(),
--- a/config/src/product.rs
+++ b/config/src/product.rs
@@ -223,6 +223,7 @@
             ("[list]\nmemory_mb = 5000\n", "p.toml:2: memory_mb: ", "4096"),
             ("[idle]\nrest_s = 0.5\n", "p.toml:2: rest_s: ", "second"),
             ("[idle]\nhalf_life_s = 60\nforget_s = 30\n", "p.toml:3: forget_s: ", "half_life_s"),
+            ("[log]\n[idle]\nhalf_life_s = 20000\n", "p.toml:3: half_life_s: ", "forget_s"),
             ("[idle]\nkeep_kb = 100000\n", "p.toml:2: keep_kb: ", "65536"),
             ("[idle]\nassumed_per_s = 0\n", "p.toml:2: assumed_per_s: ", "0.01"),
         ] {
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -48,7 +48,7 @@
     // the list
     reloads, reloads_refused, list_answers, list_failures, list_refused, list_told, list_old, dns_messages,
     // destinations at rest and in use
-    listed, awake, wakes, rests, remembered,
+    listed, awake, wakes, rests, remembered, idle_kept,
     // the log
     wal_records, wal_refused, wal_compactions,
     // duties shared with other instances
--- a/daemon/src/keep.rs
+++ b/daemon/src/keep.rs
@@ -1,11 +1,13 @@
 //! What is remembered of destinations at rest, in a file of the folder that lasts. Losing it costs only caution.
 
+use crate::net::Shared;
 use async_channel::Receiver;
 use futures_lite::future;
 use onyxrock_roster::{Memory, Whose, Writer, read};
 use std::fs::File;
 use std::io::{self, ErrorKind, Read, Write};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
 const NAME: &str = "onyxrock.idle";
 const NEW: &str = "onyxrock.idle.new";
@@ -30,11 +32,14 @@
 }
 
 /// Writes each of these in place of the last, in slices: nobody waits for all of it.
-pub async fn run(folder: PathBuf, most: usize, inbox: Receiver<Vec<(Whose, Memory)>>) {
+pub async fn run(shared: Rc<Shared>, folder: PathBuf, most: usize, inbox: Receiver<Vec<(Whose, Memory)>>) {
     while let Ok(all) = inbox.recv().await {
-        if let Err(e) = write(&folder, most, all).await {
-            tracing::warn!("idle: what is remembered could not be kept: {e}");
-            let _ = std::fs::remove_file(folder.join(NEW));
+        match write(&folder, most, all).await {
+            Ok(()) => shared.counters.idle_kept.up(),
+            Err(e) => {
+                tracing::warn!("idle: what is remembered could not be kept: {e}");
+                let _ = std::fs::remove_file(folder.join(NEW));
+            }
         }
     }
 }
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -13,7 +13,7 @@
 use onyxrock::core::Names;
 use onyxrock::interface::Micros;
 use onyxrock_config::idle::Bounds;
-use onyxrock_config::list::{List, Listed, Reader};
+use onyxrock_config::list::{self, Listed, Reader};
 use onyxrock_roster::{Block, Endpoint, Refused, Staged};
 use onyxrock_sharing::{LIST_NEWS_MOST, ListNews, Role, ToList, ToPeers};
 use std::net::SocketAddr;
@@ -127,7 +127,7 @@
                 Heard::Letter(ToList::Told(news)) if discovery.generation == Some(news.generation) => {}
                 Heard::Letter(ToList::Told(news)) => {
                     let follows = discovery.generation == Some(news.from) && !news.body.is_empty();
-                    let list = follows.then(|| parse(&news.body, &discovery.names).ok()).flatten();
+                    let list = follows.then(|| list::parse(&news.body, &discovery.names).ok()).flatten();
                     let Some(list) = list.filter(|l| l.generation == news.generation) else {
                         behind = true;
                         continue;
@@ -198,13 +198,13 @@
         send(Part::Entries(block)).await?;
         future::yield_now().await;
     }
-    loop {
+    let mut swept = !whole;
+    while !swept {
         let (reply, done) = bounded(1);
         send(Part::Sweep(reply)).await?;
-        if done.recv().await.ok()? {
-            return send(Part::End(generation)).await;
-        }
+        swept = done.recv().await.ok()?;
     }
+    send(Part::End(generation)).await
 }
 
 /// Asks for the list. The answer may begin until `by`; then each piece of it must come in time.
@@ -231,7 +231,7 @@
     let (most, most_bytes) = (d.bounds.entries.0 as usize, d.bounds.memory_mb.0 as usize * 1_000_000);
     let mut entries = Staged::new(most, most_bytes);
     let mut reader = Reader::new(&d.names);
-    let (mut text, mut refused) = (Vec::new(), None);
+    let mut text = Vec::new();
     let mut body = conn.body(&answer, usize::MAX).map_err(fail)?;
     loop {
         let soon = clock.now().after(GRACE);
@@ -243,17 +243,15 @@
         if text.len() <= LIST_NEWS_MOST {
             text.extend_from_slice(part);
         }
-        let read = reader.feed(part, |l| {
-            entries.push(&endpoint(&l)).map_err(|e| {
-                refused = Some(e);
-                "a name or the number of zones is out of bounds".into()
+        reader.feed(part, |l| {
+            entries.push(&endpoint(&l)).map_err(|refused| match refused {
+                Refused::Full => {
+                    let mb = d.bounds.memory_mb.0;
+                    Failed::TooLong(format!("over {most} entries or {mb} MB, its bounds in [list]"))
+                }
+                Refused::Shape => Failed::Lost("a name or the number of zones is out of bounds".into()),
             })
-        });
-        if refused == Some(Refused::Full) {
-            let mb = d.bounds.memory_mb.0;
-            return Err(Failed::TooLong(format!("over {most} entries or {mb} MB, its bounds in [list]")));
-        }
-        read?;
+        })?;
         // Nobody waits for the rest of a long list.
         future::yield_now().await;
     }
@@ -280,14 +278,3 @@
         listing: l.entry.listing,
     }
 }
-
-fn parse(body: &[u8], names: &Names) -> Result<List, String> {
-    let mut reader = Reader::new(names);
-    let mut entries = Vec::new();
-    reader.feed(body, |l| {
-        entries.push(l);
-        Ok(())
-    })?;
-    let (generation, whole) = reader.end()?;
-    Ok(List { generation, whole, entries })
-}
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -418,7 +418,7 @@
         for l in &list.entries {
             self.put(now, listed_endpoint(l), &mut follows);
         }
-        while !self.directory.sweep(now, usize::MAX, &mut follows) {}
+        self.directory.sweep(now, usize::MAX, &mut follows);
         self.follow_up(now, follows);
         self.has_list(now, list.generation);
     }
@@ -443,6 +443,7 @@
 
     /// A list has been taken.
     fn has_list(&mut self, now: Micros, generation: u64) {
+        self.directory.taken();
         if let Some(p) = &mut self.probing {
             p.listed(Some(generation));
         }
@@ -571,11 +572,9 @@
     fn hand(&mut self, call: OutboundCall) {
         let (now, moot) = (call.started, call.answered(call.started, Verdict::Moot));
         let odd = call.probe.is_some() && self.directory.is_fixed(call.to);
+        self.directory.goes(call.to);
         let mailbox = self.mailboxes.get(&call.to).filter(|_| !odd);
-        let Some(mailbox) = mailbox.filter(|_| self.directory.goes(call.to)) else {
-            return self.answered(now, &moot);
-        };
-        if mailbox.try_send(ToEndpoint::Call(Box::new(call))).is_err() {
+        if mailbox.is_none_or(|m| m.try_send(ToEndpoint::Call(Box::new(call))).is_err()) {
             self.answered(now, &moot);
         }
     }
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -125,7 +125,7 @@
         }
         let (to_keep, keeping) = bounded(1);
         module.keep = Some(to_keep);
-        executor.spawn(keep::run(config.state.clone(), kept as usize, keeping)).detach();
+        executor.spawn(keep::run(shared.clone(), config.state.clone(), kept as usize, keeping)).detach();
     }
     gateways.into_iter().for_each(|g| module.gateway(g));
     if let (Some(d), Some(class)) = (&duties, probe_class) {
--- a/lab/src/experiments/idle.rs
+++ b/lab/src/experiments/idle.rs
@@ -2,14 +2,12 @@
 
 use super::Setup;
 use crate::daemon::Daemon;
-use crate::http::ask;
 use crate::report::{Claim, Report, quantile};
-use crate::world::clients::Clients;
+use crate::world::clients::{self, Clients};
 use crate::world::discovery::{Discovery, line};
 use crate::world::partner::{Mode, Partner, Strength};
 use crate::world::{World, sleep};
 use serde_json::{Value, json};
-use std::cell::RefCell;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -173,8 +171,8 @@
         lists(&big, world, n).await?;
         for d in from..from + 500 {
             let status = hand_in(big.http, d, d).await;
-            if status != Some(202) {
-                return Err(format!("a message for {d} was answered {status:?}"));
+            if status != 202 {
+                return Err(format!("a message for {d} was answered {status}"));
             }
         }
         // Those of the round go to rest.
@@ -193,7 +191,7 @@
         let d = 1_000_000 * sizes.rounds + 1000 + woken;
         let statuses =
             futures_lite::future::zip(hand_in(big.http, d, d), hand_in(big.http, d + 1, d + 1)).await;
-        if statuses != (Some(202), Some(202)) {
+        if statuses != (202, 202) {
             return Err(format!("messages for {d} and the next were answered {statuses:?}"));
         }
         woken += 2;
@@ -237,22 +235,19 @@
     ])
 }
 
-/// One message: the status of its answer.
-async fn hand_in(at: Option<SocketAddr>, destination: u64, n: u64) -> Option<u16> {
-    let request = format!(
-        "POST /status HTTP/1.1\r\nHost: app\r\nX-Request-Id: w-{n}\r\nX-Class: status\r\nX-Deadline: 4.500\r\n\
-         X-Envelope: dest={destination}\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
-    );
-    Some(ask(at?, &request, Duration::from_millis(400)).await?.0)
+/// One message for a destination.
+async fn hand_in(at: Option<SocketAddr>, destination: u64, n: u64) -> u16 {
+    match at {
+        Some(daemon) => clients::hand_in(daemon, &format!("w-{n}"), destination, 4.5).await,
+        None => 0,
+    }
 }
 
 /// So many messages for a destination, evenly over a span.
 async fn clump(world: &World, at: Option<SocketAddr>, destination: u64, many: u64, over: f64) {
-    let serial = Rc::new(RefCell::new(destination * 1_000_000 + (world.now() * 1000.0) as u64 * 1000));
-    for _ in 0..many {
-        let serial = serial.clone();
+    let first = destination * 1_000_000 + (world.now() * 1000.0) as u64 * 1000;
+    for n in first..first + many {
         world.spawn(async move {
-            let n = serial.replace_with(|n| *n + 1);
             hand_in(at, destination, n).await;
         });
         sleep(over / many as f64).await;
@@ -287,12 +282,8 @@
         pairs.push((d, partners, discovery));
     }
     let both = async |destination: u64, many: u64, over: f64| {
-        let ways = pairs.iter().map(|(d, ..)| clump(world, d.http, destination, many, over));
-        let mut ways: Vec<_> = ways.collect();
-        let (b, a) = (ways.pop(), ways.pop());
-        if let (Some(a), Some(b)) = (a, b) {
-            futures_lite::future::zip(a, b).await;
-        }
+        let way = |i: usize| clump(world, pairs[i].0.http, destination, many, over);
+        futures_lite::future::zip(way(0), way(1)).await;
     };
     // In use for a while, as on any evening; the second fails in the end.
     both(0, 150, 10.0).await;
--- a/lab/src/experiments/mod.rs
+++ b/lab/src/experiments/mod.rs
@@ -30,38 +30,22 @@
     run: fn(&Setup) -> Result<Report, String>,
 }
 
-pub const ALL: &[Experiment] = &[
-    Experiment {
-        name: "duties-kill",
-        about: "5 daemons share the probes at 6 partners; an owner is killed every 2 s",
-        run: |s| block(s, duties::kill(s)),
-    },
-    Experiment {
-        name: "duties-split",
-        about: "the same through a split, one that is open one way, and an owner that stands still",
-        run: |s| block(s, duties::split(s)),
-    },
-    Experiment {
-        name: "duties-cold",
-        about: "a partner returns cold under 5 daemons that share, beside 5 that probe alone",
-        run: |s| block(s, duties::cold(s)),
-    },
-    Experiment {
-        name: "duties-list",
-        about: "one of 5 asks for the list and tells the others, beside 5 that each ask",
-        run: |s| block(s, duties::list(s)),
-    },
-    Experiment {
-        name: "duties-wait",
-        about: "one daemon's probe is told to wait 3 s; none of 5 may call before",
-        run: |s| block(s, duties::wait(s)),
-    },
-    Experiment {
-        name: "idle-50k",
-        about: "50,000 destinations of which few are in use: memory, processor, list, waking, rest",
-        run: |s| block(s, idle::run(s)),
-    },
-];
+/// Each by its name, what it is about, and its script.
+macro_rules! experiments {
+    ($($name:literal, $about:literal, $script:path;)*) => {
+        pub const ALL: &[Experiment] =
+            &[$(Experiment { name: $name, about: $about, run: |s| block(s, $script(s)) }),*];
+    };
+}
+
+experiments! {
+    "duties-kill", "5 daemons share the probes at 6 partners; an owner is killed every 2 s", duties::kill;
+    "duties-split", "the same through a split, one that is open one way, and an owner that stands still", duties::split;
+    "duties-cold", "a partner returns cold under 5 daemons that share, beside 5 that probe alone", duties::cold;
+    "duties-list", "one of 5 asks for the list and tells the others, beside 5 that each ask", duties::list;
+    "duties-wait", "one daemon's probe is told to wait 3 s; none of 5 may call before", duties::wait;
+    "idle-50k", "50,000 destinations of which few are in use: memory, processor, list, waking, rest", idle::run;
+}
 
 fn block(setup: &Setup, script: impl Future<Output = Result<Report, String>>) -> Result<Report, String> {
     async_io::block_on(setup.world.executor.run(script))
--- a/lab/src/world/clients.rs
+++ b/lab/src/world/clients.rs
@@ -36,13 +36,8 @@
                     let Some(daemon) = this.at[i].get() else { continue };
                     let this = this.clone();
                     w.spawn(async move {
-                        let request = format!(
-                            "POST /status HTTP/1.1\r\nHost: app\r\nX-Request-Id: m-{i}-{n}-{seed:x}\r\n\
-                             X-Class: status\r\nX-Deadline: 4.000\r\nX-Envelope: dest={to}\r\n\
-                             Connection: close\r\nContent-Length: 2\r\n\r\nhi"
-                        );
-                        let answer = ask(daemon, &request, Duration::from_millis(400)).await;
-                        *this.answers.borrow_mut().entry(answer.map_or(0, |a| a.0)).or_default() += 1;
+                        let status = hand_in(daemon, &format!("m-{i}-{n}-{seed:x}"), to, 4.0).await;
+                        *this.answers.borrow_mut().entry(status).or_default() += 1;
                     });
                 }
             });
@@ -50,3 +45,12 @@
         clients
     }
 }
+
+/// Hands one message in that may be delivered for so many seconds: the status of its answer, 0 where none came in time.
+pub async fn hand_in(daemon: SocketAddr, id: &str, destination: u64, left: f64) -> u16 {
+    let request = format!(
+        "POST /status HTTP/1.1\r\nHost: app\r\nX-Request-Id: {id}\r\nX-Class: status\r\nX-Deadline: {left:.3}\r\n\
+         X-Envelope: dest={destination}\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
+    );
+    ask(daemon, &request, Duration::from_millis(400)).await.map_or(0, |a| a.0)
+}
--- a/roster/benches/table.rs
+++ b/roster/benches/table.rs
@@ -2,21 +2,24 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use onyxrock::interface::{Listing, Micros, Repute};
-use onyxrock_roster::{Directory, Endpoint, Follows, Roster, Rules, Terms};
+use onyxrock_roster::{Directory, Endpoint, Follows, Memories, Roster, Rules, Terms, Whose, Writer};
 use std::hint::black_box;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-fn put(roster: &mut Roster, i: u32, weight: f32) {
-    let (name, address) = (format!("club-{i:08}"), SocketAddr::from((i.to_be_bytes(), 7070)));
+fn entry(name: &str, i: u32) -> Endpoint<'_> {
+    let address = SocketAddr::from((i.to_be_bytes(), 7070));
     let (destination, listing) = (u64::from(i), Listing::Ready);
-    let e = Endpoint { name: &name, address, zone: "floor-2", kind: 1, destination, weight, listing };
-    roster.put(e).expect("there is room");
+    Endpoint { name, address, zone: "floor-2", kind: 1, destination, weight: 1.0, listing }
+}
+
+fn put(roster: &mut Roster, i: u32) {
+    roster.put(entry(&format!("club-{i:08}"), i)).expect("there is room");
 }
 
 fn full(n: u32) -> Roster {
     let mut roster = Roster::new(n as usize + 1);
-    (0..n).for_each(|i| put(&mut roster, i, 1.0));
+    (0..n).for_each(|i| put(&mut roster, i));
     roster
 }
 
@@ -42,13 +45,13 @@
                 let at = next();
                 let id = roster.of(u64::from(at)).next().expect("it is listed");
                 roster.remove(id);
-                put(&mut roster, at, 1.0);
+                put(&mut roster, at);
             });
         });
         group.bench_function(BenchmarkId::new("whole_list_again", n), |b| {
             b.iter(|| {
                 roster.begin();
-                (0..n).for_each(|i| put(&mut roster, i, 1.0));
+                (0..n).for_each(|i| put(&mut roster, i));
                 let mut gone = Vec::new();
                 while !roster.sweep(4096, &mut gone) {}
                 assert!(gone.is_empty());
@@ -76,11 +79,7 @@
         let mut follows = Follows::default();
         let names: Vec<_> = (0..n).map(|i| format!("club-{i:08}")).collect();
         let put = |d: &mut Directory, i: u32, follows: &mut Follows| {
-            let address = SocketAddr::from((i.to_be_bytes(), 7070));
-            let (name, destination) = (names[i as usize].as_str(), u64::from(i));
-            let (kind, weight, listing) = (1, 1.0, Listing::Ready);
-            let e = Endpoint { name, address, zone: "floor-2", kind, destination, weight, listing };
-            d.put(Micros(0), e, follows).expect("there is room");
+            d.put(Micros(0), entry(&names[i as usize], i), follows).expect("there is room");
         };
         let whole = |d: &mut Directory, to: u32, follows: &mut Follows| {
             d.begin();
@@ -112,5 +111,19 @@
     group.finish();
 }
 
-criterion_group!(benches, table, directory);
+/// What one turn does before the file of memories is written in slices, and all of the slices together.
+fn snapshot(c: &mut Criterion) {
+    let mut memories = Memories::new(Terms::default());
+    for i in 0..50_000u64 {
+        let r = Repute { served: 2.0, ..Repute::default() };
+        memories.keep(Micros(i), Whose::Destination(i), r);
+    }
+    let copy = || memories.iter().map(|(w, m)| (w.clone(), *m)).collect::<Vec<_>>();
+    c.bench_function("snapshot/copy_and_sort/50000", |b| b.iter(|| black_box(Writer::new(copy(), 4 << 20))));
+    c.bench_function("snapshot/all_blocks/50000", |b| {
+        b.iter(|| Writer::new(copy(), 4 << 20).map(|block| block.len()).sum::<usize>());
+    });
+}
+
+criterion_group!(benches, table, directory, snapshot);
 criterion_main!(benches);
--- a/roster/src/directory.rs
+++ b/roster/src/directory.rs
@@ -203,8 +203,10 @@
     }
 
     /// A call goes to an endpoint.
-    pub fn goes(&mut self, to: ReceiverId) -> bool {
-        self.peers.get_mut(&to).map(|p| p.out += 1).is_some()
+    pub fn goes(&mut self, to: ReceiverId) {
+        if let Some(p) = self.peers.get_mut(&to) {
+            p.out += 1;
+        }
     }
     /// A call there has ended.
     pub fn ended(&mut self, to: ReceiverId) {
@@ -323,7 +325,6 @@
     /// The entries have ended: looks at so many of those that are held for what a whole list did not name. True once
     /// all have been looked at.
     pub fn sweep(&mut self, now: Micros, most: usize, follows: &mut Follows) -> bool {
-        self.had_list = true;
         let mut gone = Vec::new();
         let done = self.roster.sweep(most, &mut gone);
         self.whole &= !done;
@@ -333,6 +334,11 @@
         done
     }
 
+    /// A list has been taken to its end.
+    pub fn taken(&mut self) {
+        self.had_list = true;
+    }
+
     fn changed(&mut self, now: Micros, change: Change, follows: &mut Follows) {
         let (Change::Added(id) | Change::Changed(id) | Change::Gone(id)) = change;
         let Some(e) = self.roster.get(id) else { return };
@@ -486,14 +492,8 @@
                 self.memories.keep(now, Whose::Endpoint(p.name.as_str().into()), *repute);
             }
         }
-        let names: Vec<_> = self
-            .roster
-            .of(destination)
-            .filter_map(|id| self.roster.get(id))
-            .map(|e| e.name.to_owned())
-            .collect();
-        for name in names {
-            if let Some(to) = self.numbers.remove(&name)
+        for e in self.roster.of(destination).filter_map(|id| self.roster.get(id)) {
+            if let Some(to) = self.numbers.remove(e.name)
                 && self.peers.remove(&to).is_some()
             {
                 follows.orders.push(Order::Close(to));
--- a/roster/tests/directory.rs
+++ b/roster/tests/directory.rs
@@ -24,7 +24,7 @@
 fn put(d: &mut Directory, now: Micros, e: Endpoint<'_>) -> Follows {
     let mut follows = Follows::default();
     d.put(now, e, &mut follows).unwrap();
-    d.sweep(now, usize::MAX, &mut follows);
+    d.taken();
     follows
 }
 
@@ -36,6 +36,7 @@
         d.put(now, one(name, i as u64, Listing::Ready), &mut follows).unwrap();
     }
     while !d.sweep(now, 1000, &mut follows) {}
+    d.taken();
     follows
 }
 
@@ -171,7 +172,7 @@
     }
     assert!(d.peers().len() <= 4 && d.awake() <= 77, "{} {}", d.peers().len(), d.awake());
     let last = *d.peers().last_key_value().unwrap().0;
-    assert!(d.goes(last));
+    d.goes(last);
     let mut follows = Follows::default();
     d.tidy(s(400.0), &mut follows);
     assert_eq!(d.peers().len(), 1, "a call is out there");
--- a/src/brain/rest.rs
+++ b/src/brain/rest.rs
@@ -47,7 +47,7 @@
             told_all = told_all.max(told);
             r.health = Health::Recovering { since: now };
             if repute.sick {
-                r.health = Health::Sick { since: now, trial_at: now, backoff: TRIAL_FIRST };
+                r.wake_sick(now);
                 d.trouble_at = now;
             }
             if r.apart {
@@ -63,7 +63,7 @@
         let Some(r) = self.receivers.get_mut(&to) else { return };
         r.pace.wait_until = r.pace.wait_until.max(repute.wait_until);
         if repute.sick && r.health == Health::Well {
-            r.health = Health::Sick { since: now, trial_at: now, backoff: TRIAL_FIRST };
+            r.wake_sick(now);
             if let Some(d) = self.destinations.get_mut(&r.destination) {
                 d.trouble_at = now;
             }
@@ -71,6 +71,13 @@
     }
 }
 
+impl Receiver {
+    /// Out of order when last heard of: a trial may go at once.
+    fn wake_sick(&mut self, now: Micros) {
+        self.health = Health::Sick { since: now, trial_at: now, backoff: TRIAL_FIRST };
+    }
+}
+
 impl Pace {
     /// Severe: what it surely has when cold, by the least of what was served and is told. The first call may go at once:
     /// nobody else learns of its waking, so no crowd of senders meets there.
