--- a/config/src/settings.rs
+++ b/config/src/settings.rs
@@ -81,6 +81,7 @@
         max_held: count(v, "/limits/maxOpen").unwrap_or(u32::MAX),
         max_attempts: count(v, "/limits/maxAttempts").unwrap_or(u32::MAX),
         senders: count(v, "/replicasOfMe").unwrap_or(1).max(1),
+        number: count(v, "/slotNo").unwrap_or(0),
         retry_after: flag(v, "/limits/retryAfter"),
         max_retry_after: micros(v, "/limits/maxRetryAfterUs"),
         subscribe: v.pointer("/discovery").and_then(Value::as_str) == Some("subscribe"),
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -142,6 +142,12 @@
                     // Versions of the old one mean nothing to the new one.
                     (conn, discovery.generation) = (None, None);
                 }
+                // A version below the one that was asked from is another service's: what was held is not a part of it.
+                Heard::Answer(Ok(list))
+                    if !list.whole && discovery.generation.is_some_and(|g| list.generation < g) =>
+                {
+                    discovery.generation = None;
+                }
                 Heard::Answer(Ok(list)) => {
                     shared.counters.list_answers.up();
                     (behind, complained) = (false, String::new());
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -341,7 +341,7 @@
                 listing: Listing::Ready,
             },
         );
-        self.desk.list(now, Event::ListChanges(vec![entry]));
+        self.desk.list(now, Event::Known(vec![entry]));
         let mailbox = gateway::start(&self.shared, g, self.room());
         self.mailboxes.insert(to, mailbox);
     }
@@ -361,7 +361,7 @@
             Some(assumed) => self.desk.wake(now, destination, woken.whole, woken.each, assumed),
             None => {
                 let entries = woken.each.into_iter().map(|(e, _)| e).collect();
-                self.desk.list(now, Event::ListChanges(entries));
+                self.desk.list(now, Event::Known(entries));
             }
         }
     }
@@ -391,7 +391,7 @@
     fn follow_up(&mut self, now: Micros, follows: Follows) {
         self.order(follows.orders);
         if !follows.entries.is_empty() {
-            self.desk.list(now, Event::ListChanges(follows.entries));
+            self.desk.list(now, Event::Known(follows.entries));
         }
         for (to, repute) in follows.recalled {
             self.desk.recall(now, to, repute);
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -124,6 +124,8 @@
     sections: String,
     /// The file names no list.
     unknown: bool,
+    /// Settings that differ from the file.
+    settings: Vec<(String, Value)>,
     dns_at: Option<SocketAddr>,
     listing: Arc<Mutex<Listing>>,
     child: Option<Child>,
@@ -153,6 +155,7 @@
             duties: String::new(),
             sections: String::new(),
             unknown: false,
+            settings: Vec::new(),
             dns_at,
             listing,
             child,
@@ -211,6 +214,11 @@
                 self.limits[key] = json!(n.parse::<f64>().map_err(|e| e.to_string())?);
                 Ok(())
             }
+            ["given", "setting", setting] => {
+                let (key, n) = setting.split_once('=').ok_or("setting=number")?;
+                self.settings.push((key.to_owned(), json!(n.parse::<u32>().map_err(|e| e.to_string())?)));
+                Ok(())
+            }
             ["given", "duties", rest @ ..] => {
                 self.duties = rest.join("\n");
                 Ok(())
@@ -394,7 +402,10 @@
     }
 
     fn configure(&self) -> PathBuf {
-        let settings: Value = serde_json::from_str(include_str!("settings.json")).unwrap();
+        let mut settings: Value = serde_json::from_str(include_str!("settings.json")).unwrap();
+        for (key, value) in &self.settings {
+            settings[key] = value.clone();
+        }
         let platform = self.who["platform"].address.unwrap().to_string();
         let known = if self.unknown { Value::Null } else { self.listing.lock().unwrap().json() };
         let config = json!({"name": "n1", "seed": "1f", "limits": self.limits, "discovery": platform,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,6 +3,7 @@
 //! Each destination (each route where routes are apart) has a `Pace`: Detect its refusals, Update, Restrict.
 //! Departures: health of receivers, the cold ramp, worth order, giving up. README.md says where they stand.
 
+use crate::asking::Asking;
 use crate::interface::*;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -86,7 +87,6 @@
 const REACH: f64 = 2.0; // the pace may rise meanwhile
 const LOOK_AGAIN: Micros = Micros(100_000); // at gates that open by degrees
 const TIDY_EVERY: Micros = Micros(10_000_000);
-const ASK_FIRST: Micros = Micros(300_000);
 
 impl Scale {
     fn of(set: &Settings) -> Scale {
@@ -308,8 +308,7 @@
     tidy_at: Micros,
     tell_at: Micros,
     shares: Vec<Bucket>,
-    ask_at: Option<Micros>,
-    ask_backoff: Micros,
+    asking: Asking,
     wake_at: Option<Micros>,
 }
 
@@ -331,8 +330,7 @@
             tidy_at: Micros(0),
             tell_at: Micros(0),
             shares: vec![Bucket::default(); settings.tenants.len()],
-            ask_at: settings.subscribe.then_some(Micros(0)),
-            ask_backoff: ASK_FIRST,
+            asking: Asking::new(&settings),
             wake_at: None,
             set: settings,
         }
@@ -341,9 +339,20 @@
     /// Takes note of something that happened at `now`. Call [`Brain::decide`] after the last of a moment.
     pub fn on_event(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::DiskList(entries) | Event::FullList(entries) => self.on_list(entries, true),
-            Event::ListChanges(entries) => self.on_list(entries, false),
-            Event::ListFailed => self.on_list_failed(now),
+            Event::DiskList(entries) => {
+                self.asking.known();
+                self.on_list(entries, true);
+            }
+            Event::Known(entries) => self.on_list(entries, false),
+            Event::FullList(entries) => {
+                self.asking.answered();
+                self.on_list(entries, true);
+            }
+            Event::ListChanges(entries) => {
+                self.asking.answered();
+                self.on_list(entries, false);
+            }
+            Event::ListFailed => self.asking.failed(now, &mut self.dice),
             Event::Submit(message) => self.on_submit(now, message),
             Event::Resume(message, past) => self.on_resume(now, message, past, actions),
             Event::Outcome(outcome) => self.on_outcome(now, &outcome, actions),
@@ -355,8 +364,7 @@
 
     /// Decides what to do now, after all events of this moment.
     pub fn decide(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        if self.ask_at.is_some_and(|t| t <= now) {
-            self.ask_at = None;
+        if self.asking.now(now) {
             actions.push(Action::Follow);
         }
         let due = self.agenda.take_due(now);
@@ -370,7 +378,7 @@
         }
         self.shed(now, actions);
         self.tidy(now);
-        let wake = self.ask_at.into_iter().chain(self.agenda.next()).min();
+        let wake = self.asking.due().into_iter().chain(self.agenda.next()).min();
         if let Some(at) = wake.filter(|at| self.wake_at.is_none_or(|t| *at < t)) {
             self.wake_at = Some(at);
             actions.push(Action::WakeAfter(at.since(now).max(Micros(1))));
@@ -453,7 +461,6 @@
     }
 
     fn on_list(&mut self, entries: Vec<Entry>, whole: bool) {
-        self.ask_backoff = ASK_FIRST;
         let mut touched = BTreeSet::new();
         if whole {
             self.receivers.values_mut().for_each(|r| r.listing = Listing::Gone);
@@ -476,15 +483,6 @@
         }
     }
 
-    fn on_list_failed(&mut self, now: Micros) {
-        if self.set.subscribe {
-            let jitter = 0.75 + 0.5 * self.dice.roll();
-            self.ask_at = Some(now.after(Micros::from_secs(self.ask_backoff.secs() * jitter)));
-            let most = (self.set.ask_every.secs() / 2.0).max(ASK_FIRST.secs());
-            self.ask_backoff = Micros::from_secs((self.ask_backoff.secs() * 2.0).min(most));
-        }
-    }
-
     fn on_submit(&mut self, now: Micros, m: Message) {
         let Some(class) = self.set.classes.get(m.class.0) else { return };
         if self.held.contains_key(&m.id) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -156,6 +156,8 @@
     pub max_attempts: u32,
     /// Senders that share the traffic, this one included.
     pub senders: u32,
+    /// Which of them this one is, from zero.
+    pub number: u32,
     /// A refusal's retry-after reaches the client.
     pub retry_after: bool,
     /// The longest wait that a client heeds.
@@ -302,6 +304,8 @@
 pub enum Event {
     /// The list as last held before a restart; possibly stale.
     DiskList(Vec<Entry>),
+    /// Entries of a list that the caller has had for a while: no word from whoever gives the list out.
+    Known(Vec<Entry>),
     /// The whole list; what is not in it is gone.
     FullList(Vec<Entry>),
     /// Changed lines only.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,6 +78,7 @@
 //! assert!(matches!(actions[0], Action::Send { id: MessageId(1), .. }));
 //! ```
 
+mod asking;
 pub mod brain;
 pub mod core;
 pub mod interface;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -39,6 +39,7 @@
         max_held: 200,
         max_attempts: 6,
         senders: 2,
+        number: 0,
         retry_after: true,
         max_retry_after: ms(3000),
         subscribe: false,
