--- a/src/asking.rs
+++ b/src/asking.rs
@@ -5,7 +5,7 @@
 //! senders the calls of all of them together keep to a rate that does not grow with their number: who holds a list from
 //! before asks in its own turn, by its number, and who was turned away comes back in a span that grows with the fleet.
 
-use crate::interface::{Micros, Settings};
+use crate::interface::{Event, Micros, Settings};
 use crate::state::Dice;
 
 /// Up to so many senders ask as they like.
@@ -66,15 +66,14 @@
         due
     }
 
-    /// It has a list, as it was told before its start.
-    pub fn known(&mut self) {
-        self.held = true;
-    }
-
-    /// The list came.
-    pub fn answered(&mut self) {
+    /// Takes note of a list that came, or that it had before its start.
+    pub fn heard(&mut self, event: &Event) {
+        if matches!(event, Event::FullList(_) | Event::ListChanges(_)) {
+            self.pause = self.round.map_or(PAUSE_FIRST, |r| Micros::from_secs(r).max(PAUSE_FIRST));
+        } else if !matches!(event, Event::DiskList(_)) {
+            return;
+        }
         self.held = true;
-        self.pause = self.round.map_or(PAUSE_FIRST, |r| Micros::from_secs(r).max(PAUSE_FIRST));
     }
 
     /// It did not: again after a pause that doubles, and falls anywhere in a span where many wait.
@@ -107,7 +106,7 @@
             let mut dice = Dice(i as u64);
             let mut now = Micros(0);
             if held {
-                a.known();
+                a.heard(&Event::DiskList(Vec::new()));
             }
             while now < Micros(10_000_000) {
                 if a.now(now) {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,6 +37,12 @@
 const WAIT: u8 = 2; // ... and of one of a told wait, whose milliseconds follow
 const NOTE_WAIT_MOST: Micros = Micros(60_000_000);
 const NOTE_GAP_S: f64 = 0.5; // from one sender
+const FLEET: u32 = 16; // beyond it, told of nothing, a sender sees too little to wait for more than ...
+const FLEET_BURST: usize = 2; // ... so many refusals, and keeps so many calls for its own clumps:
+const FLEET_TOKENS: f64 = 3.0; // together they come as evenly as if nobody did
+const BREATH_S: f64 = 1.0; // without another call after a refusal; doubled by each in a row ...
+const BREATH_DOUBLINGS: u32 = 3; // ... up to so often
+const FLEET_SHUT_SPAN: Micros = Micros(4_000_000); // a limit that all overran refuses all for seconds, too
 // --- Calls in flight -------------------------------------------------------------------------------------
 const CAP_WELL: f64 = 0.75;
 const CAP_SICK: f64 = 0.5;
@@ -48,7 +54,6 @@
 const SICK_FAILS: f64 = 5.0; // failures among the last eight that make a receiver sick; as many more
 const BROAD: f64 = 0.02; // of each outcome, in the share that fails everywhere
 const SHUT_REFUSALS: f64 = 4.0; // refusals in a row, no delivery between, that look like a shut destination
-const SHUT_LEAST: f64 = 2.0; // with many senders
 const SHUT_SPAN: Micros = Micros(1_000_000);
 const ALLOWANCE_LEFT: f64 = 0.5; // refused with more of its allowance left, a destination looks shut
 const LONG_WAIT: Micros = Micros(1_200_000);
@@ -91,6 +96,7 @@
 impl Scale {
     fn of(set: &Settings) -> Scale {
         let senders = f64::from(set.senders.max(1));
+        let fleet = set.senders > FLEET && !set.notes;
         let stretch = |secs: f64, most: f64| (secs * senders / FEW_SENDERS).clamp(secs, most);
         Scale {
             burst_span: Micros::from_secs(stretch(BURST_SPAN_S, BURST_SPAN_MOST_S)),
@@ -98,7 +104,12 @@
             rate_memory: Memory { secs: stretch(RATE_MEMORY_S, MEMORY_MOST_S), young: YOUNG_S },
             connection_life: Memory { secs: set.connection_idle.secs(), young: YOUNG_S },
             refused_pause: stretch(REFUSED_PAUSE_S, REFUSED_PAUSE_MOST_S),
-            shut_refusals: (SHUT_REFUSALS - (senders / FEW_SENDERS).max(1.0).log2()).max(SHUT_LEAST),
+            shut_refusals: SHUT_REFUSALS - if fleet { 0.0 } else { (senders / FEW_SENDERS).max(1.0).log2() },
+            shut_span: if fleet { FLEET_SHUT_SPAN } else { SHUT_SPAN },
+            burst_count: if fleet { FLEET_BURST } else { BURST_COUNT },
+            tokens: if fleet { FLEET_TOKENS } else { BURST_TOKENS },
+            target_floor: TARGET_FLOOR_PER_S / if fleet { senders } else { 1.0 },
+            fleet,
             senders,
             floor: PACE_FLOOR / senders,
         }
@@ -110,19 +121,24 @@
     fn note_refusal(&mut self, now: Micros, scale: Scale) {
         self.refusals.push_back(now);
         let old = |t: &Micros| now.since(*t) > scale.burst_span;
-        while self.refusals.len() > BURST_COUNT || self.refusals.front().is_some_and(old) {
+        while self.refusals.len() > scale.burst_count || self.refusals.front().is_some_and(old) {
             self.refusals.pop_front();
         }
     }
     /// Detect: count a refusal; a burst of them starts control, severe. `told` is this sender's part of a
     /// limit that is told. True if it looks shut: refusals alone over a while are an outage like others.
-    fn on_refusal(&mut self, now: Micros, scale: Scale, told: f64) -> bool {
+    fn on_refusal(&mut self, now: Micros, scale: Scale, told: f64, wait: Micros, dice: &mut Dice) -> bool {
+        // Refused calls use the limit up: what all still send while each learns by itself keeps it used up.
+        if scale.fleet && wait < LONG_WAIT {
+            let breath = BREATH_S * f64::from(1u32 << self.refused_run.min(BREATH_DOUBLINGS));
+            self.breath = now.after(Micros::from_secs(breath * (0.5 + dice.roll())));
+        }
         self.note_refusal(now, scale);
         self.told = told;
         self.floor = scale.floor.max(if self.woken { 0.0 } else { told * FLOOR_OF_TOLD });
         if let Some(c) = &mut self.control {
             c.refused += 1;
-        } else if self.refusals.len() >= BURST_COUNT {
+        } else if self.refusals.len() >= scale.burst_count {
             let served = self.served.get(now, scale.served_memory).max(self.usual);
             let rate = (served.max(told) * START_SHARE).max(self.floor);
             self.control = Some(Control { rate, refilled: now, updated: now, ..Control::default() });
@@ -131,7 +147,7 @@
             self.refused_since = now;
         }
         self.refused_run += 1;
-        f64::from(self.refused_run) >= scale.shut_refusals && now.since(self.refused_since) >= SHUT_SPAN
+        f64::from(self.refused_run) >= scale.shut_refusals && now.since(self.refused_since) >= scale.shut_span
     }
     /// Update: once an interval, a multiplicative step that grows with the gap to the target.
     fn update(&mut self, now: Micros, offered: f64, scale: Scale) {
@@ -141,14 +157,14 @@
         let told = (self.told > 0.0).then_some(self.told);
         let bound = told.map_or(f64::INFINITY, |t| t.max(served * (1.0 + STEP_UP)).max(offered));
         let Some(c) = &mut self.control else { return };
-        c.tokens = (c.tokens + now.since(c.refilled).secs() * c.rate).min(BURST_TOKENS);
+        c.tokens = (c.tokens + now.since(c.refilled).secs() * c.rate).min(scale.tokens);
         c.refilled = now;
         let span = now.since(c.updated);
         if span < UPDATE_EVERY {
             return;
         }
         c.credit +=
-            (f64::from(c.sent) * TARGET_SHARE).max(span.secs() * TARGET_FLOOR_PER_S) - f64::from(c.refused);
+            (f64::from(c.sent) * TARGET_SHARE).max(span.secs() * scale.target_floor) - f64::from(c.refused);
         if c.credit < 0.0 {
             let gap = (-c.credit / f64::from(c.sent).max(1.0)).min(1.0);
             c.rate = (c.rate * (1.0 - STEP_DOWN * gap)).max(self.floor);
@@ -177,7 +193,7 @@
             }
             _ => now,
         };
-        paced.max(self.wait_until)
+        paced.max(self.wait_until).max(self.breath)
     }
     fn on_send(&mut self) {
         if let Some(c) = &mut self.control {
@@ -292,6 +308,8 @@
     set: Settings,
     scale: Scale,
     dice: Dice,
+    /// For pauses alone, so that what else falls by chance stays as it was.
+    jitter: Dice,
     destinations: BTreeMap<DestinationId, Destination>,
     receivers: BTreeMap<ReceiverId, Receiver>,
     held: BTreeMap<MessageId, Held>,
@@ -318,6 +336,7 @@
         Brain {
             scale: Scale::of(&settings),
             dice: Dice(seed),
+            jitter: Dice(!seed),
             destinations: BTreeMap::new(),
             receivers: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -338,20 +357,10 @@
 
     /// Takes note of something that happened at `now`. Call [`Brain::decide`] after the last of a moment.
     pub fn on_event(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        self.asking.heard(&event);
         match event {
-            Event::DiskList(entries) => {
-                self.asking.known();
-                self.on_list(entries, true);
-            }
-            Event::Known(entries) => self.on_list(entries, false),
-            Event::FullList(entries) => {
-                self.asking.answered();
-                self.on_list(entries, true);
-            }
-            Event::ListChanges(entries) => {
-                self.asking.answered();
-                self.on_list(entries, false);
-            }
+            Event::DiskList(entries) | Event::FullList(entries) => self.on_list(entries, true),
+            Event::Known(entries) | Event::ListChanges(entries) => self.on_list(entries, false),
             Event::ListFailed => self.asking.failed(now, &mut self.dice),
             Event::Submit(message) => self.on_submit(now, message),
             Event::Resume(message, past) => self.on_resume(now, message, past, actions),
@@ -654,7 +663,7 @@
                 tell = was_doubted.then_some(true);
             }
             Verdict::Full(wait) => {
-                let shut = pace.on_refusal(now, scale, told);
+                let shut = pace.on_refusal(now, scale, told, wait.unwrap_or_default(), &mut self.jitter);
                 tell = Some(false);
                 let wait = wait.unwrap_or_default();
                 r.on_refusal(now, attempt.sent, wait, shut, odd && unseen);
--- a/src/state.rs
+++ b/src/state.rs
@@ -218,6 +218,12 @@
     pub connection_life: Memory,
     pub refused_pause: f64,
     pub shut_refusals: f64,
+    pub shut_span: Micros,
+    pub burst_count: usize,
+    pub tokens: f64,
+    pub target_floor: f64,
+    /// So many senders that each sees little of a destination.
+    pub fleet: bool,
     pub senders: f64,
     pub floor: f64,
 }
@@ -242,6 +248,8 @@
     pub control: Option<Control>,
     pub usual: f64, // rate served while well; does not fade while nothing can be sent
     pub wait_until: Micros,
+    /// Nothing goes before: a sender of a large fleet pauses after a refusal.
+    pub breath: Micros,
     pub floor: f64,
     pub told: f64,        // this sender's part of the limit, if one is told
     pub refused_run: u32, // refusals since the last delivery
