--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,7 +40,7 @@
 const FLEET: u32 = 16; // beyond it, told of nothing, a sender sees too little to wait for more than ...
 const FLEET_BURST: usize = 2; // ... so many refusals, and keeps so many calls for its own clumps:
 const FLEET_TOKENS: f64 = 3.0; // together they come as evenly as if nobody did
-const BREATH_S: f64 = 1.0; // without another call after a refusal; doubled by each of the next three in a row
+const BREATH_S: f64 = 1.0; // without a call after a refusal; doubled by each of the next three in a row
 const WARY: f64 = 1.6; // times as far apart as served calls are what goes until a burst could follow
 const FLEET_STEP_LEAST: f64 = 0.2; // the steps up of all add up
 const FLEET_SHUT_SPAN: Micros = Micros(4_000_000); // a limit that all overran refuses all for seconds, too
@@ -669,7 +669,7 @@
             }
             Verdict::Full(wait) => {
                 let wait = wait.unwrap_or_default();
-                let roll = Dice(self.dice.0 ^ now.0).roll(); // apart: what else falls by chance stays as it was
+                let roll = Dice(self.dice.0 ^ now.0).roll(); // no draw: other chances stay as they were
                 let shut = pace.on_refusal(now, scale, told, wait, roll);
                 tell = Some(false);
                 r.on_refusal(now, attempt.sent, wait, shut, odd && unseen);
