--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,7 @@
 
 use crate::asking::Asking;
 use crate::interface::*;
+use crate::news::News;
 use crate::state::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -24,7 +25,7 @@
 const STEP_LEAST: f64 = 0.4;
 const UPDATE_EVERY: Micros = Micros(500_000);
 const PACE_FLOOR: f64 = 1.0;
-const FLOOR_OF_TOLD: f64 = 0.25;
+const FLOOR_OF_TOLD: f64 = 0.8; // all senders together stay under the limit, whatever each has seen
 const CEILING: f64 = 2.0; // times what is offered: the least restriction
 const TERMINATION: Micros = Micros(5_000_000);
 const BURST_TOKENS: f64 = 1.0;
@@ -33,9 +34,6 @@
 const MEMORY_MOST_S: f64 = 30.0;
 const YOUNG_S: f64 = 1.0; // a meter's least age
 const NOTES_PER_S: f64 = 25.0; // from all senders together
-const UP: u8 = 1; // fifth byte of a note of a delivery ...
-const WAIT: u8 = 2; // ... and of one of a told wait, whose milliseconds follow
-const NOTE_WAIT_MOST: Micros = Micros(60_000_000);
 const NOTE_GAP_S: f64 = 0.5; // from one sender
 const FLEET: u32 = 16; // beyond it, told of nothing, a sender sees too little to wait for more than ...
 const FLEET_BURST: usize = 2; // ... so many refusals, and keeps so many calls for its own clumps:
@@ -57,7 +55,7 @@
 const SHUT_REFUSALS: f64 = 4.0; // refusals in a row, no delivery between, that look like a shut destination
 const SHUT_SPAN: Micros = Micros(1_000_000);
 const ALLOWANCE_LEFT: f64 = 0.5; // refused with more of its allowance left, a destination looks shut
-const LONG_WAIT: Micros = Micros(1_200_000);
+const LONG_WAIT: Micros = Micros(2_500_000); // limits count in spans of two seconds at most
 const TRIAL_FIRST: Micros = Micros(500_000);
 const TRIAL_MOST: Micros = Micros(1_500_000);
 const TRIAL_GROWTH: f64 = 1.5;
@@ -130,9 +128,9 @@
     }
     /// Detect: count a refusal; a burst of them starts control, severe. `told` is this sender's part of a
     /// limit that is told. True if it looks shut: refusals alone over a while are an outage like others.
-    fn on_refusal(&mut self, now: Micros, scale: Scale, told: f64, wait: Micros, roll: f64) -> bool {
+    fn on_refusal(&mut self, now: Micros, scale: Scale, told: f64, o: &Outcome, roll: f64) -> bool {
         // Refused calls use the limit up: what all still send while each learns by itself keeps it used up.
-        if scale.fleet && wait < LONG_WAIT {
+        if scale.fleet && o.wait() < LONG_WAIT {
             let breath = BREATH_S * f64::from(1u32 << self.refused_run.min(3));
             self.breath = now.after(Micros::from_secs(breath * (0.5 + roll)));
             let served = self.served.get(now, scale.served_memory).max(told).max(scale.floor);
@@ -148,7 +146,7 @@
             let rate = (served.max(told) * START_SHARE).max(self.floor);
             self.control = Some(Control { rate, refilled: now, updated: now, ..Control::default() });
         }
-        if self.refused_run == 0 {
+        if self.refused_run == 0 || o.used_up() {
             self.refused_since = now;
         }
         self.refused_run += 1;
@@ -214,8 +212,21 @@
 impl Outcome {
     /// Refused with much of its limit left: not by the limit, so it may be shut.
     fn odd(&self) -> bool {
-        let left = self.limit.filter(|l| *l > 0.0).and(self.left);
-        matches!(self.verdict, Verdict::Full(_)) && left.is_some_and(|x| x > ALLOWANCE_LEFT)
+        matches!(self.verdict, Verdict::Full(_)) && self.left().is_some_and(|x| x > ALLOWANCE_LEFT)
+    }
+    /// Refused by the limit, as the answer tells: no outage, however long it goes on.
+    fn used_up(&self) -> bool {
+        self.left().is_some_and(|x| x <= ALLOWANCE_LEFT)
+    }
+    fn left(&self) -> Option<f64> {
+        self.limit.filter(|l| *l > 0.0).and(self.left)
+    }
+    fn wait(&self) -> Micros {
+        if let Verdict::Full(Some(wait)) = self.verdict { wait } else { Micros(0) }
+    }
+    /// A wait longer than limits ask for tells of an outage; what opens then is cold.
+    fn long_wait(&self) -> bool {
+        self.wait() >= LONG_WAIT && !self.used_up()
     }
 }
 
@@ -265,10 +276,10 @@
             _ => self.health = Health::Suspect { since: now },
         }
     }
-    fn on_refusal(&mut self, now: Micros, sent: Micros, wait: Micros, shut: bool, odd: bool) {
+    fn on_refusal(&mut self, now: Micros, sent: Micros, o: &Outcome, shut: bool, odd: bool) {
+        let wait = o.wait();
         match self.health {
-            // A wait longer than limits ask for tells of an outage; what opens then is cold.
-            _ if wait >= LONG_WAIT || self.sick() && wait > Micros(0) => self.sicken(now, wait),
+            _ if o.long_wait() || self.sick() && wait > Micros(0) => self.sicken(now, wait),
             Health::Sick { .. } => self.on_failure(now, sent, 0.0),
             _ if shut => self.sicken(now, TRIAL_FIRST),
             Health::Suspect { .. } => {}
@@ -399,42 +410,34 @@
         }
     }
 
-    /// Tells the other senders of a refusal, so that a burst of them all counts as one. All senders together
-    /// tell so many a second; what is lost or not told only makes the burst longer.
-    fn tell(&mut self, now: Micros, receiver: ReceiverId, up: bool, wait: Micros, actions: &mut Vec<Action>) {
-        let every = self.scale.senders / NOTES_PER_S;
-        let id = &receiver.0.to_le_bytes()[..4];
-        if up {
-            actions.push(Action::Tell([id, &[UP]].concat())); // the budget bounds them
-        } else if wait > Micros(0) {
-            let ms = u32::try_from(wait.0.div_ceil(1000)).unwrap_or(u32::MAX).to_le_bytes();
-            actions.push(Action::Tell([id, &[WAIT], &ms].concat())); // all heed it: few follow
-        } else if now >= self.tell_at {
+    /// Tells the other senders, so that a burst of them all counts as one; what is lost only makes it longer.
+    fn tell(&mut self, now: Micros, receiver: ReceiverId, news: News, actions: &mut Vec<Action>) {
+        if news == News::Refused && now < self.tell_at {
+            return;
+        }
+        if news == News::Refused {
+            let every = self.scale.senders / NOTES_PER_S;
             self.tell_at = now.after(Micros::from_secs(every.max(NOTE_GAP_S)));
-            actions.push(Action::Tell(id.to_vec()));
         }
+        actions.push(Action::Tell(news.write(receiver)));
     }
 
-    /// Four bytes tell of a refusal, five of a delivery at a receiver that was doubted: it was up then and no
-    /// colder than if it came back that moment; nine of a refusal with a wait. What is lost leaves all as it
-    /// is, and a late one only makes slower: a wait holds however old it is.
+    /// What another found up was no colder than if it came back that moment. A late note only makes slower.
     fn on_note(&mut self, now: Micros, data: &[u8]) {
-        let Some((id, news)) = data.split_first_chunk::<4>() else { return };
-        let Some(r) = self.receivers.get_mut(&ReceiverId(u32::from_le_bytes(*id).into())) else { return };
+        let Some((id, news)) = News::read(data) else { return };
+        let Some(r) = self.receivers.get_mut(&id) else { return };
         let Some(d) = self.destinations.get_mut(&r.destination) else { return };
         let warming = matches!(r.health, Health::Recovering { .. });
         let doubted = r.doubted(d);
         let pace = if r.apart { &mut r.pace } else { &mut d.pace };
         match news {
-            [] => pace.note_refusal(now, self.scale),
-            [UP] if doubted && !warming => {
+            News::Refused => pace.note_refusal(now, self.scale),
+            News::Up if doubted && !warming => {
                 pace.doubt = Doubt { from: now, phase: self.dice.roll(), ..pace.doubt };
                 r.health = Health::Recovering { since: now };
                 self.agenda.look(r.destination, now);
             }
-            [WAIT, ms @ ..] => {
-                let Ok(ms) = <[u8; 4]>::try_from(ms) else { return };
-                let wait = Micros(u64::from(u32::from_le_bytes(ms)) * 1000).min(NOTE_WAIT_MOST);
+            News::Wait(wait) => {
                 pace.note_refusal(now, self.scale);
                 pace.wait_until = pace.wait_until.max(now.after(wait));
                 if wait >= LONG_WAIT && matches!(r.health, Health::Well | Health::Suspect { .. }) {
@@ -444,7 +447,7 @@
                     d.trouble_at = now;
                 }
             }
-            _ => {}
+            News::Up => {}
         }
     }
 
@@ -644,8 +647,8 @@
         let was_doubted = r.doubted(d) && !matches!(r.health, Health::Recovering { .. });
         let was_sick = r.sick();
         let pace = if r.apart { &mut r.pace } else { &mut d.pace };
-        if let Verdict::Full(Some(wait)) = o.verdict {
-            pace.wait_until = pace.wait_until.max(now.after(wait));
+        if o.wait() > Micros(0) {
+            pace.wait_until = pace.wait_until.max(now.after(o.wait()));
         }
         // A full table says so at once; a connect that takes its time meets silence or a slow handshake.
         if o.verdict == Verdict::ConnectFailed && o.elapsed < FAST_CONNECT {
@@ -665,14 +668,13 @@
                 pace.served.add(now, scale.served_memory);
                 pace.refused_run = 0;
                 r.on_delivery(now, attempt.sent, o.elapsed.secs(), trouble, &self.set);
-                tell = was_doubted.then_some(true);
+                tell = was_doubted.then_some(News::Up);
             }
             Verdict::Full(wait) => {
-                let wait = wait.unwrap_or_default();
                 let roll = Dice(self.dice.0 ^ now.0).roll(); // no draw: other chances stay as they were
-                let shut = pace.on_refusal(now, scale, told, wait, roll);
-                tell = Some(false);
-                r.on_refusal(now, attempt.sent, wait, shut, odd && unseen);
+                let shut = pace.on_refusal(now, scale, told, o, roll);
+                tell = Some(wait.map_or(News::Refused, News::Wait));
+                r.on_refusal(now, attempt.sent, o, shut, odd && unseen);
             }
             Verdict::Error | Verdict::TimedOut | Verdict::Reset | Verdict::ConnectFailed => {
                 r.on_failure(now, attempt.sent, self.broad);
@@ -685,17 +687,15 @@
             actions.push(Action::Log(format!("receiver {receiver} of {to} sick: {:?}", o.verdict)));
         }
         // All that were told the same opening would meet there: each falls into a gap of its own after it.
-        let told_wait = matches!(o.verdict, Verdict::Full(Some(_)));
-        if r.doubted(d) && (told_wait || !knew) {
+        if r.doubted(d) && (o.wait() > Micros(0) || !knew) {
             let proof = r.last_proof;
             let pace = if r.apart { &mut r.pace } else { &mut d.pace };
             let proven = if knew { pace.doubt.proven } else { proof };
             let phase = self.dice.roll() + if knew { 0.5 } else { 0.0 };
             pace.doubt = Doubt { from: now.max(pace.wait_until), phase, proven };
         }
-        if let Some(up) = tell.filter(|_| self.set.notes) {
-            let wait = if let Verdict::Full(Some(wait)) = o.verdict { wait } else { Micros(0) };
-            self.tell(now, o.receiver, up, wait, actions);
+        if let Some(news) = tell.filter(|_| self.set.notes) {
+            self.tell(now, o.receiver, news, actions);
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -82,6 +82,7 @@
 pub mod brain;
 pub mod core;
 pub mod interface;
+mod news;
 mod state;
 
 pub use brain::Brain;
--- /dev/null
+++ b/src/news.rs
@@ -0,0 +1,48 @@
+//! What senders tell each other of a receiver, as bytes: four name it, and what follows says what happened there.
+
+use crate::interface::{Micros, ReceiverId};
+
+const UP: u8 = 1;
+const WAIT: u8 = 2;
+/// Longer waits are not believed of another sender.
+const WAIT_MOST_MS: u32 = 60_000;
+
+/// What happened at a receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum News {
+    /// It refused a call, and told no wait.
+    Refused,
+    /// It took a call, and had been doubted.
+    Up,
+    /// It told a wait.
+    Wait(Micros),
+}
+
+impl News {
+    pub fn write(self, of: ReceiverId) -> Vec<u8> {
+        let id = &of.0.to_le_bytes()[..4];
+        match self {
+            News::Refused => id.to_vec(),
+            News::Up => [id, &[UP]].concat(),
+            News::Wait(wait) => {
+                let ms = u32::try_from(wait.0.div_ceil(1000)).unwrap_or(u32::MAX).to_le_bytes();
+                [id, &[WAIT], &ms].concat()
+            }
+        }
+    }
+
+    /// None of bytes that are no news: they come from outside.
+    pub fn read(data: &[u8]) -> Option<(ReceiverId, News)> {
+        let (id, news) = data.split_first_chunk::<4>()?;
+        let news = match news {
+            [] => News::Refused,
+            [UP] => News::Up,
+            [WAIT, ms @ ..] => {
+                let ms = u32::from_le_bytes(ms.try_into().ok()?);
+                News::Wait(Micros(u64::from(ms.min(WAIT_MOST_MS)) * 1000))
+            }
+            _ => return None,
+        };
+        Some((ReceiverId(u32::from_le_bytes(*id).into()), news))
+    }
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -305,7 +305,7 @@
 fn what_the_pace_cannot_reach_is_refused_at_once_with_a_wait() {
     let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0)]);
     rig.warm(1000, 10, 1);
-    for id in 1..150 {
+    for id in 1..300 {
         rig.submit_with(id, SAFE, 1, None, ms(20_000));
     }
     for open in rig.out.clone() {
