--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -226,6 +226,7 @@
         Action::Send { id, receiver, patience } => json!(["relay", who, id.0, receiver.0, patience.0]),
         Action::Refuse { id, retry_after } => json!(["turnAway", who, id.0, retry_after.map_or(0, |w| w.0)]),
         Action::Fail(id) => json!(["endFailed", who, id.0]),
+        Action::CallOff { id, attempt } => json!(["cancel", who, id.0, attempt]),
         Action::CloseIdle(id) => json!(["closeIdle", who, id.0]),
         Action::Tell(data) => json!(["tell", who, "all", to_hex(&data)]),
         Action::Follow => json!(["follow", who, true]),
--- a/config/src/settings.rs
+++ b/config/src/settings.rs
@@ -80,7 +80,8 @@
         slots: count(v, "/extra/slots").unwrap_or(u32::MAX),
         max_held: count(v, "/limits/maxOpen").unwrap_or(u32::MAX),
         max_attempts: count(v, "/limits/maxAttempts").unwrap_or(u32::MAX),
-        second_copies: false, // the log and the wire know one attempt at a time
+        second_copies: flag(v, "/limits/secondCopies"),
+        cancel: flag(v, "/limits/cancel"),
         senders: count(v, "/replicasOfMe").unwrap_or(1).max(1),
         number: count(v, "/slotNo").unwrap_or(0),
         retry_after: flag(v, "/limits/retryAfter"),
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -119,7 +119,12 @@
 async fn outbound_call(
     shared: Rc<Shared>, address: SocketAddr, call: OutboundCall, idle: Option<Idle>, give_back: Sender<Back>,
 ) {
-    let (verdict, answer, conn) = attempt(&shared, address, &call, idle).await;
+    // To give up a call is to close its connection: dropping the attempt does that.
+    let called_off = async {
+        call.called_off().await;
+        (Verdict::Cancelled, None, None)
+    };
+    let (verdict, answer, conn) = future::or(attempt(&shared, address, &call, idle), called_off).await;
     let load = answer.as_ref().and_then(|a| a.load.as_deref()).map(report).unwrap_or_default();
     let answered = Answered {
         finished: answer.as_ref().is_some_and(|a| a.status == 410),
@@ -176,7 +181,7 @@
     };
     // From here on the call may run: the module has it in the log first, or says that it must not go.
     let (reply, allowed) = bounded(1);
-    let ask = ToModule::Writing { n: call.n, to: call.to, reply };
+    let ask = ToModule::Writing { n: call.n, attempt: call.attempt, to: call.to, reply };
     if shared.module.send(ask).await.is_err() || allowed.recv().await != Ok(true) {
         return (Verdict::Moot, None, None);
     }
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -81,9 +81,18 @@
     pub harmful: bool,
     /// It is a probe, which asks for this path and carries nothing.
     pub probe: Option<Rc<str>>,
+    /// Closed when nobody wants its answer any more.
+    pub called_off: Option<Receiver<()>>,
 }
 
 impl OutboundCall {
+    /// Comes to its end when nobody wants the answer any more.
+    pub async fn called_off(&self) {
+        match &self.called_off {
+            Some(wanted) => drop(wanted.recv().await),
+            None => std::future::pending().await,
+        }
+    }
     pub fn until(&self) -> Micros {
         self.started.after(self.patience)
     }
--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -238,7 +238,7 @@
                 continue;
             }
             let (reply, allowed) = bounded(1);
-            let ask = ToModule::Writing { n: call.n, to: call.to, reply };
+            let ask = ToModule::Writing { n: call.n, attempt: call.attempt, to: call.to, reply };
             if self.shared.module.send(ask).await.is_err() || allowed.recv().await != Ok(true) {
                 end(self.shared, &call, Verdict::Moot).await;
                 continue;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -308,6 +308,7 @@
 impl Brain {
     /// Decides what to do now, after all events of this moment.
     pub fn decide(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        actions.append(&mut self.called_off);
         if self.asking.now(now) {
             actions.push(Action::Follow);
         }
--- a/src/brain/books.rs
+++ b/src/brain/books.rs
@@ -37,6 +37,8 @@
     pub(super) shares: Vec<Bucket>,
     /// Second copies that may go.
     pub(super) copies: f64,
+    /// Attempts to call off.
+    pub(super) called_off: Vec<Action>,
     pub(super) asking: Asking,
     pub(super) wake_at: Option<Micros>,
 }
@@ -59,7 +61,8 @@
             tidy_at: Micros(0),
             tell_at: Micros(0),
             shares: vec![Bucket::default(); settings.tenants.len()],
-            copies: 0.0,
+            copies: 1.0, // one may go before its share has been earned
+            called_off: Vec::new(),
             asking: Asking::new(&settings),
             wake_at: None,
             set: settings,
@@ -110,6 +113,9 @@
         let Some(m) = self.held.get_mut(&id) else { return };
         m.ended = true;
         if !m.out.is_empty() {
+            // Of two copies the one that is still out holds a slot for nothing.
+            let copies = m.out.iter().filter(|_| self.set.cancel && self.set.second_copies);
+            self.called_off.extend(copies.map(|a| Action::CallOff { id, attempt: a.number }));
             return;
         }
         let next = m.key.as_ref().and_then(|k| self.turns.leave(k, id));
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -21,6 +21,13 @@
         /// How long to wait for the answer.
         patience: Micros,
     },
+    /// Wait no longer for the answer of an attempt: its request has ended by another.
+    CallOff {
+        /// The request.
+        n: u64,
+        /// Which attempt.
+        attempt: u32,
+    },
     /// Make the call of a probe.
     Probe {
         /// Its number; requests have others.
@@ -99,6 +106,8 @@
     attempts: BTreeMap<u64, u32>,
     next: u64,
     most: usize,
+    /// Attempts of one request that may be out at once.
+    most_out: usize,
     give_up: Vec<Micros>,
     harmful: Vec<bool>,
     /// Ids of hand-ins.
@@ -127,6 +136,7 @@
         }
         Desk {
             most: settings.max_held as usize,
+            most_out: if settings.second_copies { 2 } else { 1 },
             ids: Ids::new(
                 settings.classes.iter().map(|c| c.give_up).max().unwrap_or_default().after(ID_REST),
             ),
@@ -195,7 +205,7 @@
     }
     /// Attempts that are out.
     pub fn out(&self) -> usize {
-        self.owed.values().filter(|o| o.out.is_some()).count()
+        self.owed.values().map(|o| o.out.len()).sum()
     }
     /// What is owed, for a new log.
     pub fn owed(&self) -> impl Iterator<Item = &Owed> {
@@ -297,18 +307,21 @@
     }
 
     /// An attempt is about to be made: its record. None if it must not be, since the request is over.
-    pub fn attempt(&mut self, n: u64, endpoint: &str, zone: &str, at: Micros) -> Option<Record> {
-        let o = self.owed.get_mut(&n).filter(|o| o.out.is_none() && o.given.is_none())?;
-        let record = Record::Attempt { n, endpoint: endpoint.to_owned(), zone: zone.to_owned(), at };
+    pub fn attempt(
+        &mut self, n: u64, attempt: u32, endpoint: &str, zone: &str, at: Micros,
+    ) -> Option<Record> {
+        let o = self.owed.get_mut(&n).filter(|o| o.out.len() < self.most_out && o.given.is_none())?;
+        let (endpoint, zone) = (endpoint.to_owned(), zone.to_owned());
+        let record = Record::Attempt { n, attempt, endpoint, zone, at };
         o.apply(&record);
         Some(record)
     }
 
     /// The attempt could not be put in the log, and was not made.
-    pub fn unsent(&mut self, n: u64) {
+    pub fn unsent(&mut self, n: u64, attempt: u32) {
         if let Some(o) = self.owed.get_mut(&n) {
             o.attempts = o.attempts.saturating_sub(1);
-            o.out = None;
+            o.out.remove(&attempt);
         }
     }
 
@@ -330,15 +343,16 @@
         self.brain.on_event(now, Event::Outcome(outcome), &mut self.actions);
         if over {
             if let Some(o) = self.owed.get_mut(&a.n).filter(|o| o.taken.receipt && o.given.is_none()) {
-                (o.given, o.out) = (Some(End::Delivered), None);
+                o.given = Some(End::Delivered);
+                o.out.clear();
                 self.given += 1;
                 self.receipts.push(a.n);
                 return Some(Record::Given { n: a.n, end: End::Delivered });
             }
             return self.over(a.n);
         }
-        let o = self.owed.get_mut(&a.n).filter(|o| o.out.is_some())?;
-        let record = Record::Outcome { n: a.n, end: CallEnd::from(a.verdict) };
+        let o = self.owed.get_mut(&a.n).filter(|o| o.out.contains_key(&a.attempt))?;
+        let record = Record::Outcome { n: a.n, attempt: a.attempt, end: CallEnd::from(a.verdict) };
         o.apply(&record);
         Some(record)
     }
@@ -392,6 +406,7 @@
             }
             Action::Refuse { id, retry_after } => self.end(id.0, End::Returned(retry_after))?,
             Action::Fail(id) => self.end(id.0, End::Failed)?,
+            Action::CallOff { id, attempt } => Step::CallOff { n: id.0, attempt },
             Action::CloseIdle(to) => Step::CloseIdle(to),
             Action::Follow => Step::Follow,
             Action::WakeAfter(span) => {
--- a/src/core/record.rs
+++ b/src/core/record.rs
@@ -69,6 +69,8 @@
     Attempt {
         /// The request.
         n: u64,
+        /// Which attempt: two may be out at once.
+        attempt: u32,
         /// Name of the endpoint.
         endpoint: String,
         /// Name of its zone.
@@ -76,10 +78,12 @@
         /// Wall-clock time.
         at: Micros,
     },
-    /// The attempt that was out has ended.
+    /// An attempt that was out has ended.
     Outcome {
         /// The request.
         n: u64,
+        /// Which attempt.
+        attempt: u32,
         /// How.
         end: CallEnd,
     },
@@ -141,6 +145,10 @@
     fn text(&mut self) -> Option<String> {
         String::from_utf8(self.bytes()?.to_vec()).ok()
     }
+    /// Logs of before second copies name no attempt: one was out at a time, so one number does for all.
+    fn attempt(&mut self) -> u32 {
+        self.num().and_then(|n| u32::try_from(n).ok()).unwrap_or_default()
+    }
 }
 
 impl Record {
@@ -162,13 +170,13 @@
                 w.num(t.n).num(t.destination).num(t.deadline.0);
                 w.text(&t.id).text(&t.class).text(&t.tenant).text(&t.key).text(&t.note).bytes(&t.body);
             }
-            Record::Attempt { n, endpoint, zone, at } => {
+            Record::Attempt { n, attempt, endpoint, zone, at } => {
                 w.0.push(b'A');
-                w.num(*n).num(at.0).text(endpoint).text(zone);
+                w.num(*n).num(at.0).text(endpoint).text(zone).num(u64::from(*attempt));
             }
-            Record::Outcome { n, end } => {
+            Record::Outcome { n, attempt, end } => {
                 w.0.extend([b'O', u8::from(*end == CallEnd::MayHaveRun)]);
-                w.num(*n);
+                w.num(*n).num(u64::from(*attempt));
             }
             Record::Past { n, attempts, maybe_ran } => {
                 w.0.extend([b'P', u8::from(maybe_ran.is_some())]);
@@ -215,11 +223,11 @@
             }),
             b'A' => {
                 let (n, at) = (r.num()?, Micros(r.num()?));
-                Record::Attempt { n, at, endpoint: r.text()?, zone: r.text()? }
+                Record::Attempt { n, at, endpoint: r.text()?, zone: r.text()?, attempt: r.attempt() }
             }
             b'O' => {
                 let end = if r.byte()? == 0 { CallEnd::NeverRan } else { CallEnd::MayHaveRun };
-                Record::Outcome { n: r.num()?, end }
+                Record::Outcome { n: r.num()?, end, attempt: r.attempt() }
             }
             b'P' => {
                 let ran = r.byte()? != 0;
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -11,8 +11,8 @@
     pub taken: Taken,
     /// Attempts made.
     pub attempts: u32,
-    /// The attempt that is out: when, in which zone.
-    pub out: Option<(Micros, String)>,
+    /// The attempts that are out, by their numbers: when, in which zone.
+    pub out: BTreeMap<u32, (Micros, String)>,
     /// The first attempt that may have run.
     pub maybe_ran: Option<(Micros, String)>,
     /// Given up by the module; its client is still to be told.
@@ -24,13 +24,14 @@
     pub fn apply(&mut self, record: &Record) -> bool {
         match record {
             Record::Taken(_) => {}
-            Record::Attempt { zone, at, .. } => {
+            Record::Attempt { attempt, zone, at, .. } => {
                 self.attempts += 1;
-                self.out = Some((*at, zone.clone()));
+                self.out.insert(*attempt, (*at, zone.clone()));
             }
-            Record::Outcome { end, .. } => {
-                let out = self.out.take().filter(|_| *end == CallEnd::MayHaveRun);
-                self.maybe_ran = self.maybe_ran.take().or(out);
+            Record::Outcome { attempt, end, .. } => {
+                let out = self.out.remove(attempt).filter(|_| *end == CallEnd::MayHaveRun);
+                // A copy may end before the attempt that went ahead of it: the earlier of both counts.
+                self.maybe_ran = self.maybe_ran.take().into_iter().chain(out).min_by_key(|m| m.0);
             }
             Record::Past { attempts, maybe_ran, .. } => {
                 (self.attempts, self.maybe_ran) = (*attempts, maybe_ran.clone());
@@ -45,13 +46,13 @@
     pub fn records(&self) -> Vec<Record> {
         let n = self.taken.n;
         let mut all = vec![Record::Taken(self.taken.clone())];
-        // The attempt that is out is written as such, not counted twice.
-        let attempts = self.attempts - u32::from(self.out.is_some() && self.attempts > 0);
+        // The attempts that are out are written as such, not counted twice.
+        let attempts = self.attempts.saturating_sub(self.out.len() as u32);
         if attempts > 0 || self.maybe_ran.is_some() {
             all.push(Record::Past { n, attempts, maybe_ran: self.maybe_ran.clone() });
         }
-        if let Some((at, zone)) = self.out.clone() {
-            all.push(Record::Attempt { n, endpoint: String::new(), zone, at });
+        for (attempt, (at, zone)) in self.out.clone() {
+            all.push(Record::Attempt { n, attempt, endpoint: String::new(), zone, at });
         }
         all.extend(self.given.map(|end| Record::Given { n, end }));
         all
@@ -71,7 +72,9 @@
         }
     }
     for o in owed.values_mut() {
-        o.apply(&Record::Outcome { n: o.taken.n, end: CallEnd::MayHaveRun });
+        while let Some(attempt) = o.out.keys().next().copied() {
+            o.apply(&Record::Outcome { n: o.taken.n, attempt, end: CallEnd::MayHaveRun });
+        }
     }
     owed
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -156,6 +156,8 @@
     pub max_attempts: u32,
     /// A message that is safe to repeat may have two attempts out at once.
     pub second_copies: bool,
+    /// An attempt may be called off.
+    pub cancel: bool,
     /// Senders that share the traffic, this one included.
     pub senders: u32,
     /// Which of them this one is, from zero.
@@ -365,6 +367,13 @@
         /// How long to wait for the answer.
         patience: Micros,
     },
+    /// Wait no longer for an attempt that is out: its message has ended by another. Its outcome is still owed.
+    CallOff {
+        /// The message.
+        id: MessageId,
+        /// Which attempt, from zero.
+        attempt: u32,
+    },
     /// Final answer: not delivered, harmless to try again, best after the wait.
     Refuse {
         /// The message.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -39,6 +39,7 @@
         max_held: 200,
         max_attempts: 6,
         second_copies: false,
+        cancel: true,
         senders: 2,
         number: 0,
         retry_after: true,
@@ -88,6 +89,7 @@
     pub follows: usize,
     pub closed: Vec<u64>,
     pub told: Vec<Vec<u8>>,
+    pub called_off: Vec<(u64, u32)>,
     attempts: std::collections::BTreeMap<u64, u32>,
 }
 
@@ -104,6 +106,7 @@
             follows: 0,
             closed: vec![],
             told: vec![],
+            called_off: vec![],
             attempts: Default::default(),
         };
         rig.event(Event::DiskList(entries));
@@ -131,6 +134,7 @@
                 Action::Follow => self.follows += 1,
                 Action::CloseIdle(id) => self.closed.push(id.0),
                 Action::Tell(data) => self.told.push(data),
+                Action::CallOff { id, attempt } => self.called_off.push((id.0, attempt)),
                 Action::WakeAfter(_) | Action::Log(_) => {}
             }
         }
--- a/tower/src/lib.rs
+++ b/tower/src/lib.rs
@@ -158,7 +158,11 @@
                 return;
             }
             // The list is the caller's to give, connections are the inner service's, senders share nothing.
-            Action::Follow | Action::CloseIdle(_) | Action::Tell(_) | Action::Log(_) => return,
+            Action::CallOff { .. }
+            | Action::Follow
+            | Action::CloseIdle(_)
+            | Action::Tell(_)
+            | Action::Log(_) => return,
         };
         if let Some(orders) = self.orders.get(&id.0) {
             let _ = orders.try_send(order);
