--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -194,7 +194,8 @@
 fn answer(f: &Fields) -> Result<Outcome, String> {
     let wait = f.get(7).map(|_| f.int(7, "detail")).transpose()?.filter(|ms| *ms > 0);
     let wait = wait.map(|ms| Micros(ms.saturating_mul(1000)));
-    let report = |column: &str| f.get(8).and_then(|l| l.get(column)).and_then(Value::as_f64);
+    let column = |name: &str| f.get(8).and_then(|l| l.get(name)).and_then(Value::as_f64);
+    let (limit, left) = report(column("x1"), column("x0"));
     Ok(Outcome {
         id: MessageId(f.int(1, "xid")?),
         attempt: u32::try_from(f.int(2, "roundNo")?).unwrap_or(u32::MAX),
@@ -202,8 +203,8 @@
         verdict: verdict(f, f.int(4, "verdict")?, wait)?,
         elapsed: f.span(5, "costTimeUs")?,
         finished: f.get(6).and_then(Value::as_bool).unwrap_or(false),
-        limit: report("x1"),
-        left: report("x0"),
+        limit,
+        left,
     })
 }
 
--- a/config/src/daemon.rs
+++ b/config/src/daemon.rs
@@ -52,7 +52,7 @@
         t.parse().map_err(|_| format!("{key} is not an address with a port: \"{t}\""))
     };
     let setup = v.get("settings").ok_or_else(|| format!("{shown}: no \"settings\""))?;
-    let (mut settings, names) = settings::read(setup)?;
+    let (mut settings, names) = settings::read(setup).map_err(|e| format!("{shown}: {e}"))?;
     // On sockets an end may always say when to come back: who does not follow it loses nothing.
     settings.retry_after = true;
     if settings.classes.is_empty() {
--- a/config/src/settings.rs
+++ b/config/src/settings.rs
@@ -1,24 +1,63 @@
-//! From the wire's settings object to the library's settings. Absent values mean "does not apply".
+//! From the wire's settings object to the library's settings. Absent values mean "does not apply"; wrong ones are refused.
 
 use onyxrock::core::Names;
 use onyxrock::interface::*;
 use serde_json::Value;
 use std::collections::BTreeMap;
 
-fn number(v: &Value, path: &str) -> f64 {
-    v.pointer(path).and_then(Value::as_f64).unwrap_or(0.0)
+/// Keys that the protocol names and nothing here reads, each with the reason.
+pub const UNUSED: [(&str, &str); 19] = [
+    ("classes.aimStretch", "no hint of a message's own work comes with it"),
+    ("classes.streamed", "no answer is streamed"),
+    ("clientHabits", "a message that came again is treated like any other"),
+    ("extra.notes", "words for people"),
+    ("extra.refusedPrice", "refusals are kept rare whether they cost or not"),
+    ("extra.reportX0", "words for people"),
+    ("extra.reportX1", "words for people"),
+    ("family", "there is one"),
+    ("goal", "the order in which messages go follows their worth alone"),
+    ("limits.cpuUsPerRequest", "the bound on the processor is far off"),
+    ("limits.cpuUsPerS", "the bound on the processor is far off"),
+    ("limits.multiplex", "a connection carries one call at a time"),
+    ("limits.probes", "probes are sent only where [duties] asks for them"),
+    ("myZone", "nothing is nearer"),
+    ("prices", "what costs is kept rare whatever its price"),
+    ("rules.answerSlackUs", "ends come before the deadline"),
+    ("rules.stopSendingWithinUs", "nothing goes to what drains, but a call that waits for its connection"),
+    ("tickUs", "time comes with each event"),
+    ("worthBy", "worth is counted by message"),
+];
+
+/// One value, and how to complain about it. What is absent or null does not apply; what is there must be what it
+/// should be, since a limit that is misread is a rule that is broken.
+fn at<T>(
+    v: &Value, path: &str, wanted: &str, read: impl Fn(&Value) -> Option<T>,
+) -> Result<Option<T>, String> {
+    let Some(found) = v.pointer(path).filter(|f| !f.is_null()) else { return Ok(None) };
+    let key = path[1..].replace('/', ".");
+    read(found).map(Some).ok_or_else(|| format!("settings: {key} is not {wanted}"))
+}
+
+fn number(v: &Value, path: &str) -> Result<f64, String> {
+    Ok(at(v, path, "a number, zero or more", |n| n.as_f64().filter(|n| *n >= 0.0))?.unwrap_or(0.0))
 }
 
-fn micros(v: &Value, path: &str) -> Micros {
-    Micros(v.pointer(path).and_then(Value::as_f64).unwrap_or(0.0).max(0.0) as u64)
+fn micros(v: &Value, path: &str) -> Result<Micros, String> {
+    Ok(Micros(number(v, path)? as u64))
 }
 
-fn count(v: &Value, path: &str) -> Option<u32> {
-    v.pointer(path).and_then(Value::as_f64).map(|n| n.max(0.0) as u32)
+fn count(v: &Value, path: &str) -> Result<Option<u32>, String> {
+    at(v, path, "a number, zero or more", |n| n.as_f64().filter(|n| *n >= 0.0).map(|n| n as u32))
 }
 
-fn flag(v: &Value, path: &str) -> bool {
-    v.pointer(path).and_then(Value::as_bool).unwrap_or(false)
+fn flag(v: &Value, path: &str) -> Result<bool, String> {
+    Ok(at(v, path, "true or false", Value::as_bool)?.unwrap_or(false))
+}
+
+fn text<'a>(v: &'a Value, path: &str) -> Result<Option<&'a str>, String> {
+    let found = v.pointer(path).filter(|f| !f.is_null());
+    let key = path[1..].replace('/', ".");
+    found.map(|t| t.as_str().ok_or_else(|| format!("settings: {key} is not text"))).transpose()
 }
 
 fn list<'a>(v: &'a Value, path: &str) -> &'a [Value] {
@@ -30,79 +69,102 @@
     items.iter().enumerate().filter_map(|(i, v)| Some((name(v)?, i))).collect()
 }
 
-fn class(v: &Value) -> ClassSettings {
-    let effect = match v.pointer("/effect").and_then(Value::as_str) {
+fn class(v: &Value) -> Result<ClassSettings, String> {
+    let effect = match text(v, "/effect")? {
         Some("repeatable") => Effect::Safe,
-        Some("by_key") => Effect::Keyed {
-            group: match v.pointer("/group").and_then(Value::as_str) {
+        Some("by_key") => {
+            let group = match text(v, "/group")? {
                 Some("all") => Group::All,
-                _ => Group::Zone,
-            },
-            window: micros(v, "/windowUs"),
-        },
-        _ => Effect::Unsafe,
+                // The narrower of both: what is not named binds no less.
+                None | Some("zone" | "cell") => Group::Zone,
+                Some(other) => return Err(format!("settings: group is not all or zone: \"{other}\"")),
+            };
+            let window = micros(v, "/windowUs")?;
+            if window == Micros(0) {
+                return Err("settings: windowUs is missing or 0, where effect is by_key".into());
+            }
+            Effect::Keyed { group, window }
+        }
+        None | Some("once") => Effect::Unsafe,
+        Some(other) => return Err(format!("settings: effect is not known: \"{other}\"")),
     };
-    ClassSettings {
-        aim: micros(v, "/targetUs"),
-        give_up: micros(v, "/giveUpUs"),
+    Ok(ClassSettings {
+        aim: micros(v, "/targetUs")?,
+        give_up: micros(v, "/giveUpUs")?,
         effect,
-        in_order: flag(v, "/oneAtATime"),
-        worth: number(v, "/worth"),
-        late_share: number(v, "/lateShare"),
-    }
+        in_order: flag(v, "/oneAtATime")?,
+        worth: number(v, "/worth")?,
+        late_share: number(v, "/lateShare")?,
+    })
 }
 
-/// Reads the settings object of a new instance.
+/// Answers hold reports, and both the share that is left and the limit are among their fields: half of it is nothing.
+fn reports(v: &Value) -> Result<bool, String> {
+    let columns = list(v, "/feedback/columns");
+    let has = |name: &str| columns.iter().any(|c| c.as_str() == Some(name));
+    Ok(text(v, "/feedback/how")? == Some("inline") && has("x0") && has("x1"))
+}
+
+/// Reads the settings object of a new instance. An error is one line that names the key.
 pub fn read(v: &Value) -> Result<(Settings, Names), String> {
     if !v.is_object() {
         return Err("settings are not an object".into());
     }
     let kinds = list(v, "/hostTypes");
-    let at = |path: &str, i: usize| list(v, path).get(i).cloned().unwrap_or(Value::Null);
+    let nth = |path: &str, i: usize| list(v, path).get(i).cloned().unwrap_or(Value::Null);
+    let classes = list(v, "/classes").iter().map(|c| {
+        let name = c.get("name").and_then(Value::as_str).unwrap_or("without a name");
+        class(c).map_err(|e| format!("{e} (class {name})"))
+    });
+    let tenants = list(v, "/tenants")
+        .iter()
+        .map(|t| Ok::<_, String>(TenantSettings { allowance_per_s: number(t, "/allowancePerS")? }));
     let settings = Settings {
-        classes: list(v, "/classes").iter().map(class).collect(),
-        tenants: list(v, "/tenants")
-            .iter()
-            .map(|t| TenantSettings { allowance_per_s: number(t, "/allowancePerS") })
-            .collect(),
+        classes: classes.collect::<Result<_, _>>()?,
+        tenants: tenants.collect::<Result<_, _>>()?,
         kinds: (0..kinds.len())
             .map(|i| KindSettings {
-                apart: at("/extra/kindApart", i).as_bool().unwrap_or(false),
-                batch: at("/extra/perCall", i).as_f64().map_or(1, |n| n as u32).max(1),
+                apart: nth("/extra/kindApart", i).as_bool().unwrap_or(false),
+                batch: nth("/extra/perCall", i).as_f64().map_or(1, |n| n as u32).max(1),
             })
             .collect(),
         zone_fees: list(v, "/extra/feeByZone").iter().map(|f| f.as_f64().unwrap_or(0.0)).collect(),
-        fade: match v.pointer("/extra/fades").and_then(Value::as_str) {
+        fade: match text(v, "/extra/fades")? {
             Some("halves") => Fade::Halves,
             _ => Fade::Line,
         },
-        over_share_worth: v.pointer("/overShareWorth").and_then(Value::as_f64).unwrap_or(1.0),
-        slots: count(v, "/extra/slots").unwrap_or(u32::MAX),
-        max_held: count(v, "/limits/maxOpen").unwrap_or(u32::MAX),
-        max_attempts: count(v, "/limits/maxAttempts").unwrap_or(u32::MAX),
-        second_copies: flag(v, "/limits/secondCopies"),
-        cancel: flag(v, "/limits/cancel"),
-        senders: count(v, "/replicasOfMe").unwrap_or(1).max(1),
-        number: count(v, "/slotNo").unwrap_or(0),
-        retry_after: flag(v, "/limits/retryAfter"),
-        max_retry_after: micros(v, "/limits/maxRetryAfterUs"),
-        subscribe: v.pointer("/discovery").and_then(Value::as_str) == Some("subscribe"),
-        weights: match v.pointer("/weightSource").and_then(Value::as_str) {
+        over_share_worth: at(v, "/overShareWorth", "a number", Value::as_f64)?.unwrap_or(1.0),
+        slots: count(v, "/extra/slots")?.unwrap_or(u32::MAX),
+        max_held: count(v, "/limits/maxOpen")?.unwrap_or(u32::MAX),
+        max_attempts: count(v, "/limits/maxAttempts")?.unwrap_or(u32::MAX),
+        second_copies: flag(v, "/limits/secondCopies")?,
+        cancel: flag(v, "/limits/cancel")?,
+        reports: reports(v)?,
+        senders: count(v, "/replicasOfMe")?.unwrap_or(1).max(1),
+        number: count(v, "/slotNo")?.unwrap_or(0),
+        retry_after: flag(v, "/limits/retryAfter")?,
+        max_retry_after: micros(v, "/limits/maxRetryAfterUs")?,
+        subscribe: text(v, "/discovery")? == Some("subscribe"),
+        weights: match text(v, "/weightSource")? {
             Some("nominal") => Weights::Nominal,
             Some("rough") => Weights::Rough,
             _ => Weights::Off,
         },
-        key_rest: micros(v, "/rules/settleAfterDoubtUs"),
-        fall_multiple: number(v, "/rules/fallMultiple"),
-        fall_window: micros(v, "/rules/fallUs"),
-        cold_from: number(v, "/rules/coldFrom"),
-        warm_within: micros(v, "/rules/warmWithinUs"),
-        connection_idle: micros(v, "/limits/connIdleUs"),
-        notes: flag(v, "/limits/peerMessages"),
+        key_rest: micros(v, "/rules/settleAfterDoubtUs")?,
+        fall_multiple: number(v, "/rules/fallMultiple")?,
+        fall_window: micros(v, "/rules/fallUs")?,
+        cold_from: number(v, "/rules/coldFrom")?,
+        warm_within: micros(v, "/rules/warmWithinUs")?,
+        connection_idle: micros(v, "/limits/connIdleUs")?,
+        notes: flag(v, "/limits/peerMessages")?,
         probe_class: None,
         hold_back: Micros(0),
-        ask_every: micros(v, "/rules/askEveryUs"),
+        ask_every: micros(v, "/rules/askEveryUs")?,
     };
+    if settings.number >= settings.senders {
+        let (number, senders) = (settings.number, settings.senders);
+        return Err(format!("settings: slotNo is {number}, but replicasOfMe is {senders}"));
+    }
     let names = Names {
         classes: names(list(v, "/classes"), "/name"),
         tenants: names(list(v, "/tenants"), "/name"),
@@ -111,3 +173,45 @@
     };
     Ok((settings, names))
 }
+
+/// What the settings allow and forbid, in plain words: a line each.
+pub fn in_words(set: &Settings, names: &Names) -> Vec<String> {
+    let may = |allowed: bool, yes: &str, no: &str| if allowed { yes.to_owned() } else { no.to_owned() };
+    let mut lines: Vec<_> = names
+        .classes
+        .iter()
+        .filter_map(|(name, i)| Some((name, set.classes.get(*i)?)))
+        .map(|(name, c)| {
+            let (aim, end) = (c.aim.secs(), c.give_up.secs());
+            let repeat = match c.effect {
+                Effect::Safe => "safe to repeat".to_owned(),
+                Effect::Keyed { group, window } => {
+                    let by = if group == Group::All { "any endpoint" } else { "endpoints of one zone only" };
+                    format!("a repeat is dropped for {} s by {by}", window.secs())
+                }
+                Effect::Unsafe => "never repeated once it may have run".to_owned(),
+            };
+            format!("class {name}: wanted within {aim} s, given up after {end} s; {repeat}")
+        })
+        .collect();
+    let copies = "a second copy may go while the first is out, where the class may be repeated";
+    let bound = |n: u32| if n == u32::MAX { "any number of".to_owned() } else { n.to_string() };
+    lines.push(format!(
+        "attempts: {} for a message; {}",
+        bound(set.max_attempts),
+        may(set.second_copies, copies, "never two at once")
+    ));
+    lines.push(may(set.reports, "limits: told in answers", "limits: answers tell nothing of them"));
+    lines.push(match set.weights {
+        Weights::Off => "the list: tells no limits".to_owned(),
+        Weights::Nominal => "the list: tells the limit of each destination".to_owned(),
+        Weights::Rough => "the list: tells a rough limit of each destination".to_owned(),
+    });
+    lines.push("waits: one that a refusal tells is heeded by all messages".to_owned());
+    lines.push(format!(
+        "room: {} calls out, {} messages held; {} senders",
+        set.slots, set.max_held, set.senders
+    ));
+    lines.push(may(set.notes, "other senders: may be told", "other senders: are told nothing"));
+    lines
+}
--- /dev/null
+++ b/config/tests/settings.rs
@@ -0,0 +1,95 @@
+//! The settings of two deployments that differ in almost all they allow, and what is wrong in either.
+
+use onyxrock::interface::*;
+use onyxrock_config::settings;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+/// Rough rates in the list, nothing in answers, one attempt at a time, repeats dropped by one zone.
+fn listed() -> Value {
+    json!({
+        "azs": ["north", "south"],
+        "classes": [
+            {"name": "update", "effect": "repeatable", "targetUs": 800_000, "giveUpUs": 5_000_000, "worth": 1, "lateShare": 0.1},
+            {"name": "order", "effect": "by_key", "group": "zone", "windowUs": 6_000_000, "targetUs": 4_000_000,
+             "giveUpUs": 16_000_000, "worth": 1, "lateShare": 0.5},
+            {"name": "charge", "effect": "once", "targetUs": 2_500_000, "giveUpUs": 28_000_000, "worth": 3, "lateShare": 0.4}],
+        "discovery": "subscribe", "weightSource": "rough", "replicasOfMe": 3, "slotNo": 1,
+        "extra": {"slots": 24, "kindApart": [true, false], "perCall": [1, 1], "fades": "line"},
+        "feedback": {"how": "off", "columns": []},
+        "hostTypes": ["bank", "club"],
+        "limits": {"maxAttempts": 12, "maxOpen": 450, "secondCopies": false, "cancel": true, "probes": true, "retryAfter": false},
+        "rules": {"fallMultiple": 2.0, "fallUs": 3_000_000, "coldFrom": 0.17, "warmWithinUs": 12_000_000}})
+}
+
+/// Limits in answers, none in the list, second copies, repeats dropped everywhere.
+fn reported() -> Value {
+    json!({
+        "azs": ["hall"],
+        "classes": [
+            {"name": "event", "effect": "by_key", "group": "all", "windowUs": 5_000_000, "targetUs": 2_000_000,
+             "giveUpUs": 20_000_000, "worth": 1, "lateShare": 0.3},
+            {"name": "state", "effect": "repeatable", "targetUs": 1_000_000, "giveUpUs": 8_000_000, "worth": 2, "lateShare": 0.1}],
+        "discovery": "subscribe", "weightSource": "off", "replicasOfMe": 2, "slotNo": 0,
+        "extra": {"slots": 7, "kindApart": [false], "perCall": [1], "fades": "line"},
+        "feedback": {"how": "inline", "columns": ["x0", "x1"]},
+        "hostTypes": ["buyer"],
+        "limits": {"maxAttempts": 8, "maxOpen": 114, "secondCopies": true, "cancel": true, "retryAfter": true, "maxRetryAfterUs": 2_000_000},
+        "rules": {"fallMultiple": 1.5, "fallUs": 1_500_000, "coldFrom": 0.25, "warmWithinUs": 10_000_000}})
+}
+
+#[test]
+fn two_deployments_are_read_as_they_say() {
+    let (a, names) = settings::read(&listed()).unwrap();
+    assert!(!a.second_copies && !a.reports && a.weights == Weights::Rough && names.classes["charge"] == 2);
+    assert_eq!(a.classes[1].effect, Effect::Keyed { group: Group::Zone, window: Micros(6_000_000) });
+    let (b, names) = settings::read(&reported()).unwrap();
+    assert!(b.second_copies && b.cancel && b.reports && b.weights == Weights::Off && b.retry_after);
+    assert_eq!(b.classes[0].effect, Effect::Keyed { group: Group::All, window: Micros(5_000_000) });
+    let words = settings::in_words(&b, &names).join("\n");
+    for said in ["dropped for 5 s by any endpoint", "a second copy may go", "told in answers", "2 senders"] {
+        assert!(words.contains(said), "{said}: {words}");
+    }
+}
+
+/// What is wrong is one line that names the key; a limit that is misread is a rule that is broken.
+#[rstest]
+#[case("/limits/secondCopies", json!("yes"), "limits.secondCopies is not true or false")]
+#[case("/limits/maxAttempts", json!("8"), "limits.maxAttempts is not a number")]
+#[case("/limits/maxOpen", json!(-1), "limits.maxOpen is not a number, zero or more")]
+#[case("/classes/0/windowUs", json!(0), "windowUs is missing or 0, where effect is by_key (class event)")]
+#[case("/classes/0/effect", json!("sometimes"), "effect is not known: \"sometimes\" (class event)")]
+#[case("/classes/0/group", json!("friends"), "group is not all or zone: \"friends\" (class event)")]
+#[case("/feedback/how", json!(3), "feedback.how is not text")]
+#[case("/slotNo", json!(2), "slotNo is 2, but replicasOfMe is 2")]
+fn what_is_wrong_is_named(#[case] path: &str, #[case] value: Value, #[case] says: &str) {
+    let mut v = reported();
+    *v.pointer_mut(path).unwrap() = value;
+    let error = settings::read(&v).unwrap_err();
+    assert!(error.contains(says) && !error.contains('\n'), "{error}");
+}
+
+#[test]
+fn what_is_absent_does_not_apply_and_what_is_unknown_is_passed_over() {
+    let mut v = reported();
+    v["limits"] = json!({"inventedLater": 7});
+    v["feedback"] = Value::Null;
+    let (set, _) = settings::read(&v).unwrap();
+    assert!(!set.second_copies && !set.reports && set.max_attempts == u32::MAX);
+    v["feedback"] = json!({"how": "inline", "columns": ["x1", "x9"]});
+    assert!(!settings::read(&v).unwrap().0.reports, "half of a report is none");
+    // Every key that is not read says why, and is not read.
+    assert!(settings::UNUSED.iter().all(|(key, why)| !key.is_empty() && why.len() > 8));
+}
+
+#[rstest]
+#[case(Some(5.0), Some(0.2), true)]
+#[case(Some(5.0), None, false)]
+#[case(None, Some(0.2), false)]
+#[case(Some(-1.0), Some(0.2), false)]
+#[case(Some(5.0), Some(-0.1), false)]
+#[case(Some(f64::NAN), Some(0.2), false)]
+#[case(Some(5.0), Some(f64::INFINITY), false)]
+fn a_report_that_cannot_be_is_none(#[case] limit: Option<f64>, #[case] left: Option<f64>, #[case] is: bool) {
+    assert_eq!(report(limit, left), if is { (limit, left) } else { (None, None) });
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -70,6 +70,7 @@
             let (classes, known) =
                 (c.settings.classes.len(), c.known.as_ref().map_or(0, |k| k.entries.len()));
             println!("{}: listens on {}, {classes} classes, {known} endpoints known", c.name, c.listen);
+            onyxrock_config::settings::in_words(&c.settings, &c.names).iter().for_each(|w| println!("{w}"));
             if let Some(s) = product.smpp {
                 println!("SMPP on {}, {} clients, {} gateways", s.listen, s.clients.len(), s.gateways.len());
             }
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -267,13 +267,6 @@
 /// The limit in calls a second, and the share of it that is left.
 fn report(load: &str) -> (Option<f64>, Option<f64>) {
     let v: serde_json::Value = serde_json::from_str(load).unwrap_or_default();
-    let field = |name: &str, most: f64| {
-        let x = v.get(name).and_then(serde_json::Value::as_f64);
-        x.filter(|x| (0.0..=most).contains(x))
-    };
-    // Half of a report is none.
-    match (field("x1", 1e9), field("x0", 1.0)) {
-        (Some(limit), Some(left)) => (Some(limit), Some(left)),
-        _ => (None, None),
-    }
+    let field = |name: &str| v.get(name).and_then(serde_json::Value::as_f64);
+    onyxrock::interface::report(field("x1"), field("x0"))
 }
--- a/daemon/tests/command_line.rs
+++ b/daemon/tests/command_line.rs
@@ -41,6 +41,8 @@
 #[case::bad_address(&["check"], Some(r#"{"name":"n","listen":"here","discovery":"x","settings":{"classes":[{}]}}"#), "listen")]
 #[case::bad_list(&["check"], Some(r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
     "settings":{"classes":[{"name":"a"}]},"known":{"generation":1,"instances":[{}]}}"#), "list")]
+#[case::wrong_setting(&["serve"], Some(r#"{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
+    "settings":{"classes":[{"name":"a"}],"limits":{"secondCopies":"yes"}}}"#), "limits.secondCopies is not true or false")]
 #[case::members_of_whom(&["members"], None, "--at ADDRESS")]
 #[case::duties_of_nobody(&["duties", "--at", "127.0.0.1:1"], None, "127.0.0.1:1: ")]
 #[case::no_address(&["duties", "--at", "here"], None, "--at is no address")]
@@ -58,7 +60,9 @@
     assert_eq!(run(&["version"], None).1, format!("onyxrock {}\n", env!("CARGO_PKG_VERSION")));
     assert!(run(&["--help"], None).1.starts_with("usage: "));
     let (code, out, _) = run(&["check"], Some(GOOD));
-    assert_eq!((code, out.as_str()), (0, "n1: listens on 127.0.0.1:0, 1 classes, 0 endpoints known\n"));
+    let said: Vec<_> = out.lines().collect();
+    assert_eq!((code, said[0]), (0, "n1: listens on 127.0.0.1:0, 1 classes, 0 endpoints known"));
+    assert!(said.iter().any(|l| l.ends_with("never two at once")), "what the settings allow: {out}");
 }
 
 #[test]
--- a/src/brain/books.rs
+++ b/src/brain/books.rs
@@ -78,7 +78,9 @@
             Event::ListFailed => self.asking.failed(now, &mut self.dice),
             Event::Submit(message) => self.on_submit(now, message),
             Event::Resume(message, past) => self.on_resume(now, message, past, actions),
-            Event::Outcome(outcome) => self.on_outcome(now, &outcome, actions),
+            Event::Outcome(o) if self.set.reports => self.on_outcome(now, &o, actions),
+            // Nobody has promised that such figures mean what a report would.
+            Event::Outcome(o) => self.on_outcome(now, &Outcome { limit: None, left: None, ..o }, actions),
             Event::Note(data) => self.on_note(now, &data),
             Event::Withdrawn(id) => self.close(id),
             Event::Wake => self.wake_at = self.wake_at.filter(|t| *t > now),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -158,6 +158,8 @@
     pub second_copies: bool,
     /// An attempt may be called off.
     pub cancel: bool,
+    /// Answers may report a limit and what is left of it; what comes without that word is not believed.
+    pub reports: bool,
     /// Senders that share the traffic, this one included.
     pub senders: u32,
     /// Which of them this one is, from zero.
@@ -314,6 +316,16 @@
     pub left: Option<f64>,
 }
 
+/// The limit and the share that is left of it, from what an answer held. Half of a report is none, and so is one that
+/// cannot be: it must never change what the answer itself says.
+#[must_use]
+pub fn report(limit: Option<f64>, left: Option<f64>) -> (Option<f64>, Option<f64>) {
+    match (limit, left) {
+        (Some(l), Some(x)) if (0.0..=1e9).contains(&l) && (0.0..=1.0).contains(&x) => (limit, left),
+        _ => (None, None),
+    }
+}
+
 impl Outcome {
     /// The share that is left of a limit, where the answer told both.
     #[must_use]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -40,6 +40,7 @@
         max_attempts: 6,
         second_copies: false,
         cancel: true,
+        reports: true,
         senders: 2,
         number: 0,
         retry_after: true,
