--- a/src/brain.rs
+++ b/src/brain.rs
@@ -78,11 +78,11 @@
 // --- Messages --------------------------------------------------------------------------------------------
 const PATIENCE_NORMS: f64 = 8.0;
 const PATIENCE_LEAST: Micros = Micros(2_000_000);
+const PATIENCE_PART: u64 = 2; // of a message's time: a call that is given up runs on, and its repeat takes room too
 const PATIENCE_UNSAFE: f64 = 2.5; // an unsafe call that times out is lost: wait longer
 const COPY_SHARE: f64 = 0.02; // second copies, of all calls
 const COPIES_MOST: f64 = 3.0; // at once
 const COPY_AFTER: f64 = 3.0; // times what is slow for the receiver
-const COPY_WORTH: f64 = 0.1;
 const MARGIN: Micros = Micros(60_000); // answer this long before the deadline
 const REFUSED_PAUSE_S: f64 = 0.3;
 const LEADER_PAUSE_S: f64 = 0.15; // where others of its key wait behind it
@@ -585,7 +585,7 @@
         for d in due.iter().filter_map(|id| self.destinations.get(id)) {
             for (id, m) in d.waiting.iter().filter_map(|id| Some((id, self.held.get(id)?))) {
                 // A copy goes after all that have none out.
-                let worth = self.urgency(now, m, 2.0) * if m.out.is_empty() { 1.0 } else { COPY_WORTH };
+                let worth = self.urgency(now, m, 2.0) * if m.out.is_empty() { 1.0 } else { 0.1 };
                 ranked.push((worth, m.deadline, *id, m.destination));
             }
         }
@@ -712,9 +712,9 @@
                 let soon = |t: Micros| now.since(t) <= self.set.fall_window;
                 if soon(r.last_proof) { Ok(()) } else { self.in_budget(now, r, d, 0.0) }
             }
-            // Safe messages go first as trials; an unsafe one only where none came in time.
+            // Safe messages go first as trials; one that a trial may use up only where none came in time.
             Health::Sick { trial_at, backoff, .. } => {
-                let risky = self.set.classes[class.0].effect == Effect::Unsafe;
+                let risky = self.set.classes[class.0].effect != Effect::Safe;
                 let risk = if risky { backoff.min(TRIAL_MOST) } else { Micros(0) };
                 let probe = self.set.probe_class == Some(class);
                 let later = if probe { Micros(0) } else { risk.max(self.set.hold_back) };
@@ -777,12 +777,13 @@
     fn patience(&self, now: Micros, m: &Held, target: ReceiverId) -> Micros {
         let left = m.deadline.since(now);
         let Some(r) = self.receivers.get(&target) else { return left };
-        let usual = (PATIENCE_NORMS * r.norm).max(3.0 * r.latency);
-        let wait = Micros::from_secs(usual).max(PATIENCE_LEAST);
-        let wait = match self.set.classes[m.class.0].effect {
+        let wait = Micros::from_secs((PATIENCE_NORMS * r.norm).max(3.0 * r.latency)).max(PATIENCE_LEAST);
+        let class = &self.set.classes[m.class.0];
+        let long = wait.max(Micros(class.give_up.0 / PATIENCE_PART));
+        let wait = match class.effect {
             Effect::Unsafe => Micros::from_secs(wait.secs() * PATIENCE_UNSAFE),
-            Effect::Safe => wait,
-            Effect::Keyed { window, .. } => wait.min(Micros(window.0 * 6 / 10)),
+            Effect::Safe => long,
+            Effect::Keyed { window, .. } => long.min(Micros(window.0 * 6 / 10)),
         };
         wait.min(left).max(Micros(1))
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -318,3 +318,36 @@
         "each with the longest wait that clients heed"
     );
 }
+
+/// A call that is given up runs on at its receiver, and its repeat takes of the same limit: with two seconds for each, a
+/// twentieth of a day's calls went twice.
+#[test]
+fn what_may_be_repeated_is_waited_for_half_its_time_or_as_its_window_allows() {
+    let patience = |class| {
+        let mut rig = Rig::new(settings(), vec![entry(1, 1, 0, 0)]);
+        rig.warm(1000, 20, 1);
+        rig.submit(1, class, 1);
+        rig.sent.last().unwrap().patience
+    };
+    assert_eq!((patience(SAFE), patience(ZONED)), (ms(10_000), ms(3000)));
+}
+
+/// A trial that hears nothing uses a keyed message's window up.
+#[test]
+fn a_keyed_message_is_no_trial_before_a_safe_one_had_its_time() {
+    let tried = |class| {
+        // Without the budget of a cold one, which may come later than either.
+        let set = Settings { fall_multiple: 0.0, ..settings() };
+        let mut rig = Rig::new(set, vec![entry(1, 1, 0, 0)]);
+        rig.warm(1000, 20, 1);
+        rig.submit(1, SAFE, 1);
+        (0..3).for_each(|_| rig.answer(1, Verdict::Reset));
+        rig.event(Event::Withdrawn(MessageId(1)));
+        rig.submit(2, class, 1);
+        let from = rig.now;
+        rig.pass(ms(5000));
+        rig.sent.iter().find(|s| s.id == 2).expect("it is tried at last").at.since(from)
+    };
+    let (safe, keyed) = (tried(SAFE), tried(ZONED));
+    assert!(keyed >= safe.after(ms(400)), "{safe:?} {keyed:?}");
+}
