--- a/src/brain.rs
+++ b/src/brain.rs
@@ -74,14 +74,14 @@
 const MOST_WEIGHT: f64 = 2.0; // ... and of all in a call to what may be cold
 const FRESH_SHARE: f64 = 0.5; // of what senders send that have not met the outage yet
 const ROUGH_CAUTION: f64 = 0.66; // a rough weight may be half too high
-const UNKNOWN_CAPACITY: f64 = 1.0; // calls a second from all senders together, where nothing is known
+const UNKNOWN_CAPACITY: f64 = 1.0; // calls a second from all senders together, at least, where nothing is known
+const UNKNOWN_PART: f64 = 0.5; // of what is asked for: traffic may be at twice the usual
 // --- Messages --------------------------------------------------------------------------------------------
 const PATIENCE_NORMS: f64 = 8.0;
 const PATIENCE_LEAST: Micros = Micros(2_000_000);
 const PATIENCE_PART: u64 = 2; // of a message's time: a call that is given up runs on, and its repeat takes room too
 const PATIENCE_UNSAFE: f64 = 2.5; // an unsafe call that times out is lost: wait longer
 const COPY_SHARE: f64 = 0.02; // second copies, of all calls
-const COPIES_MOST: f64 = 3.0; // at once
 const COPY_AFTER: f64 = 3.0; // times what is slow for the receiver
 const MARGIN: Micros = Micros(60_000); // answer this long before the deadline
 const REFUSED_PAUSE_S: f64 = 0.3;
@@ -480,13 +480,11 @@
         let scale = self.scale;
         let odd = o.odd();
         let knew = self.doubted(o.receiver);
+        self.note_limit(o);
         let Some(r) = self.receivers.get_mut(&o.receiver) else { return };
         if last {
             r.calls.remove(&attempt.call);
         }
-        if o.limit.is_some_and(|l| l > 0.0) {
-            r.limit = o.limit;
-        }
         let Some(d) = self.destinations.get_mut(&r.destination) else { return };
         let trouble = if r.apart { Micros(0) } else { d.trouble_at };
         let told = told_share(&self.set, r);
@@ -755,7 +753,9 @@
         let warm = (warm_for / self.set.warm_within.secs().max(0.001)).min(1.0);
         let part_at = |warm: f64| self.set.cold_from + (1.0 - self.set.cold_from) * warm;
         let window = self.set.fall_window;
-        let capacity = likely_share(&self.set, r, pace) * part_doubted;
+        let asked =
+            d.offered.get(now, self.scale.rate_memory) / if r.apart { self.routes(d) as f64 } else { 1.0 };
+        let capacity = likely_share(&self.set, r, pace, asked) * part_doubted;
         let blind = capacity * now.since(pace.doubt.proven).secs();
         let fresh = FRESH_SHARE / blind.exp_m1();
         let part = |warm: f64| (self.set.fall_multiple * BUDGET_SHARE * part_at(warm)).max(fresh);
@@ -800,7 +800,7 @@
         if copy || !may {
             self.destinations.entry(m.destination).or_default().waiting.remove(&id);
         }
-        self.copies = (self.copies + if copy { -1.0 } else { COPY_SHARE }).min(COPIES_MOST);
+        self.copies = (self.copies + if copy { -1.0 } else { COPY_SHARE }).min(3.0);
         if joins {
             if let Some(s) = r.sends.back_mut() {
                 s.1 += EXTRA_WEIGHT;
@@ -827,12 +827,12 @@
     if told.is_finite() { told.max(0.0) / f64::from(set.senders.max(1)) } else { 0.0 }
 }
 
-/// This sender's share of what a destination or route takes.
-fn likely_share(set: &Settings, r: &Receiver, pace: &Pace) -> f64 {
+/// This sender's share of what a destination or route takes; part of what is asked for where nothing is known.
+fn likely_share(set: &Settings, r: &Receiver, pace: &Pace, asked: f64) -> f64 {
     let told = told_share(set, r);
     if told > 0.0 {
-        told.max(pace.usual)
-    } else {
-        pace.usual.max(UNKNOWN_CAPACITY / f64::from(set.senders.max(1)))
+        return told.max(pace.usual);
     }
+    let known = if pace.usual > 0.0 { pace.usual } else { asked * UNKNOWN_PART };
+    known.max(UNKNOWN_CAPACITY / f64::from(set.senders.max(1)))
 }
--- a/src/brain/books.rs
+++ b/src/brain/books.rs
@@ -87,6 +87,20 @@
         }
     }
 
+    /// The limit that an answer told. Where routes are not apart it is the whole destination's: an endpoint that has just
+    /// been listed, or has said nothing yet, is not one of which nothing is known.
+    pub(super) fn note_limit(&mut self, o: &Outcome) {
+        let told = o.limit.filter(|l| *l > 0.0);
+        let Some((r, told)) = self.receivers.get(&o.receiver).zip(told) else { return };
+        let shared = self.destinations.get(&r.destination).filter(|_| !r.apart);
+        let all = shared.map_or(vec![o.receiver], |d| d.receivers.clone());
+        for id in all {
+            if let Some(r) = self.receivers.get_mut(&id) {
+                r.limit = Some(told);
+            }
+        }
+    }
+
     pub(super) fn on_list(&mut self, entries: Vec<Entry>, whole: bool) {
         let mut touched = BTreeSet::new();
         if whole {
--- a/tests/fail_back.rs
+++ b/tests/fail_back.rs
@@ -159,3 +159,26 @@
     let first = rig.sent.iter().filter(|s| s.at >= back && s.at.since(back) < ms(1500)).count();
     assert!((2..=12).contains(&first), "{first} messages in the first window");
 }
+
+/// After a restart into an outage, with no limit told, a destination was taken for one of one call a second for all senders.
+/// On sockets its messages waited for their end while it was back; in this play, where calls fail at once, it is sent 271.
+#[test]
+fn where_nothing_is_known_what_is_asked_for_bounds_the_way_back() {
+    let set = Settings { weights: Weights::Off, notes: false, ..settings() };
+    let mut rig = Rig::new(set, vec![entry(1, 1, 0, 0), entry(2, 1, 0, 0)]);
+    let mut id = 0;
+    let mut second = |rig: &mut Rig, verdict: Verdict| {
+        for _ in 0..50 {
+            id += 1;
+            rig.submit(id, SAFE, 1);
+            rig.pass(ms(20));
+            rig.out.clone().iter().for_each(|open| rig.answer(open.id, verdict));
+        }
+    };
+    (0..10).for_each(|_| second(&mut rig, Verdict::ConnectFailed));
+    let before = rig.sent.len();
+    (0..4).for_each(|_| second(&mut rig, Verdict::Delivered));
+    let calls = rig.sent.len() - before;
+    // Fifty a second are asked for: half of that is believed, a quarter of it is there when cold.
+    assert!((12..=120).contains(&calls), "{calls} calls in four seconds");
+}
