--- a/config/src/settings.rs
+++ b/config/src/settings.rs
@@ -210,7 +210,9 @@
     lines.push("waits: one that a refusal tells is heeded by all messages".to_owned());
     lines.push(format!(
         "room: {} calls out, {} messages held; {} senders",
-        set.slots, set.max_held, set.senders
+        bound(set.slots),
+        bound(set.max_held),
+        set.senders
     ));
     lines.push(may(set.notes, "other senders: may be told", "other senders: are told nothing"));
     lines
--- a/config/tests/settings.rs
+++ b/config/tests/settings.rs
@@ -5,21 +5,9 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 
-/// Rough rates in the list, nothing in answers, one attempt at a time, repeats dropped by one zone.
+/// Rough rates in the list, nothing in answers, one attempt at a time, repeats dropped by one zone: as the daemon's tests.
 fn listed() -> Value {
-    json!({
-        "azs": ["north", "south"],
-        "classes": [
-            {"name": "update", "effect": "repeatable", "targetUs": 800_000, "giveUpUs": 5_000_000, "worth": 1, "lateShare": 0.1},
-            {"name": "order", "effect": "by_key", "group": "zone", "windowUs": 6_000_000, "targetUs": 4_000_000,
-             "giveUpUs": 16_000_000, "worth": 1, "lateShare": 0.5},
-            {"name": "charge", "effect": "once", "targetUs": 2_500_000, "giveUpUs": 28_000_000, "worth": 3, "lateShare": 0.4}],
-        "discovery": "subscribe", "weightSource": "rough", "replicasOfMe": 3, "slotNo": 1,
-        "extra": {"slots": 24, "kindApart": [true, false], "perCall": [1, 1], "fades": "line"},
-        "feedback": {"how": "off", "columns": []},
-        "hostTypes": ["bank", "club"],
-        "limits": {"maxAttempts": 12, "maxOpen": 450, "secondCopies": false, "cancel": true, "probes": true, "retryAfter": false},
-        "rules": {"fallMultiple": 2.0, "fallUs": 3_000_000, "coldFrom": 0.17, "warmWithinUs": 12_000_000}})
+    serde_json::from_str(include_str!("../../daemon/tests/stage/settings.json")).unwrap()
 }
 
 /// Limits in answers, none in the list, second copies, repeats dropped everywhere.
@@ -41,7 +29,7 @@
 #[test]
 fn two_deployments_are_read_as_they_say() {
     let (a, names) = settings::read(&listed()).unwrap();
-    assert!(!a.second_copies && !a.reports && a.weights == Weights::Rough && names.classes["charge"] == 2);
+    assert!(!a.second_copies && !a.reports && a.weights == Weights::Rough && names.classes["payment"] == 2);
     assert_eq!(a.classes[1].effect, Effect::Keyed { group: Group::Zone, window: Micros(6_000_000) });
     let (b, names) = settings::read(&reported()).unwrap();
     assert!(b.second_copies && b.cancel && b.reports && b.weights == Weights::Off && b.retry_after);
@@ -78,8 +66,18 @@
     assert!(!set.second_copies && !set.reports && set.max_attempts == u32::MAX);
     v["feedback"] = json!({"how": "inline", "columns": ["x1", "x9"]});
     assert!(!settings::read(&v).unwrap().0.reports, "half of a report is none");
-    // Every key that is not read says why, and is not read.
-    assert!(settings::UNUSED.iter().all(|(key, why)| !key.is_empty() && why.len() > 8));
+    // What is said to be unused is: whatever stands there, nothing changes.
+    let read = settings::read(&reported()).unwrap().0;
+    for (key, _) in settings::UNUSED {
+        let mut v = reported();
+        let path = key.replace("classes.", "classes.0.").split('.').map(str::to_owned).collect::<Vec<_>>();
+        let at = path.iter().fold(&mut v, |v, key| match key.parse::<usize>() {
+            Ok(i) => &mut v[i],
+            Err(_) => &mut v[key.as_str()],
+        });
+        *at = json!([{"odd": true}]);
+        assert_eq!(settings::read(&v).map(|r| r.0), Ok(read.clone()), "{key}");
+    }
 }
 
 #[rstest]
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -110,7 +110,7 @@
     /// Ends that wait for room in a front's mailbox.
     waiting: VecDeque<Ending>,
     quiet: Vec<Sender<()>>,
-    /// Calls out, each of which ends early when its sender here is dropped.
+    /// Calls out that may be copies, each of which ends early when its sender here is dropped.
     out: BTreeMap<(u64, u32), Sender<()>>,
     hold: bool,
 }
@@ -540,10 +540,14 @@
     fn call(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, patience: Micros) {
         let Some(o) = self.desk.get(n) else { return };
         let t = &o.taken;
-        let (wanted, called_off) = bounded(1);
-        self.out.insert((n, attempt), wanted);
+        // Only one of two copies is ever called off.
+        let called_off = self.desk.copies().then(|| {
+            let (wanted, called_off) = bounded(1);
+            self.out.insert((n, attempt), wanted);
+            called_off
+        });
         self.hand(OutboundCall {
-            called_off: Some(called_off),
+            called_off,
             harmful: self.desk.harmful(&t.class),
             n,
             attempt,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -800,7 +800,7 @@
         if copy || !may {
             self.destinations.entry(m.destination).or_default().waiting.remove(&id);
         }
-        self.copies = (self.copies + if copy { -1.0 } else { COPY_SHARE }).min(3.0);
+        self.copies = (self.copies + if copy { -1.0 } else { COPY_SHARE }).min(3.0); // so many at once
         if joins {
             if let Some(s) = r.sends.back_mut() {
                 s.1 += EXTRA_WEIGHT;
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -203,6 +203,10 @@
     pub fn full(&self) -> bool {
         self.held() >= self.most
     }
+    /// One request may have two attempts out at once.
+    pub fn copies(&self) -> bool {
+        self.most_out > 1
+    }
     /// Attempts that are out.
     pub fn out(&self) -> usize {
         self.owed.values().map(|o| o.out.len()).sum()
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -48,8 +48,7 @@
     assert!(shut <= 6 && limit > 2 * shut, "{shut} calls at one that has just opened, {limit} at a limit");
 }
 
-/// Told of a limit by answers, a sender keeps its calls apart before it is refused once, and the closer the less is left:
-/// three refusals of each of four senders used two seconds of a small limit up.
+/// Told of a limit by answers, a sender keeps its calls apart before it is refused once, and the further the less is left.
 #[test]
 fn a_limit_that_answers_report_spaces_calls_before_any_refusal() {
     let calls = |left: Option<f64>| {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -319,8 +319,7 @@
     );
 }
 
-/// A call that is given up runs on at its receiver, and its repeat takes of the same limit: with two seconds for each, a
-/// twentieth of a day's calls went twice.
+/// A call that is given up may run on at its receiver, and its repeat takes of the same limit.
 #[test]
 fn what_may_be_repeated_is_waited_for_half_its_time_or_as_its_window_allows() {
     let patience = |class| {
