--- a/tests/fleet_restart.rs
+++ b/tests/fleet_restart.rs
@@ -78,13 +78,16 @@
     twice: Vec<String>,
 }
 
+/// A message as the fleet knows it: sender, class, deadline, and the ends told.
+type Held = (usize, usize, Micros, Vec<(Micros, &'static str)>);
+
 struct Fleet {
     fix: Fixture,
     now: Micros,
     senders: Vec<Sender>,
     world: Receivers,
     /// Every message taken: sender, class, deadline, ends told.
-    taken: BTreeMap<u64, (usize, usize, Micros, Vec<(Micros, &'static str)>)>,
+    taken: BTreeMap<u64, Held>,
     next: u64,
     cut_off: usize,
     resumed: usize,
