--- a/tests/fleet_restart.rs
+++ b/tests/fleet_restart.rs
@@ -21,14 +21,20 @@
     limit: (usize, u64),
 }
 
-fn named(all: &[(&'static str, u64, u64)]) -> BTreeMap<String, usize> {
-    all.iter().enumerate().map(|(i, c)| (c.0.to_owned(), i)).collect()
+/// Classes by their place in the mix; endpoints of even number are in zone "a", the others in "b".
+fn names(mix: &[(&'static str, u64, u64)]) -> Names {
+    let named = |all: Vec<&str>| all.into_iter().enumerate().map(|(i, n)| (n.to_owned(), i)).collect();
+    Names {
+        classes: named(mix.iter().map(|c| c.0).collect()),
+        zones: named(vec!["a", "b"]),
+        ..Names::default()
+    }
 }
 
 /// The first deployment: no second copies; safe, keyed in any zone, unsafe and keyed to a zone.
 fn first() -> Fixture {
     let mix = vec![("safe", 40, 120), ("keyed", 20, 120), ("unsafe", 20, 120), ("zoned", 20, 120)];
-    let names = Names { classes: named(&mix), zones: named(&[("a", 0, 0), ("b", 0, 0)]), ..Names::default() };
+    let names = names(&mix);
     let settings = Settings { senders: SENDERS as u32, slots: 12, max_held: 80, ..settings() };
     Fixture { settings, names, mix, limit: (6, 1000) }
 }
@@ -56,7 +62,7 @@
         weights: Weights::Off,
         ..settings()
     };
-    let names = Names { classes: named(&mix), zones: named(&[("a", 0, 0), ("b", 0, 0)]), ..Names::default() };
+    let names = names(&mix);
     Fixture { settings, names, mix, limit: (10, 2000) }
 }
 
