--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -110,7 +110,7 @@
     /// Ends that wait for room in a front's mailbox.
     waiting: VecDeque<Ending>,
     quiet: Vec<Sender<()>>,
-    /// Calls out that may be copies, each of which ends early when its sender here is dropped.
+    /// Calls out that may be called off, each of which ends early when its sender here is dropped.
     out: BTreeMap<(u64, u32), Sender<()>>,
     hold: bool,
 }
@@ -540,8 +540,7 @@
     fn call(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, patience: Micros) {
         let Some(o) = self.desk.get(n) else { return };
         let t = &o.taken;
-        // Only one of two copies is ever called off.
-        let called_off = self.desk.copies().then(|| {
+        let called_off = self.desk.calls_off().then(|| {
             let (wanted, called_off) = bounded(1);
             self.out.insert((n, attempt), wanted);
             called_off
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -68,6 +68,7 @@
 const SILENT_PLUS: Micros = Micros(1_000_000); // ... and this is silence
 const SLOW_NORMS: f64 = 3.0;
 const OUTLIER_S: f64 = 0.5; // out for longer, while later ones are answered, a call tells of itself alone
+const GIVES_WAY: u32 = 2; // so many attempts of a message may be called off; what hangs again may be heavy itself
 // --- Return from an outage -------------------------------------------------------------------------------
 const BUDGET_SHARE: f64 = 0.6; // under the two thirds from which those that knew are blamed
 const EXTRA_WEIGHT: f64 = 0.25; // of a further message in a call, which weighs a little ...
@@ -153,8 +154,7 @@
         let ceiling = offered.max(scale.floor) * CEILING;
         // Many senders above their parts of a limit keep it used up by refused calls alone.
         let served = self.served.get(now, scale.served_memory);
-        let told = (self.told > 0.0).then_some(self.told);
-        let bound = told.map_or(f64::INFINITY, |t| t.max(served * (1.0 + STEP_UP)).max(offered));
+        let told = if self.told > 0.0 { self.told } else { f64::INFINITY };
         let Some(c) = &mut self.control else { return };
         c.tokens = (c.tokens + now.since(c.refilled).secs() * c.rate).min(scale.tokens);
         c.refilled = now;
@@ -172,7 +172,7 @@
         } else {
             c.credit = c.credit.min(1.0);
             c.rate = (c.rate * (1.0 + STEP_UP * (c.credit + scale.step_least).min(1.0)))
-                .min(bound.max(self.floor));
+                .min(told.max(served * (1.0 + STEP_UP)).max(offered).max(self.floor));
         }
         (c.updated, c.sent, c.refused) = (now, 0, 0);
         if c.rate >= ceiling {
@@ -222,23 +222,25 @@
 }
 
 impl Receiver {
-    /// Calls that hang raise no outcome: their age alone makes the receiver sick, at this time.
+    /// Calls that hang raise no outcome: the age of two makes the receiver sick, at this time. One tells of itself.
     fn silent_at(&self) -> Micros {
-        let Some(oldest) = self.oldest() else { return NEVER };
+        let Some(oldest) = self.calls.values().nth(1) else { return NEVER };
         let bar = Micros::from_secs(SILENT_NORMS * self.norm).after(SILENT_PLUS);
         oldest.after(bar).max(self.last_delivered.after(SILENT_PLUS)).after(Micros(1))
     }
     fn slow_bar(&self) -> f64 {
         SLOW_NORMS * self.norm + 0.1
     }
-    /// A call that hangs while later ones are answered as usual tells of its connection or its message: with
-    /// `outliers` it counts all the same.
+    /// A call that hangs while a later one is delivered tells of its connection, its answer or its message.
+    fn overtaken(&self, sent: Micros, age: f64) -> bool {
+        age > OUTLIER_S && self.last_proof > sent
+    }
+    /// With `outliers` such calls count all the same.
     fn slow(&self, now: Micros, outliers: bool) -> bool {
         let bar = self.slow_bar();
-        let odd = |t: &Micros, age: f64| !outliers && age > OUTLIER_S && self.quick.iter().all(|q| q > t);
         let late = |t: &Micros| {
             let age = now.since(*t).secs();
-            age > bar * 1.5 && !odd(t, age)
+            age > bar * 1.5 && (outliers || !self.overtaken(*t, age))
         };
         self.latency > bar || self.calls.values().any(late)
     }
@@ -265,9 +267,8 @@
         }
     }
     fn on_refusal(&mut self, now: Micros, sent: Micros, o: &Outcome, shut: bool, odd: bool) {
-        let wait = o.wait();
         match self.health {
-            _ if o.long_wait() || self.sick() && wait > Micros(0) => self.sicken(now, wait),
+            _ if o.long_wait() || self.sick() && o.wait() > Micros(0) => self.sicken(now, o.wait()),
             Health::Sick { .. } => self.on_failure(now, sent, 0.0),
             _ if shut => self.sicken(now, TRIAL_FIRST),
             Health::Suspect { .. } => {}
@@ -278,10 +279,6 @@
     fn on_delivery(&mut self, now: Micros, sent: Micros, elapsed: f64, trouble: Micros, set: &Settings) {
         self.failed_lately <<= 1;
         self.last_delivered = now;
-        if elapsed <= self.slow_bar() {
-            self.quick.rotate_left(1);
-            self.quick[2] = sent;
-        }
         let proven = std::mem::replace(&mut self.last_proof, sent);
         self.latency += 0.3 * (elapsed - self.latency);
         let weight = if elapsed > self.norm { 0.03 } else { 0.1 };
@@ -309,17 +306,13 @@
     /// Decides what to do now, after all events of this moment.
     pub fn decide(&mut self, now: Micros, actions: &mut Vec<Action>) {
         actions.append(&mut self.called_off);
-        if self.asking.now(now) {
-            actions.push(Action::Follow);
-        }
+        actions.extend(self.asking.now(now).then_some(Action::Follow));
         let due = self.agenda.take_due(now);
-        for id in &due {
-            self.refresh(now, *id);
-        }
+        due.iter().for_each(|id| self.refresh(now, *id));
         let looks = self.send_best(now, &due, actions);
+        self.give_way(now, actions);
         for (id, at) in looks {
-            let silence = self.silence_due(id);
-            self.agenda.look(id, at.min(silence));
+            self.agenda.look(id, at.min(self.silence_due(id)));
         }
         self.shed(now, actions);
         self.tidy(now);
@@ -383,12 +376,9 @@
             return;
         }
         let deadline = now.after(m.left);
-        let spent = class.give_up.since(m.left);
         let key = m.key.filter(|_| class.in_order);
-        let aim_at = now.after(class.aim.since(spent));
-        if let Some(k) = &key {
-            self.turns.join(k, m.id);
-        }
+        let aim_at = now.after(class.aim.since(class.give_up.since(m.left)));
+        key.iter().for_each(|k| self.turns.join(k, m.id));
         let over_share = m.tenant.is_some_and(|t| self.over_share(now, t));
         let d = self.destinations.entry(m.destination).or_default();
         d.offered.add(now, self.scale.rate_memory);
@@ -469,16 +459,13 @@
             self.agenda.look(to, now);
         }
         self.release_connection(now, o.receiver, actions);
-        for id in std::mem::take(&mut self.starved) {
-            self.agenda.look(id, now);
-        }
+        std::mem::take(&mut self.starved).into_iter().for_each(|id| self.agenda.look(id, now));
     }
 
     /// What an outcome says of its receiver.
     fn learn(&mut self, now: Micros, o: &Outcome, attempt: &Attempt, actions: &mut Vec<Action>) {
         let last = self.calls.answered(attempt.call);
         let scale = self.scale;
-        let odd = o.odd();
         let knew = self.doubted(o.receiver);
         self.note_limit(o);
         let Some(r) = self.receivers.get_mut(&o.receiver) else { return };
@@ -488,6 +475,9 @@
         let Some(d) = self.destinations.get_mut(&r.destination) else { return };
         let trouble = if r.apart { Micros(0) } else { d.trouble_at };
         let told = told_share(&self.set, r);
+        let was_doubted = r.doubted(d) && !matches!(r.health, Health::Recovering { .. });
+        let was_sick = r.sick();
+        let overtaken = r.overtaken(attempt.sent, o.elapsed.secs());
         let pace = if r.apart { &mut r.pace } else { &mut d.pace };
         if told > 0.0
             && let Some(left) = o.left()
@@ -499,9 +489,6 @@
             }
         }
         let mut tell = None;
-        let was_doubted = r.doubted(d) && !matches!(r.health, Health::Recovering { .. });
-        let was_sick = r.sick();
-        let pace = if r.apart { &mut r.pace } else { &mut d.pace };
         if o.wait() > Micros(0) {
             pace.wait_until = pace.wait_until.max(now.after(o.wait()));
         }
@@ -515,6 +502,7 @@
         }
         let unseen = now.since(r.last_proof) > self.set.fall_window;
         match o.verdict {
+            Verdict::TimedOut if overtaken => {}
             _ if !last => {} // messages of one call share its fate
             Verdict::Delivered => {
                 if r.health == Health::Well {
@@ -529,7 +517,7 @@
                 let roll = Dice(self.dice.0 ^ now.0).roll(); // no draw: other chances stay as they were
                 let shut = pace.on_refusal(now, scale, told, o, roll);
                 tell = Some(wait.map_or(News::Refused, News::Wait));
-                r.on_refusal(now, attempt.sent, o, shut, odd && unseen);
+                r.on_refusal(now, attempt.sent, o, shut, o.odd() && unseen);
             }
             Verdict::Error | Verdict::TimedOut | Verdict::Reset | Verdict::ConnectFailed => {
                 r.on_failure(now, attempt.sent, self.broad);
@@ -569,6 +557,19 @@
         }
     }
 
+    /// All slots are taken and messages wait: calls that were overtaken give way, where the message may be repeated.
+    fn give_way(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let needed = self.set.cancel && !self.starved.is_empty();
+        for (id, m) in self.held.iter_mut().filter(|(_, m)| needed && m.attempts <= GIVES_WAY) {
+            let safe = self.set.classes[m.class.0].effect != Effect::Unsafe;
+            for a in m.out.iter_mut().filter(|a| safe && !a.called_off) {
+                let r = self.receivers.get(&a.receiver);
+                a.called_off = r.is_some_and(|r| r.overtaken(a.sent, now.since(a.sent).secs()));
+                actions.extend(a.called_off.then_some(Action::CallOff { id: *id, attempt: a.number }));
+            }
+        }
+    }
+
     /// What sending now rather than `horizon` later is worth, with a part of the worth itself.
     fn urgency(&self, now: Micros, m: &Held, horizon: f64) -> f64 {
         let soon = m.worth(&self.set, now);
@@ -631,17 +632,17 @@
             (Some((_, zone)), Effect::Keyed { group: Group::Zone, .. }) => Some(zone),
             _ => None,
         };
-        let destination = m.destination;
-        let d = self.destinations.get(&destination).ok_or(NEVER)?;
+        let d = self.destinations.get(&m.destination).ok_or(NEVER)?;
         let joined = d.receivers.iter().copied().find(|r| {
             let Some(known) = self.receivers.get(r).filter(|_| self.calls.joinable(*r)) else { return false };
             group.is_none_or(|z| known.zone == z)
+                && m.out.iter().all(|a| a.receiver != *r)
                 && (!known.doubted(d) || known.sends.back().is_some_and(|s| s.1 < MOST_WEIGHT))
         });
         let target = match joined {
             Some(r) => r,
             None if self.calls.len() >= self.set.slots as usize => {
-                self.starved.insert(destination);
+                self.starved.insert(m.destination);
                 return Err(NEVER);
             }
             None => {
@@ -793,18 +794,18 @@
         let (Some(m), Some(r)) = (self.held.get_mut(&id), self.receivers.get_mut(&target)) else { return };
         let call = self.calls.add(target, r.batch, joins);
         let copy = !m.out.is_empty();
-        m.out.push(Attempt { number: m.attempts, receiver: target, zone: r.zone, sent: now, call });
+        m.out.push(Attempt::new(m.attempts, target, r.zone, now, call));
         m.attempts += 1;
         // A copy may follow, once this one is late.
         let may = self.set.second_copies && self.set.classes[m.class.0].effect != Effect::Unsafe;
         if copy || !may {
             self.destinations.entry(m.destination).or_default().waiting.remove(&id);
+        } else {
+            self.agenda.look(m.destination, now.after(Micros::from_secs(COPY_AFTER * r.slow_bar())));
         }
         self.copies = (self.copies + if copy { -1.0 } else { COPY_SHARE }).min(3.0); // so many at once
         if joins {
-            if let Some(s) = r.sends.back_mut() {
-                s.1 += EXTRA_WEIGHT;
-            }
+            r.sends.back_mut().into_iter().for_each(|s| s.1 += EXTRA_WEIGHT);
             return;
         }
         r.note_send(now, call, life, self.set.fall_window);
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -108,6 +108,7 @@
     most: usize,
     /// Attempts of one request that may be out at once.
     most_out: usize,
+    cancel: bool,
     give_up: Vec<Micros>,
     harmful: Vec<bool>,
     /// Ids of hand-ins.
@@ -136,6 +137,7 @@
         }
         Desk {
             most: settings.max_held as usize,
+            cancel: settings.cancel,
             most_out: if settings.second_copies { 2 } else { 1 },
             ids: Ids::new(
                 settings.classes.iter().map(|c| c.give_up).max().unwrap_or_default().after(ID_REST),
@@ -203,9 +205,9 @@
     pub fn full(&self) -> bool {
         self.held() >= self.most
     }
-    /// One request may have two attempts out at once.
-    pub fn copies(&self) -> bool {
-        self.most_out > 1
+    /// An attempt may be called off.
+    pub fn calls_off(&self) -> bool {
+        self.cancel
     }
     /// Attempts that are out.
     pub fn out(&self) -> usize {
--- a/src/state.rs
+++ b/src/state.rs
@@ -320,8 +320,6 @@
     pub last_delivered: Micros,
     /// When the last delivered call was sent.
     pub last_proof: Micros,
-    /// When the last few were sent that were answered in the usual time.
-    pub quick: [Micros; 3],
     /// When calls of the last window were sent, and what they weigh with all their messages.
     pub sends: VecDeque<(Micros, f64)>,
 }
@@ -361,9 +359,6 @@
     pub fn doubted(&self, d: &Destination) -> bool {
         self.health != Health::Well || !self.apart && self.last_proof < d.trouble_at
     }
-    pub fn oldest(&self) -> Option<Micros> {
-        self.calls.values().min().copied()
-    }
 }
 
 /// A destination: its receivers, and what waits for it.
@@ -385,6 +380,13 @@
     pub zone: ZoneId,
     pub sent: Micros,
     pub call: u64,
+    pub called_off: bool,
+}
+
+impl Attempt {
+    pub fn new(number: u32, receiver: ReceiverId, zone: ZoneId, sent: Micros, call: u64) -> Attempt {
+        Attempt { number, receiver, zone, sent, call, called_off: false }
+    }
 }
 
 /// A message that is owed its answer, or whose last outcome is still to come.
--- a/tower/src/lib.rs
+++ b/tower/src/lib.rs
@@ -182,8 +182,8 @@
     pub fn new(settings: Settings, list: Vec<Entry>, seed: u64, judge: J) -> PaceLayer<J> {
         let most = settings.max_held as usize;
         let give_up = settings.classes.iter().map(|c| c.give_up).collect();
-        // A request is one future here, which makes one call at a time.
-        let settings = Settings { subscribe: false, second_copies: false, ..settings };
+        // A request is one future here, which makes one call at a time and ends it by itself.
+        let settings = Settings { subscribe: false, second_copies: false, cancel: false, ..settings };
         let inner = Inner {
             brain: Brain::new(settings, seed),
             most,
