--- a/config/src/duties.rs
+++ b/config/src/duties.rs
@@ -27,6 +27,8 @@
     pub probe: Probe,
     /// One instance asks for the list and tells the others.
     pub list: bool,
+    /// One instance at a time leads the fleet.
+    pub coordinator: bool,
     /// Keys that a datagram may be signed with, and the one that this instance signs with.
     pub keys: Keys,
 }
@@ -65,13 +67,14 @@
     #[serde(default)]
     member: Vec<RawMember>,
     members_from: Option<Spanned<String>>,
-    #[serde(default = "five")]
-    voters: Spanned<u32>,
+    voters: Option<Spanned<u32>>,
     lease_s: Option<Spanned<Seconds>>,
     #[serde(default)]
     probe: RawProbe,
     #[serde(default)]
     list: bool,
+    #[serde(default)]
+    coordinator: bool,
     key: Vec<RawKey>,
     sign: Spanned<u32>,
 }
@@ -105,10 +108,8 @@
     }
 }
 
-fn five() -> Spanned<u32> {
-    Spanned::new(0..0, 5)
-}
-
+/// Unless fewer are members.
+const VOTERS: usize = 5;
 const LEASE: Seconds = Seconds(Micros(3_000_000));
 const PATIENCE: Seconds = Seconds(Micros(1_000_000));
 const PATH: &str = "/health";
@@ -170,9 +171,15 @@
         if members.is_empty() {
             return Err(Wrong { at, what: "no [[duties.member]] and no members_from".into() });
         }
-        let voters = *self.voters.get_ref();
-        if !(1..=VOTERS_MOST).contains(&voters) {
-            return Err(Wrong::new(&self.voters, format!("must be 1 to {VOTERS_MOST}")));
+        let voters = self.voters.as_ref().map_or(members.len().min(VOTERS), |v| *v.get_ref() as usize);
+        if let Some(given) = &self.voters {
+            if !(1..=VOTERS_MOST).contains(given.get_ref()) {
+                return Err(Wrong::new(given, format!("must be 1 to {VOTERS_MOST}")));
+            }
+            // A majority of those that are named could not be made of those that there are.
+            if voters > members.len() {
+                return Err(Wrong::new(given, format!("there are only {} members", members.len())));
+            }
         }
         let mut seen = BTreeSet::new();
         if let Some(k) = self.key.iter().find(|k| !seen.insert(*k.id.get_ref())) {
@@ -201,7 +208,7 @@
         }
         Ok(Duties {
             listen: self.listen,
-            voters: members.len().min(voters as usize),
+            voters,
             members,
             lease: lease.0,
             probe: Probe {
@@ -211,6 +218,7 @@
                 alone: self.probe.alone,
             },
             list: self.list,
+            coordinator: self.coordinator,
             keys,
         })
     }
@@ -245,7 +253,8 @@
     #[test]
     fn what_cannot_hold_is_refused() {
         for (head, rest, word) in [
-            ("voters = 10\n", "", "p.toml:4: voters: "),
+            ("voters = 10\n", "", "p.toml:4: voters: must be 1 to 9"),
+            ("voters = 2\n", "", "p.toml:4: voters: there are only 1 members"),
             ("lease_s = 2\n", "", "p.toml:4: lease_s: "),
             ("", MEMBER, "twice"),
             ("", KEY, "twice"),
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -52,7 +52,7 @@
     // the log
     wal_records, wal_refused, wal_compactions,
     // duties shared with other instances
-    probes, probes_refused, notes_told, notes_heard, notes_unknown, leases_won,
+    probes, probes_refused, notes_told, notes_heard, notes_unknown, leases_won, lead_epoch, fence_refused,
     // SMPP
     smpp_sessions, smpp_bad_pdus, smpp_receipts, smpp_receipts_lost,
 }
--- a/daemon/src/keep.rs
+++ b/daemon/src/keep.rs
@@ -1,8 +1,10 @@
-//! What is remembered of destinations at rest, in a file of the folder that lasts. Losing it costs only caution.
+//! Small files of the folder that lasts: what is remembered of destinations at rest, whose loss costs only caution, and
+//! the bound of the epochs that this instance has promised as a voter.
 
 use crate::net::Shared;
 use async_channel::Receiver;
 use futures_lite::future;
+use onyxrock_duties as duties;
 use onyxrock_roster::{Memory, Whose, Writer, read};
 use std::fs::File;
 use std::io::{self, ErrorKind, Read, Write};
@@ -57,3 +59,53 @@
     }
     std::fs::rename(new, folder.join(NAME))
 }
+
+const EPOCH: &str = "onyxrock.epoch";
+const EPOCH_NEW: &str = "onyxrock.epoch.new";
+/// Whole blocks that both may take on the disk.
+pub const EPOCH_BYTES: u64 = 2 * 4096;
+
+/// The bound that an earlier process made last. One line tells of a file that cannot be used: it is as good as none, and
+/// the other voters are asked.
+pub fn epoch(folder: &Path) -> duties::Memory {
+    let path = folder.join(EPOCH);
+    let why = match std::fs::read_to_string(&path) {
+        Err(e) if e.kind() == ErrorKind::NotFound => return duties::Memory::Lost,
+        Err(e) => e.to_string(),
+        // The number stands there twice: half a file, or a damaged one, is no lower bound.
+        Ok(text) => match text.split_whitespace().map(str::parse).collect::<Vec<_>>().as_slice() {
+            [Ok(n), Ok(again)] if n == again => return duties::Memory::Kept(*n),
+            _ => "it is no bound of epochs".to_owned(),
+        },
+    };
+    tracing::warn!("duties: {} is left out: {why}", path.display());
+    duties::Memory::Lost
+}
+
+/// Makes a bound last. What write() has taken survives the process, and the old file stands until the new one is whole.
+pub fn keep_epoch(folder: &Path, bound: u64) -> io::Result<()> {
+    let new = folder.join(EPOCH_NEW);
+    std::fs::write(&new, format!("{bound} {bound}\n"))?;
+    std::fs::rename(new, folder.join(EPOCH))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use onyxrock_duties::Memory::{Kept, Lost};
+
+    #[test]
+    fn a_bound_lasts_and_a_damaged_one_is_none() {
+        let folder = std::env::temp_dir().join(format!("onyxrock-epoch-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        assert_eq!(epoch(&folder), Lost);
+        keep_epoch(&folder, 1000).unwrap();
+        keep_epoch(&folder, 2000).unwrap();
+        assert_eq!(epoch(&folder), Kept(2000));
+        for damaged in ["", "2000", "20", "2000 200\n", "x x", "1 1 1"] {
+            std::fs::write(folder.join(EPOCH), damaged).unwrap();
+            assert_eq!(epoch(&folder), Lost, "{damaged:?}");
+        }
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -152,9 +152,9 @@
                     shared.counters.list_answers.up();
                     (behind, complained) = (false, String::new());
                     let quick = shared.clock.now().since(asked) < Micros(20_000);
-                    if let (Role::Owner, Some(peers)) = (role, &shared.peers) {
+                    if let (Role::Owner(epoch), Some(peers)) = (role, &shared.peers) {
                         let from = discovery.generation.unwrap_or(list.generation);
-                        let news = ListNews { from, generation: list.generation, body: list.text };
+                        let news = ListNews { epoch, from, generation: list.generation, body: list.text };
                         let _ = peers.try_send(ToPeers::List(news));
                     }
                     discovery.generation = Some(list.generation);
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -15,6 +15,7 @@
   check     read the configuration, say what it holds, and end
   members   what a running instance sees of the others: --at ADDRESS [--json]
   duties    which duties it wants and holds: --at ADDRESS [--json]
+  status    who leads the fleet, and whether this one votes: --at ADDRESS [--json]
   version   print the version
 The configuration is what the platform states: --config FILE, or $GW_CONFIG. --product names a
 file of our own, which switches on what the platform does not use (see deploy/product.toml).";
@@ -85,12 +86,16 @@
             }
             Ok(())
         }
-        what @ ("members" | "duties") => {
+        what @ ("members" | "duties" | "status") => {
             let v = show::fetch(
                 line.at.ok_or_else(|| format!("{what}: --at ADDRESS is missing"))?,
-                &format!("/{what}"),
+                if what == "members" { "/members" } else { "/duties" },
             )?;
-            let shown = if what == "members" { show::members } else { show::duties };
+            let shown = match what {
+                "members" => show::members,
+                "duties" => show::duties,
+                _ => show::status,
+            };
             print!("{}", if line.json { format!("{v}\n") } else { shown(&v) });
             Ok(())
         }
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -53,7 +53,8 @@
         n: u64,
         attempt: u32,
         to: ReceiverId,
-        reply: Sender<bool>,
+        /// None: it must not. The epoch that a probe carries; zero for a message.
+        reply: Sender<Option<u64>>,
     },
     Answered(Answered),
     List(List),
@@ -286,24 +287,24 @@
     }
 
     /// The last look before a call is written. It may have waited for a connection meanwhile.
-    fn writing(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId) -> bool {
-        let Some(peer) = self.directory.peer(to).filter(|_| !self.hold) else { return false };
+    fn writing(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId) -> Option<u64> {
+        let peer = self.directory.peer(to).filter(|_| !self.hold)?;
         if peer.drains.is_some_and(|t| now.since(t) > DRAIN_GRACE) {
-            return false;
+            return None;
         }
         if let Some(p) = self.probing.as_mut().filter(|_| self.desk.probing(n)) {
             let may = p.writing(now, n);
             let c = &self.shared.counters;
-            if may { &c.probes } else { &c.probes_refused }.up();
+            if may.is_some() { &c.probes } else { &c.probes_refused }.up();
             return may;
         }
-        let Some(record) = self.desk.attempt(n, attempt, &peer.name, &peer.zone, now) else { return false };
+        let record = self.desk.attempt(n, attempt, &peer.name, &peer.zone, now)?;
         // An attempt that is not in the log could be made again after a restart.
         let kept = self.keep(std::slice::from_ref(&record));
         if !kept {
             self.desk.unsent(n, attempt);
         }
-        kept
+        kept.then_some(0)
     }
 
     fn answered(&mut self, now: Micros, a: &Answered) {
@@ -500,7 +501,10 @@
         }
         self.tidy(now);
         if let Some(p) = self.probing.as_mut().filter(|_| !self.hold) {
-            (0..p.settle(now, &mut self.desk)).for_each(|_| self.shared.counters.leases_won.up());
+            let c = &self.shared.counters;
+            (0..p.settle(now, &mut self.desk)).for_each(|_| c.leases_won.up());
+            c.lead_epoch.set(p.lead_epoch() as usize);
+            c.fence_refused.set(p.fenced() as usize);
         }
         let mut steps = Vec::new();
         self.desk.decide(now, !self.hold, &mut steps);
@@ -722,11 +726,11 @@
         assert!(matches!(steps[0], Step::Call { n: 1, .. }));
         m.list(now, list(Listing::Draining));
         let to = ReceiverId(1);
-        assert!(!m.writing(now.after(Micros(900_000)), 1, 0, to), "too late");
-        assert!(m.writing(now.after(Micros(400_000)), 1, 0, to), "there is time");
-        assert!(!m.writing(now.after(Micros(400_000)), 1, 1, to), "one attempt is out already");
+        assert_eq!(m.writing(now.after(Micros(900_000)), 1, 0, to), None, "too late");
+        assert_eq!(m.writing(now.after(Micros(400_000)), 1, 0, to), Some(0), "there is time");
+        assert_eq!(m.writing(now.after(Micros(400_000)), 1, 1, to), None, "one attempt is out already");
         m.hold = true;
-        assert!(!m.writing(now, 1, 0, to), "the process ends");
+        assert_eq!(m.writing(now, 1, 0, to), None, "the process ends");
         std::fs::remove_dir_all(&folder).unwrap();
     }
 }
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -182,10 +182,11 @@
     // From here on the call may run: the module has it in the log first, or says that it must not go.
     let (reply, allowed) = bounded(1);
     let ask = ToModule::Writing { n: call.n, attempt: call.attempt, to: call.to, reply };
-    if shared.module.send(ask).await.is_err() || allowed.recv().await != Ok(true) {
+    let asked = shared.module.send(ask).await.is_ok();
+    let Some(epoch) = allowed.recv().await.ok().flatten().filter(|_| asked) else {
         return (Verdict::Moot, None, None);
-    }
-    let bytes = request(address, call, clock);
+    };
+    let bytes = request(address, call, epoch, clock);
     // A process that was stood still since then may have lost the right to probe.
     if call.probe.is_some() && clock.now() >= until {
         return (Verdict::Moot, None, None);
@@ -235,9 +236,10 @@
     (Verdict::Error, None, None)
 }
 
-fn request(address: SocketAddr, call: &OutboundCall, clock: &Clock) -> Vec<u8> {
+fn request(address: SocketAddr, call: &OutboundCall, epoch: u64, clock: &Clock) -> Vec<u8> {
     if let Some(path) = &call.probe {
-        return format!("GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n").into_bytes();
+        // A partner that keeps the highest refuses a probe of a holder that stood still and has lost its lease.
+        return format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nX-Epoch: {epoch}\r\n\r\n").into_bytes();
     }
     let mut head = format!("POST /inbox HTTP/1.1\r\nHost: {address}\r\nX-Request-Id: {}\r\n", call.id);
     if !call.key.is_empty() {
--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -239,7 +239,7 @@
             }
             let (reply, allowed) = bounded(1);
             let ask = ToModule::Writing { n: call.n, attempt: call.attempt, to: call.to, reply };
-            if self.shared.module.send(ask).await.is_err() || allowed.recv().await != Ok(true) {
+            if self.shared.module.send(ask).await.is_err() || !matches!(allowed.recv().await, Ok(Some(_))) {
                 end(self.shared, &call, Verdict::Moot).await;
                 continue;
             }
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -53,6 +53,7 @@
     let Product { smpp, dns, duties, list: bounds, idle: resting, .. } = product.clone();
     // The kept zone, old and new, shares the folder with the log.
     let zones = if dns.is_some() { 2 * dns::KEPT_MOST as u64 } else { 0 };
+    let zones = zones + if duties.is_some() { keep::EPOCH_BYTES } else { 0 };
     let kept = resting.map_or(0, |i| i.keep);
     if 2 * kept + zones > config.disk_bytes / 2 {
         return Err(format!(
@@ -141,7 +142,14 @@
         };
         let membership = Membership::new(setup, now.0, u64::from_le_bytes(entropy), now);
         let boot = membership.boot();
-        module.probing = Some(Probing::new(d, me, boot, now, class, to_peers.clone(), to_list));
+        let folder = config.state.clone();
+        let keep = Box::new(move |bound| {
+            let kept = keep::keep_epoch(&folder, bound);
+            kept.inspect_err(|e| tracing::error!("duties: an epoch could not be kept: {e}")).is_ok()
+        });
+        let memory = keep::epoch(&config.state);
+        let out = to_peers.clone();
+        module.probing = Some(Probing::new(d, me, boot, now, class, out, to_list, memory, keep));
         let at = socket.get_ref().local_addr().map_err(|e| e.to_string())?;
         tracing::info!("listens on {at} for members");
         let (clock, out, members) = (shared.clock, to_module.clone(), d.members.clone());
--- a/daemon/src/show.rs
+++ b/daemon/src/show.rs
@@ -75,6 +75,22 @@
     out
 }
 
+/// What of `/duties` tells how the fleet is led, for people.
+pub fn status(v: &Value) -> String {
+    let led = match (&v["coordinator"], &v["coordinator_epoch"]) {
+        (Value::String(who), epoch) => format!("{who} leads, epoch {}", cell(epoch)),
+        _ => "nobody is known to lead".to_owned(),
+    };
+    let votes =
+        if v["votes"] == true { "votes" } else { "does not vote before the others have told their epochs" };
+    let (me, refused) = (cell(&v["me"]), cell(&v["fence_refused"]));
+    let held = v["owned"].as_array().map_or(0, Vec::len);
+    format!(
+        "{led}\n{me} {votes}, holds {held} leases, has kept epochs up to {}, refused {refused} of leases that were over\n",
+        cell(&v["epoch_kept"])
+    )
+}
+
 /// `/duties` for people.
 pub fn duties(v: &Value) -> String {
     let owned = rows(v, "owned", &["duty", "of", "held_for_ms", "ends_in_ms"]);
@@ -115,6 +131,11 @@
         let shown = members(&v);
         let at: Vec<_> = shown.lines().take(3).map(|l| l.find("127").or(l.find("ADDRESS"))).collect();
         assert!(at.iter().all(|a| *a == at[0]) && shown.contains("dropped: forged 3"), "{shown}");
+        let led = json!({"coordinator": "n2", "coordinator_epoch": 7, "me": "n1", "votes": true, "owned": [],
+            "epoch_kept": 1006, "fence_refused": 3});
+        let shown = status(&led);
+        assert!(shown.starts_with("n2 leads, epoch 7\nn1 votes, holds 0 leases"), "{shown}");
+        assert!(status(&json!({"me": "n1", "votes": false})).starts_with("nobody is known to lead"));
         let v = json!({"me": "n1", "alone": false, "won": 2, "lease_ms": 3000, "gap_ms": 1100,
             "owned": [{"duty": "probe", "of": 7, "held_for_ms": 90, "ends_in_ms": 2500}],
             "wanted": [{"duty": "probe", "of": 7, "first": "n1"}, {"duty": "probe", "of": 8, "first": "n2"}]});
--- a/duties/src/book.rs
+++ b/duties/src/book.rs
@@ -1,6 +1,6 @@
 //! The duties of one instance: which are wanted, whose each should be, and the leases for its own.
 
-use crate::{Boot, DUTIES_MOST, Duty, Holder, Member, Message, NotNow, Terms, Voter, rank};
+use crate::{Boot, DUTIES_MOST, Duty, Epoch, Holder, Member, Memory, Message, NotNow, Terms, Voter, rank};
 use onyxrock::interface::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -30,6 +30,8 @@
 pub struct Owned {
     /// For what.
     pub duty: Duty,
+    /// Which lease of it.
+    pub epoch: Epoch,
     /// Since when.
     pub since: Micros,
     /// Until when, without renewal.
@@ -53,6 +55,7 @@
     me: Member,
     members: u16,
     voters: u16,
+    boot: Boot,
     terms: Terms,
     holder: Holder,
     voter: Option<Voter>,
@@ -67,9 +70,11 @@
 
 impl Book {
     /// A book for the member `me` of so many, of which the first `voters` vote. `boot` is a number that no other
-    /// process of this member has.
+    /// process of this member has, `memory` what [`Book::to_keep`] asked an earlier one to make last.
     #[must_use]
-    pub fn new(me: Member, members: u16, voters: u16, terms: Terms, boot: Boot, now: Micros) -> Book {
+    pub fn new(
+        me: Member, members: u16, voters: u16, terms: Terms, boot: Boot, now: Micros, memory: Memory,
+    ) -> Book {
         let voters = voters.clamp(1, members.max(1));
         Book {
             me,
@@ -77,7 +82,8 @@
             voters,
             terms,
             holder: Holder::new(terms, boot, voters),
-            voter: (me.0 < voters).then(|| Voter::new(terms, now)),
+            boot,
+            voter: (me.0 < voters).then(|| Voter::new(terms, voters, now, memory)),
             alive: BTreeMap::from([(me, now)]),
             wanted: BTreeMap::new(),
             round: now,
@@ -160,6 +166,12 @@
                 self.round = now;
             }
         }
+        if let Message::Bound { boot, bound } = &message
+            && (*boot, from.0 < self.voters) == (self.boot, true)
+            && let Some(v) = &mut self.voter
+        {
+            v.heard(from, *bound);
+        }
         self.won += u64::from(self.holder.receive(now, from, &message));
         let answer = self.voter.as_mut().and_then(|v| v.receive(now, from, &message));
         answer.into_iter().map(|message| Output::Send { to: from, message }).collect()
@@ -188,6 +200,9 @@
         self.round = now.after(self.terms.renew());
         if let Some(v) = &mut self.voter {
             v.tidy(now);
+            if v.asks_others(now) {
+                self.tell_voters(now, &Message::Recall { boot: self.boot }, &mut out);
+            }
         }
         self.holder.tidy(now);
         if !self.reached(now) && !self.wanted.is_empty() {
@@ -264,10 +279,42 @@
         }
     }
 
-    /// When [`Book::tick`] is due; none while nothing is wanted.
+    /// When [`Book::tick`] is due; none while nothing is wanted, and this voter has what it needs.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
-        (!self.wanted.is_empty()).then_some(self.round)
+        (!self.wanted.is_empty() || self.forgetful()).then_some(self.round)
+    }
+
+    /// This member's vote waits until the others have told what epochs there may have been.
+    #[must_use]
+    pub fn forgetful(&self) -> bool {
+        self.voter.as_ref().is_some_and(Voter::is_lost)
+    }
+
+    /// A number to make last, for the [`Memory`] of the next process; then say [`Book::kept`]. Until it lasts nothing is
+    /// promised beyond the one before.
+    #[must_use]
+    pub fn to_keep(&self) -> Option<Epoch> {
+        self.voter.as_ref().and_then(Voter::to_keep)
+    }
+
+    /// That number outlives the process now.
+    pub fn kept(&mut self, bound: Epoch) {
+        self.voter.iter_mut().for_each(|v| v.kept(bound));
+    }
+
+    /// The epoch of a lease that is held.
+    #[must_use]
+    pub fn epoch(&self, now: Micros, duty: Duty) -> Option<Epoch> {
+        self.holder.epoch(now, duty)
+    }
+
+    /// A doing that began under this epoch takes its next step now.
+    ///
+    /// # Errors
+    /// [`NotNow`]: it must not.
+    pub fn step(&self, now: Micros, duty: Duty, epoch: Epoch) -> Result<(), NotNow> {
+        self.holder.step(now, duty, epoch)
     }
 
     /// The duties that this instance holds a lease for and may begin at this moment.
@@ -297,7 +344,7 @@
     ///
     /// # Errors
     /// [`NotNow`]: it must not begin.
-    pub fn begin(&mut self, now: Micros, duty: Duty) -> Result<(), NotNow> {
+    pub fn begin(&mut self, now: Micros, duty: Duty) -> Result<Epoch, NotNow> {
         self.holder.begin(now, duty)
     }
 
@@ -311,7 +358,8 @@
     pub fn owned(&self, now: Micros) -> Vec<Owned> {
         let one = |duty: &Duty| {
             let (since, until) = (self.holder.since(now, *duty)?, self.holder.until(now, *duty)?);
-            Some(Owned { duty: *duty, since, until })
+            let epoch = self.holder.epoch(now, *duty)?;
+            Some(Owned { duty: *duty, epoch, since, until })
         };
         self.wanted.keys().filter_map(one).collect()
     }
--- a/duties/src/holder.rs
+++ b/duties/src/holder.rs
@@ -1,9 +1,12 @@
 //! The side that holds leases and does the duties.
 
-use crate::{Boot, Duty, Member, Message, Terms};
+use crate::{Boot, Duty, Epoch, Member, Message, Terms};
 use onyxrock::interface::Micros;
 use std::collections::BTreeMap;
 
+/// Epochs that are remembered; one that is not costs a question.
+const KNOWN_MOST: usize = 20_000;
+
 /// Why something may not begin.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum NotNow {
@@ -17,7 +20,11 @@
 
 #[derive(Clone, Default, PartialEq, Eq, Hash, Debug)]
 struct Claim {
-    /// For each voter that has promised: when the question left that it answered.
+    /// What the questions ask for: higher than any that a voter has told.
+    asking: Epoch,
+    /// What a majority has promised, and what is done under this lease carries.
+    held: Epoch,
+    /// For each voter that has promised it: when the question left that it answered.
     promised: BTreeMap<Member, Micros>,
     /// When the first and the last question of this claim left.
     asked: Option<(Micros, Micros)>,
@@ -38,6 +45,8 @@
     boot: Boot,
     voters: u16,
     claims: BTreeMap<Duty, Claim>,
+    /// The highest epochs that voters have told of.
+    known: BTreeMap<Duty, Epoch>,
     /// Questions that left by then may have been released.
     released: Option<Micros>,
 }
@@ -46,7 +55,7 @@
     /// One that holds nothing. The first `voters` members vote.
     #[must_use]
     pub fn new(terms: Terms, boot: Boot, voters: u16) -> Holder {
-        Holder { terms, boot, voters, claims: BTreeMap::new(), released: None }
+        Holder { terms, boot, voters, claims: BTreeMap::new(), known: BTreeMap::new(), released: None }
     }
 
     /// So many voters must have promised.
@@ -60,26 +69,50 @@
         if self.released.is_some_and(|r| now <= r) {
             return None;
         }
-        for duty in &duties {
-            let asked = &mut self.claims.entry(*duty).or_default().asked;
-            *asked = Some((asked.map_or(now, |a| a.0), now));
+        let mut named = Vec::with_capacity(duties.len());
+        for duty in duties {
+            let known = self.known.get(&duty).copied().unwrap_or(0);
+            let c = self.claims.entry(duty).or_default();
+            c.asked = Some((c.asked.map_or(now, |a| a.0), now));
+            // A lease that ran out is over: what is done under the next one must be told from it.
+            let over = c.held == c.asking && c.held > 0 && c.until <= now;
+            if c.asking <= known || over {
+                c.asking = known.max(c.asking) + 1;
+                c.promised.clear();
+            }
+            named.push((duty, c.asking));
+        }
+        Some(Message::Ask { boot: self.boot, sent: now.0, duties: named })
+    }
+
+    /// A voter has told of an epoch: the next question asks for a higher one, as long as this one is not held.
+    pub fn hint(&mut self, duty: Duty, epoch: Epoch) {
+        if self.known.len() >= KNOWN_MOST && !self.known.contains_key(&duty) {
+            self.known.clear();
         }
-        Some(Message::Ask { boot: self.boot, sent: now.0, duties })
+        let known = self.known.entry(duty).or_insert(0);
+        *known = epoch.max(*known);
     }
 
     /// Takes a voter's answer. True if it won a lease.
     pub fn receive(&mut self, now: Micros, from: Member, message: &Message) -> bool {
-        let Message::Answer { boot, sent, granted, .. } = message else { return false };
+        let Message::Answer { boot, sent, granted, refused } = message else { return false };
         let sent = Micros(*sent);
         // An answer to an earlier life, or to a question that is yet to be asked, is worth nothing.
         if *boot != self.boot || from.0 >= self.voters || sent > now {
             return false;
         }
         let (quorum, lease, mut won) = (self.quorum(), self.terms.lease, false);
-        for duty in granted {
+        for (duty, epoch) in refused {
+            self.hint(*duty, *epoch);
+        }
+        for (duty, epoch) in granted {
             // What was released meanwhile has no claim any more, or one that began later: the promise is gone.
             let stands = |c: &&mut Claim| c.asked.is_some_and(|(first, last)| first <= sent && sent <= last);
             let Some(c) = self.claims.get_mut(duty).filter(stands) else { continue };
+            if *epoch != c.asking {
+                continue;
+            }
             let latest = c.promised.entry(from).or_insert(sent);
             *latest = sent.max(*latest);
             let mut sent: Vec<_> = c.promised.values().copied().collect();
@@ -93,6 +126,7 @@
             if c.since.is_none() || c.until <= now {
                 (c.since, c.began, won) = (Some(now), None, true);
             }
+            c.held = c.asking;
             c.until = c.until.max(until);
         }
         won
@@ -104,6 +138,20 @@
         self.claims.get(&duty).is_some_and(|c| c.since.is_some() && now < c.until)
     }
 
+    /// The epoch of the lease, if it is held.
+    #[must_use]
+    pub fn epoch(&self, now: Micros, duty: Duty) -> Option<Epoch> {
+        self.claims.get(&duty).filter(|_| self.holds(now, duty)).map(|c| c.held)
+    }
+
+    /// Whether a doing that began under this epoch may take its next step now.
+    ///
+    /// # Errors
+    /// [`NotNow::NoLease`]: the lease is over, or is another one.
+    pub fn step(&self, now: Micros, duty: Duty, epoch: Epoch) -> Result<(), NotNow> {
+        if self.epoch(now, duty) == Some(epoch) { Ok(()) } else { Err(NotNow::NoLease) }
+    }
+
     /// Some voters have promised, but no majority.
     #[must_use]
     pub fn partial(&self, duty: Duty) -> bool {
@@ -147,17 +195,16 @@
         if now < next { Err(NotNow::Pace(next)) } else { Ok(()) }
     }
 
-    /// A doing begins now. Ask right before its first byte leaves: a process that was stopped for a while finds its
+    /// A doing begins now, under this epoch. Ask right before its first byte leaves: a process that was stopped for a while finds its
     /// lease over here. It must be over after the patience of the terms.
     ///
     /// # Errors
     /// As [`Holder::may_begin`]; then it must not begin.
-    pub fn begin(&mut self, now: Micros, duty: Duty) -> Result<(), NotNow> {
+    pub fn begin(&mut self, now: Micros, duty: Duty) -> Result<Epoch, NotNow> {
         self.may_begin(now, duty)?;
-        if let Some(c) = self.claims.get_mut(&duty) {
-            (c.began, c.out) = (Some(now), Some(now.after(self.terms.patience)));
-        }
-        Ok(())
+        let c = self.claims.get_mut(&duty).ok_or(NotNow::NoLease)?;
+        (c.began, c.out) = (Some(now), Some(now.after(self.terms.patience)));
+        Ok(c.held)
     }
 
     /// The doing has ended.
@@ -201,7 +248,8 @@
     const DUTY: Duty = Duty { kind: Kind::Probe, of: 1 };
 
     fn answer(holder: &mut Holder, now: u64, from: u16, sent: u64) -> bool {
-        let a = Message::Answer { boot: holder.boot, sent, granted: vec![DUTY] };
+        let (granted, refused) = (vec![(DUTY, holder.claims.get(&DUTY).map_or(1, |c| c.asking))], Vec::new());
+        let a = Message::Answer { boot: holder.boot, sent, granted, refused };
         holder.receive(Micros(now), Member(from), &a)
     }
 
@@ -227,19 +275,19 @@
     fn the_pace_counts_from_when_the_lease_was_won_and_from_the_last_beginning() {
         let mut h = held();
         assert_eq!(h.begin(Micros(111), DUTY), Err(NotNow::Pace(Micros(112))));
-        assert_eq!(h.begin(Micros(112), DUTY), Ok(()));
+        assert_eq!(h.begin(Micros(112), DUTY), Ok(1));
         assert_eq!(h.begin(Micros(113), DUTY), Err(NotNow::Busy));
         h.end(DUTY);
         assert_eq!(h.begin(Micros(113), DUTY), Err(NotNow::Pace(Micros(122))));
         assert_eq!(h.begin(Micros(136), DUTY), Err(NotNow::NoLease), "it would outlast the lease");
-        assert_eq!(h.begin(Micros(135), DUTY), Ok(()));
+        assert_eq!(h.begin(Micros(135), DUTY), Ok(1));
     }
 
     /// A process that was stopped for longer than its lease wakes up with old beliefs.
     #[test]
     fn a_lease_that_had_run_out_begins_anew() {
         let mut h = held();
-        assert_eq!(h.begin(Micros(112), DUTY), Ok(()));
+        assert_eq!(h.begin(Micros(112), DUTY), Ok(1));
         h.end(DUTY);
         assert_eq!(h.begin(Micros(500), DUTY), Err(NotNow::NoLease));
         h.ask(Micros(500), vec![DUTY]);
@@ -252,7 +300,7 @@
     fn answers_to_others_or_to_what_was_released_win_nothing() {
         let mut h = Holder::new(TERMS, 9, 3);
         h.ask(Micros(100), vec![DUTY]);
-        let stale = Message::Answer { boot: 8, sent: 100, granted: vec![DUTY] };
+        let stale = Message::Answer { boot: 8, sent: 100, granted: vec![(DUTY, 1)], refused: vec![] };
         h.receive(Micros(101), Member(0), &stale);
         answer(&mut h, 101, 1, 100);
         assert!(!answer(&mut h, 101, 7, 100), "the eighth has no vote");
@@ -269,9 +317,34 @@
     #[test]
     fn nothing_is_given_back_while_it_is_being_done() {
         let mut h = held();
-        assert_eq!(h.begin(Micros(112), DUTY), Ok(()));
+        assert_eq!(h.begin(Micros(112), DUTY), Ok(1));
         assert_eq!(h.release(Micros(113), &[DUTY]), None);
         h.end(DUTY);
         assert!(h.release(Micros(113), &[DUTY]).is_some() && !h.holds(Micros(113), DUTY));
     }
+
+    #[test]
+    fn a_refusal_names_the_epoch_to_outbid_and_the_old_lease_stays_meanwhile() {
+        let mut h = held();
+        assert_eq!(h.epoch(Micros(103), DUTY), Some(1));
+        let refused = vec![(DUTY, 6)];
+        let a = Message::Answer { boot: 9, sent: 100, granted: vec![], refused };
+        h.receive(Micros(104), Member(1), &a);
+        assert_eq!(h.ask(Micros(110), vec![DUTY]).map(|m| asks(&m)), Some(vec![(DUTY, 7)]));
+        assert_eq!(h.epoch(Micros(111), DUTY), Some(1), "until a majority has promised the new one");
+        answer(&mut h, 112, 0, 110);
+        assert_eq!((h.epoch(Micros(112), DUTY), h.step(Micros(112), DUTY, 1)), (Some(1), Ok(())));
+        answer(&mut h, 113, 1, 110);
+        assert_eq!(h.epoch(Micros(113), DUTY), Some(7));
+        assert_eq!(h.step(Micros(113), DUTY, 1), Err(NotNow::NoLease), "it is another lease now");
+        assert!(h.holds(Micros(149), DUTY) && !h.holds(Micros(150), DUTY));
+        assert_eq!(h.ask(Micros(160), vec![DUTY]).map(|m| asks(&m)), Some(vec![(DUTY, 8)]), "it ran out");
+    }
+
+    fn asks(m: &Message) -> Vec<(Duty, Epoch)> {
+        match m {
+            Message::Ask { duties, .. } => duties.clone(),
+            other => panic!("{other:?}"),
+        }
+    }
 }
--- a/duties/src/lib.rs
+++ b/duties/src/lib.rs
@@ -4,7 +4,7 @@
 //! place in a list that is the same at all of them; the first few are voters. A duty is done under a lease:
 //!
 //! - [`Voter`] promises a duty to one member at a time, for a span of its own clock. After a start it promises nothing
-//!   for one such span, since an earlier process may have: nothing needs to be kept over a restart.
+//!   for one such span, since an earlier process may have. What is kept over a restart is one number, [`Memory`].
 //! - [`Holder`] asks the voters and holds a lease where a majority has promised, until the lease's length after the
 //!   oldest of those questions *left*. Promises run from when the question *came* and a margin longer, so that they end
 //!   later by any two clocks whose rates differ by less than the margin. What the clocks show does not matter.
@@ -12,7 +12,12 @@
 //!   fits into what is left of the lease, the last doing has ended, and the gap of the pace has passed both since it
 //!   began and since the lease was won.
 //!
-//! From these three follows what must hold in every split and crash, with nothing said about who sees whom: two doings
+//! - Every lease has an [`Epoch`]: a voter promises a duty anew only under one that is higher than any it has known of
+//!   it, so no two leases share one, and a later lease has the higher. Whatever receives what is done under a duty keeps
+//!   a [`Fence`] and refuses an epoch lower than the highest it has seen: that is what stops a holder that stood still
+//!   between its last look at the clock and the act itself.
+//!
+//! From the first three follows what must hold in every split and crash, with nothing said about who sees whom: two doings
 //! of one duty never overlap, and begin at least a gap apart. The argument is in `docs/design/duties.md`; the model in
 //! `tests/model.rs` runs this code through all interleavings of crash, restart, delay, loss, duplicate and split.
 //!
@@ -21,11 +26,11 @@
 //!
 //! ```
 //! use onyxrock::interface::Micros;
-//! use onyxrock_duties::{Book, Duty, Kind, Member, Terms};
+//! use onyxrock_duties::{Book, Duty, Kind, Member, Memory, Terms};
 //!
 //! // One member that is its own majority.
 //! let terms = Terms { lease: Micros(3_000_000), gap: Micros(500_000), patience: Micros(1_000_000) };
-//! let mut book = Book::new(Member(0), 1, 1, terms, 7, Micros(0));
+//! let mut book = Book::new(Member(0), 1, 1, terms, 7, Micros(0), Memory::Lost);
 //! let duty = Duty { kind: Kind::Probe, of: 57 };
 //! book.view(Micros(0), [Member(0)].into());
 //! book.want(duty, Micros(60_000_000));
@@ -35,6 +40,8 @@
 //! while book.begin(now, duty).is_err() {
 //!     now = now.after(Micros(100_000));
 //!     let others = book.tick(now);
+//!     // The caller makes this number last before the voter goes on.
+//!     book.to_keep().into_iter().for_each(|n| book.kept(n));
 //!     assert!(others.is_empty(), "its own vote needs no wire");
 //! }
 //! assert!(now >= terms.span());
@@ -43,15 +50,17 @@
 //! ```
 
 mod book;
+mod fence;
 mod holder;
 mod message;
 mod rank;
 mod voter;
 
 pub use book::{Book, Output, Owned};
+pub use fence::Fence;
 pub use holder::{Holder, NotNow};
 pub use message::{DUTIES_MOST, Message};
-pub use voter::Voter;
+pub use voter::{Memory, Voter};
 
 use onyxrock::interface::Micros;
 use serde::{Deserialize, Serialize};
@@ -63,6 +72,9 @@
 /// One life of a member: a number that no other process of it has.
 pub type Boot = u64;
 
+/// Which lease of a duty: of two, the later one has the higher number. Zero is none.
+pub type Epoch = u64;
+
 /// What kind of duty.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
 pub enum Kind {
@@ -70,6 +82,8 @@
     Probe,
     /// Asking for the list of endpoints, and telling the others.
     List,
+    /// Leading the fleet: what must be decided by one at a time is decided by this one.
+    Coordinator,
 }
 
 impl Kind {
@@ -79,6 +93,7 @@
         match self {
             Kind::Probe => "probe",
             Kind::List => "list",
+            Kind::Coordinator => "coordinator",
         }
     }
 }
--- a/duties/src/message.rs
+++ b/duties/src/message.rs
@@ -1,10 +1,10 @@
 //! What members say to each other about duties.
 
-use crate::{Boot, Duty};
+use crate::{Boot, Duty, Epoch};
 use serde::{Deserialize, Serialize};
 
 /// Duties in one message; more go in several, so that each fits in a datagram.
-pub const DUTIES_MOST: usize = 48;
+pub const DUTIES_MOST: usize = 32;
 
 /// Between members. Messages may be lost, come late, twice and in any order; who sent one is known for sure.
 ///
@@ -17,8 +17,8 @@
         boot: Boot,
         /// When the question left.
         sent: u64,
-        /// For what.
-        duties: Vec<Duty>,
+        /// For what, and under which epoch.
+        duties: Vec<(Duty, Epoch)>,
     },
     /// The voter's answer.
     Answer {
@@ -26,8 +26,10 @@
         boot: Boot,
         /// When that question had left.
         sent: u64,
-        /// Promised to the one that asked.
-        granted: Vec<Duty>,
+        /// Promised to the one that asked, under the epoch that it named.
+        granted: Vec<(Duty, Epoch)>,
+        /// Not promised, and the highest epoch that the voter knows of it: the next question needs a higher one.
+        refused: Vec<(Duty, Epoch)>,
     },
     /// To a voter: what was asked for up to then is not wanted any more.
     Release {
@@ -38,6 +40,18 @@
         /// For what.
         duties: Vec<Duty>,
     },
+    /// To the other voters, from one that has lost what it kept: which epochs may have been handed out?
+    Recall {
+        /// Which life of the sender asks.
+        boot: Boot,
+    },
+    /// The answer.
+    Bound {
+        /// Which life had asked.
+        boot: Boot,
+        /// No epoch of any duty that this voter knows is higher.
+        bound: Epoch,
+    },
     /// To the member whose duty it should be: the sender wants it done.
     Want {
         /// What.
@@ -50,10 +64,10 @@
     #[must_use]
     pub fn fits(&self) -> bool {
         let n = match self {
-            Message::Ask { duties, .. } | Message::Release { duties, .. } | Message::Want { duties } => {
-                duties.len()
-            }
-            Message::Answer { granted, .. } => granted.len(),
+            Message::Ask { duties, .. } => duties.len(),
+            Message::Release { duties, .. } | Message::Want { duties } => duties.len(),
+            Message::Answer { granted, refused, .. } => granted.len() + refused.len(),
+            Message::Recall { .. } | Message::Bound { .. } => 0,
         };
         n <= DUTIES_MOST
     }
--- a/duties/tests/cluster.rs
+++ b/duties/tests/cluster.rs
@@ -2,7 +2,7 @@
 //! the one-at-a-time hold in any case, and when all is well again one of them does each duty within a bound.
 
 use onyxrock::interface::Micros;
-use onyxrock_duties::{Book, Duty, Kind, Member, Message, NotNow, Output, Terms};
+use onyxrock_duties::{Book, Duty, Epoch, Kind, Member, Memory, Message, NotNow, Output, Terms};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug)]
 enum Trouble {
     Kill(u16),
+    /// Killed, and what it kept is gone. Once in a life of the cluster: of more the others may not remember enough.
+    Wipe(u16),
     Start(u16),
     /// The process stands still, and goes on later with what it believed.
     Stop(u16),
@@ -49,6 +51,8 @@
     /// Until when what it does is out, by duty; ends early by chance.
     out: BTreeMap<Duty, u64>,
     boots: u64,
+    /// What its folder holds.
+    memory: Memory,
 }
 
 struct Cluster {
@@ -61,11 +65,21 @@
     duties: Vec<Duty>,
     dice: u64,
     sent: u64,
+    wiped: bool,
+    /// Whose each epoch is.
+    epochs: BTreeMap<(Duty, Epoch), (u16, u64)>,
     /// Of each duty, every doing: when it began, and until when it may have been out.
     done: BTreeMap<Duty, Vec<(u64, u64, u16)>>,
     wrong: Vec<String>,
 }
 
+/// Makes last what the book asks for, as the program does.
+fn keep(book: &mut Book, before: Memory) -> Memory {
+    let Some(n) = book.to_keep() else { return before };
+    book.kept(n);
+    Memory::Kept(n)
+}
+
 impl Cluster {
     fn new(members: u16, voters: u16, duties: u64, seed: u64) -> Cluster {
         let node = |i: u16| Node {
@@ -75,6 +89,7 @@
             rate: i64::from(i % 3) * 20_000 - 20_000,
             out: BTreeMap::new(),
             boots: 0,
+            memory: Memory::Lost,
         };
         let duties = (0..duties).map(|of| Duty { kind: Kind::Probe, of }).collect();
         let mut c = Cluster {
@@ -87,6 +102,8 @@
             duties,
             dice: seed,
             sent: 0,
+            wiped: false,
+            epochs: BTreeMap::new(),
             done: BTreeMap::new(),
             wrong: Vec::new(),
         };
@@ -107,7 +124,7 @@
         let node = &mut self.nodes[usize::from(n)];
         if node.book.is_none() {
             node.boots += 1;
-            node.book = Some(Book::new(Member(n), members, voters, TERMS, node.boots, now));
+            node.book = Some(Book::new(Member(n), members, voters, TERMS, node.boots, now, node.memory));
         }
     }
     fn trouble(&mut self, t: &Trouble) {
@@ -119,6 +136,13 @@
                 (node.book, node.stopped) = (None, false);
                 node.out.clear();
             }
+            Trouble::Wipe(m) => {
+                self.trouble(&Trouble::Kill(*m));
+                // A single voter's memory is nowhere else.
+                if self.voters > 1 && !std::mem::replace(&mut self.wiped, true) {
+                    self.nodes[usize::from(m % n)].memory = Memory::Lost;
+                }
+            }
             Trouble::Start(m) => self.start(m % n),
             Trouble::Stop(m) => self.nodes[usize::from(m % n)].stopped = true,
             Trouble::Go(m) => self.nodes[usize::from(m % n)].stopped = false,
@@ -171,6 +195,7 @@
             }
             if let Some(book) = &mut node.book {
                 let answers = book.receive(now, Member(from), message);
+                node.memory = keep(book, node.memory);
                 self.post(to, answers);
             }
         }
@@ -195,8 +220,16 @@
                 }
             }
             let outputs = book.tick(now);
+            node.memory = keep(book, node.memory);
             for duty in book.ready(now) {
-                assert_ne!(book.begin(now, duty), Err(NotNow::NoLease));
+                let begun = book.begin(now, duty);
+                assert_ne!(begun, Err(NotNow::NoLease));
+                let whose = *self.epochs.entry((duty, begun.unwrap())).or_insert((n, node.boots));
+                let last = self.epochs.range(..=(duty, Epoch::MAX)).next_back().map(|e| e.0.1);
+                if whose != (n, node.boots) || last != begun.ok() {
+                    self.wrong
+                        .push(format!("{duty:?}: {n} under {begun:?}, which is {whose:?}'s; last {last:?}"));
+                }
                 // The patience passes on its own clock, which may be slow.
                 let until = at + TERMS.patience.0 + TERMS.patience.0 / 20;
                 node.out.insert(duty, at + TERMS.patience.0);
@@ -224,6 +257,7 @@
     let m = 0..16u16;
     let what = prop_oneof![
         3 => m.clone().prop_map(Trouble::Kill),
+        1 => m.clone().prop_map(Trouble::Wipe),
         4 => m.clone().prop_map(Trouble::Start),
         2 => m.clone().prop_map(Trouble::Stop),
         3 => m.clone().prop_map(Trouble::Go),
--- a/duties/tests/model.rs
+++ b/duties/tests/model.rs
@@ -6,7 +6,7 @@
 //! questions and restarts, see each test.
 
 use onyxrock::interface::Micros;
-use onyxrock_duties::{Duty, Holder, Kind, Member, Message, Terms, Voter};
+use onyxrock_duties::{Duty, Epoch, Holder, Kind, Member, Memory, Message, Terms, Voter};
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
 
@@ -21,6 +21,8 @@
     voter: Voter,
     holder: Holder,
     asks: u8,
+    /// It has passed the check, and what it does under this epoch is still to take effect: it may stand still meanwhile.
+    begun: Option<Epoch>,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug)]
@@ -35,6 +37,10 @@
     done: u8,
     overlap: bool,
     too_soon: bool,
+    /// What the receiver has seen, with holders that may stand still: the highest epoch, and whether one came after a
+    /// higher one and took effect.
+    seen: Epoch,
+    stale: bool,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Debug)]
@@ -43,6 +49,8 @@
     Ask(u16, u64),
     Deliver(u16, u16, Message),
     Do(u16, u64),
+    /// What was begun reaches its receiver.
+    Effect(u16),
     Release(u16, u64),
     Restart(u16),
 }
@@ -61,6 +69,23 @@
     waits_out: bool,
     /// A restarted process is told from its earlier life.
     new_boot: bool,
+    /// A holder may stand still between its check and the effect.
+    freezes: bool,
+    /// The receiver refuses an epoch lower than one that it has seen.
+    fenced: bool,
+}
+
+fn voter(terms: Terms, now: Micros, memory: Memory) -> Voter {
+    let mut v = Voter::new(terms, NODES, now, memory);
+    v.to_keep().into_iter().for_each(|n| v.kept(n));
+    v
+}
+
+/// One that has heard of this epoch: each asks for another, so that a question is not wasted on finding out.
+fn holder(terms: Terms, boot: u64, heard: Epoch) -> Holder {
+    let mut h = Holder::new(terms, boot, NODES);
+    (0..2).for_each(|d| h.hint(duty(d), heard));
+    h
 }
 
 fn duty(of: u64) -> Duty {
@@ -75,10 +100,11 @@
     type Action = Step;
 
     fn init_states(&self) -> Vec<State> {
-        let node = |_| Node {
-            voter: Voter::new(self.terms, Micros(START - self.terms.span().0)),
-            holder: Holder::new(self.terms, 1, NODES),
+        let node = |n: u16| Node {
+            voter: voter(self.terms, Micros(START - self.terms.span().0), Memory::Kept(0)),
+            holder: holder(self.terms, 1, Epoch::from(n)),
             asks: 0,
+            begun: None,
         };
         vec![State {
             now: START,
@@ -90,6 +116,8 @@
             done: 0,
             overlap: false,
             too_soon: false,
+            seen: 0,
+            stale: false,
         }]
     }
 
@@ -105,9 +133,12 @@
                 {
                     steps.push(Step::Ask(n, d));
                 }
-                if node.holder.may_begin(Micros(s.now), duty(d)).is_ok() {
+                if node.holder.may_begin(Micros(s.now), duty(d)).is_ok() && node.begun.is_none() {
                     steps.push(Step::Do(n, d));
                 }
+                if node.begun.is_some() {
+                    steps.push(Step::Effect(n));
+                }
                 if s.releases < self.releases && node.holder.asked(duty(d)).is_some() {
                     steps.push(Step::Release(n, d));
                 }
@@ -156,7 +187,8 @@
             }
             Step::Do(n, d) => {
                 let node = &mut next.nodes[usize::from(n)];
-                let _ = node.holder.begin(now, duty(d));
+                let begun = node.holder.begin(now, duty(d));
+                node.begun = begun.ok().filter(|_| self.freezes);
                 if let Some((began, until)) = s.last[d as usize] {
                     next.overlap |= s.now < until;
                     next.too_soon |= s.now < began + self.terms.gap.0;
@@ -164,6 +196,14 @@
                 next.last[d as usize] = Some((s.now, s.now + self.terms.patience.0));
                 next.done = (next.done + 1).min(2);
             }
+            Step::Effect(n) => {
+                let epoch = next.nodes[usize::from(n)].begun.take()?;
+                // Refused, it has no effect: nothing more comes of it.
+                if !self.fenced || epoch >= s.seen {
+                    next.stale |= epoch < s.seen;
+                    next.seen = epoch.max(s.seen);
+                }
+            }
             Step::Release(n, d) => {
                 next.releases += 1;
                 let m = next.nodes[usize::from(n)].holder.release(now, &[duty(d)])?;
@@ -174,8 +214,11 @@
                 let since = if self.waits_out { now } else { Micros(START - self.terms.span().0) };
                 let boot = if self.new_boot { 2 + u64::from(s.restarts) } else { 1 };
                 let asks = s.nodes[usize::from(n)].asks;
-                let (voter, holder) = (Voter::new(self.terms, since), Holder::new(self.terms, boot, NODES));
-                next.nodes[usize::from(n)] = Node { voter, holder, asks };
+                // What it kept is above all that it has promised; its epochs then, too.
+                let old = &s.nodes[usize::from(n)].voter;
+                let voter = voter(self.terms, since, Memory::Kept(old.bound()));
+                let holder = holder(self.terms, boot, 2 + u64::from(s.restarts));
+                next.nodes[usize::from(n)] = Node { voter, holder, asks, begun: None };
             }
         }
         (next != *s).then_some(next)
@@ -185,6 +228,7 @@
         vec![
             Property::always("one holder at most", |_, s| !two_hold(s)),
             Property::always("no two at once", |_, s: &State| !s.overlap),
+            Property::always("nothing stale takes effect", |_, s: &State| !s.stale),
             Property::always("the pace", |_, s: &State| !s.too_soon),
             // The model is not empty: things are done, and by another after the first.
             Property::sometimes(DONE, |_, s: &State| s.done > 0),
@@ -233,6 +277,8 @@
     releases: 0,
     waits_out: true,
     new_boot: true,
+    freezes: false,
+    fenced: true,
 };
 const CRASH: World = World { ticks: 3, restarts: 1, ..WORLD };
 const SOUND: [&str; 0] = [];
@@ -276,3 +322,12 @@
     );
     assert_eq!(again.broken(), SOUND.into());
 }
+
+/// A holder that stands still between its last look at the clock and the act: only the receiver can refuse it.
+#[test]
+fn fencing_refuses_what_a_frozen_holder_does_late() {
+    let frozen = World { ticks: 6, freezes: true, ..WORLD };
+    let unfenced = World { fenced: false, ..frozen };
+    assert_eq!(unfenced.broken(), BTreeSet::from(["nothing stale takes effect"]));
+    assert_eq!(frozen.broken(), SOUND.into());
+}
--- a/lab/src/daemon.rs
+++ b/lab/src/daemon.rs
@@ -4,6 +4,7 @@
 use async_channel::{Receiver, Sender, unbounded};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
+use std::cell::Cell;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
@@ -29,6 +30,7 @@
     /// Where members reach it.
     pub members: Option<SocketAddr>,
     starts: u32,
+    stopped: Cell<bool>,
 }
 
 impl Drop for Daemon {
@@ -58,7 +60,21 @@
             .map_err(|e| format!("cannot make {}: {e}", folder.display()))?;
         let (name, program) = (name.to_owned(), program.to_owned());
         let (child, http, members, starts) = (None, None, None, 0);
-        Ok(Daemon { name, program, folder, discovery, known, product, senders, child, http, members, starts })
+        let stopped = Cell::new(false);
+        Ok(Daemon {
+            name,
+            program,
+            folder,
+            discovery,
+            known,
+            product,
+            senders,
+            child,
+            http,
+            members,
+            starts,
+            stopped,
+        })
     }
 
     /// Starts the process and waits until it listens. Its log is `daemon.log` in its folder.
@@ -117,9 +133,28 @@
         Ok(())
     }
 
+    /// How often it was started.
+    pub fn starts(&self) -> u32 {
+        self.starts
+    }
+
+    /// What it kept is gone. Only while it is down.
+    pub fn wipe(&self) -> Result<(), String> {
+        let state = self.folder.join("state");
+        std::fs::remove_dir_all(&state).map_err(|e| e.to_string())?;
+        std::fs::create_dir_all(&state).map_err(|e| e.to_string())
+    }
+
+    /// The lines of its log that hold this.
+    pub fn logged(&self, what: &str) -> Vec<String> {
+        let text = std::fs::read_to_string(self.folder.join("daemon.log")).unwrap_or_default();
+        text.lines().filter(|l| l.contains(what)).map(str::to_owned).collect()
+    }
+
     /// SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
+            self.stopped.set(false);
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -128,9 +163,11 @@
 
     /// It stands still until [`Daemon::go`].
     pub fn stop(&self) {
+        self.stopped.set(true);
         self.signal(Signal::STOP);
     }
     pub fn go(&self) {
+        self.stopped.set(false);
         self.signal(Signal::CONT);
     }
     fn signal(&self, signal: Signal) {
@@ -146,6 +183,10 @@
 
     /// What it shows at a path, as JSON.
     pub async fn show(&self, path: &str) -> Option<Value> {
+        // One that stands still answers nothing: it is not waited for.
+        if self.stopped.get() {
+            return None;
+        }
         let request = format!("GET {path} HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n");
         let (status, body) = ask(self.http?, &request, Duration::from_millis(500)).await?;
         serde_json::from_str(&body).ok().filter(|_| status == 200)
--- a/lab/src/experiments/cluster.rs
+++ b/lab/src/experiments/cluster.rs
@@ -24,6 +24,9 @@
     pub alone: bool,
     /// One asks for the list and tells the others.
     pub list: bool,
+    /// One leads.
+    pub coordinator: bool,
+    pub voters: usize,
     /// Nothing of all this: daemons without `[duties]`.
     pub off: bool,
 }
@@ -43,9 +46,9 @@
         return String::new();
     }
     let mut out = format!(
-        "[log]\nlevel = \"debug\"\nlines_per_s = 1000\n[duties]\nlisten = \"127.0.0.1:0\"\nvoters = 5\nlease_s = {}\nsign = 1\nlist = {}\n[duties.probe]\nper_s = {}\n\
+        "[log]\nlevel = \"debug\"\nlines_per_s = 1000\n[duties]\nlisten = \"127.0.0.1:0\"\nvoters = {}\nlease_s = {}\nsign = 1\nlist = {}\ncoordinator = {}\n[duties.probe]\nper_s = {}\n\
          patience_s = {}\nalone = {}\n",
-        plan.lease_s, plan.list, plan.per_s, plan.patience_s, plan.alone
+        plan.voters, plan.lease_s, plan.list, plan.coordinator, plan.per_s, plan.patience_s, plan.alone
     );
     for (to, address) in net.relays[me].iter().enumerate() {
         let _ = write!(out, "[[duties.member]]\nname = \"{}\"\naddress = \"{address}\"\n", name(plan, to));
@@ -64,9 +67,9 @@
         let partner = |d| Partner::start(&world, d, plan.strength);
         let partners = (1..=plan.partners).map(partner).collect::<Result<Vec<_>, _>>()?;
         let discovery = Discovery::start(&world, &partners)?;
-        let net = Net::start(&world, plan.daemons)?;
+        let net = Net::start(&world, plan.daemons, setup.seed)?;
         let destinations: Vec<_> = (1..=plan.partners).collect();
-        let clients = Clients::start(&world, plan.daemons, &destinations, plan.load, 7);
+        let clients = Clients::start(&world, plan.daemons, &destinations, plan.load, setup.seed);
         let mut daemons = Vec::new();
         for i in 0..plan.daemons {
             let product = product(&plan, &net, i);
@@ -102,6 +105,20 @@
         self.daemons[i].kill();
     }
 
+    /// Every lease that a daemon says it holds: its kind, of what, its epoch, whose, and in which life.
+    pub async fn leases(&self) -> Vec<(String, u64, u64, usize, u32)> {
+        let mut all = Vec::new();
+        for (i, d) in self.daemons.iter().enumerate() {
+            let Some(shown) = d.show("/duties").await else { continue };
+            for o in shown["owned"].as_array().into_iter().flatten() {
+                let number = |key: &str| o[key].as_u64().unwrap_or(0);
+                let kind = o["duty"].as_str().unwrap_or("?").to_owned();
+                all.push((kind, number("of"), number("epoch"), i, d.starts()));
+            }
+        }
+        all
+    }
+
     /// Which daemons say that they probe which partner.
     pub async fn owners(&self) -> BTreeMap<u64, Vec<usize>> {
         let mut owners: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
--- a/lab/src/experiments/duties.rs
+++ b/lab/src/experiments/duties.rs
@@ -23,6 +23,8 @@
         patience_s: 0.5,
         alone: false,
         list: false,
+        coordinator: false,
+        voters: 5,
         off: false,
     }
 }
@@ -194,7 +196,7 @@
         setup.progress(what);
         let a = c.owners().await.values().flatten().next().copied().unwrap_or(0);
         let ways = (0..c.daemons.len()).filter(|b| *b != a).map(|b| if deaf { (b, a) } else { (a, b) });
-        c.net.cut.borrow_mut().extend(ways);
+        c.net.faults.cut(ways);
         sleep(span).await;
         healed(&c, what).await;
     }
--- a/lab/src/experiments/mod.rs
+++ b/lab/src/experiments/mod.rs
@@ -4,6 +4,7 @@
 mod duties;
 mod fleet;
 mod idle;
+mod lease;
 
 use crate::report::Report;
 use crate::world::World;
@@ -15,6 +16,8 @@
     pub daemon: PathBuf,
     /// A shorter form of the same, for CI.
     pub short: bool,
+    /// Of what is drawn: load and faults.
+    pub seed: u64,
     pub world: World,
 }
 
@@ -45,6 +48,7 @@
     "duties-cold", "a partner returns cold under 5 daemons that share, beside 5 that probe alone", duties::cold;
     "duties-list", "one of 5 asks for the list and tells the others, beside 5 that each ask", duties::list;
     "duties-wait", "one daemon's probe is told to wait 3 s; none of 5 may call before", duties::wait;
+    "lease-stall", "leases of 22 duties under stalls, cuts, loss, delay, and voters killed and wiped", lease::stall;
     "idle-50k", "50,000 destinations of which few are in use: memory, processor, list, waking, rest", idle::run;
     "fleet-limit", "2 to 100 modules at a limit that refused calls use up, and their calls for the list", fleet::limit;
 }
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -9,6 +9,8 @@
 pub struct Request {
     pub method: String,
     pub path: String,
+    /// Of the lease under which it was sent; none where it does not say.
+    pub epoch: Option<u64>,
 }
 
 /// A connection that requests come over, one at a time.
@@ -58,7 +60,8 @@
             return Ok(None);
         }
         let text = |t: Option<&str>| t.unwrap_or("").to_owned();
-        Ok(Some((Request { method: text(r.method), path: text(r.path) }, at + length)))
+        let epoch = header("x-epoch").and_then(|e| e.parse().ok());
+        Ok(Some((Request { method: text(r.method), path: text(r.path), epoch }, at + length)))
     }
 
     pub async fn answer(&mut self, status: u16, headers: &str, body: &str) -> io::Result<()> {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,26 +7,33 @@
 use std::process::ExitCode;
 
 const USAGE: &str = "\
-usage: onyxrock-lab run NAME --out DIR [--short] [--daemon FILE]
+usage: onyxrock-lab run NAME --out DIR [--short] [--daemon FILE] [--seed N]
        onyxrock-lab list
 `run` plays an experiment against real daemons on loopback, writes DIR/report.json, prints its claims and
 ends with 1 if one does not hold, with 2 if it could not be run. --daemon names the daemon's program; else it
-is the one beside this program. --short plays a shorter form.";
+is the one beside this program. --short plays a shorter form. --seed is of what
+is drawn, 7 if it is not given.";
 
 struct Line {
     words: Vec<String>,
     out: Option<PathBuf>,
     daemon: Option<PathBuf>,
     short: bool,
+    seed: u64,
 }
 
 fn line(mut args: lexopt::Parser) -> Result<Line, String> {
-    let mut line = Line { words: Vec::new(), out: None, daemon: None, short: false };
+    let mut line = Line { words: Vec::new(), out: None, daemon: None, short: false, seed: 7 };
     while let Some(arg) = args.next().map_err(|e| e.to_string())? {
         match arg {
             Long("out") => line.out = Some(args.value().map_err(|e| e.to_string())?.into()),
             Long("daemon") => line.daemon = Some(args.value().map_err(|e| e.to_string())?.into()),
             Long("short") => line.short = true,
+            Long("seed") => {
+                let text = args.value().map_err(|e| e.to_string())?;
+                let parsed = text.to_string_lossy().parse();
+                line.seed = parsed.map_err(|_| format!("--seed is no number: {text:?}"))?;
+            }
             Long("help") | Short('h') => line.words = vec!["help".into()],
             Value(v) => line.words.push(v.to_string_lossy().into_owned()),
             other => return Err(other.unexpected().to_string()),
@@ -42,7 +49,7 @@
         ["run", name] => {
             let out = line.out.ok_or("run: --out DIR is missing")?;
             let daemon = line.daemon.map_or_else(daemon::beside, Ok)?;
-            let setup = Setup { out, daemon, short: line.short, world: World::default() };
+            let setup = Setup { out, daemon, short: line.short, seed: line.seed, world: World::default() };
             let report = run(name, &setup)?;
             print!("{}", report.table());
             Ok(report.held())
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod clients;
 pub mod discovery;
+pub mod faults;
 pub mod net;
 pub mod partner;
 
--- a/lab/src/world/partner.rs
+++ b/lab/src/world/partner.rs
@@ -31,6 +31,8 @@
     /// When it was answered, or its connection closed.
     pub until: f64,
     pub probe: bool,
+    /// Of a probe.
+    pub epoch: u64,
     pub status: u16,
 }
 
@@ -100,12 +102,17 @@
         while let Ok(Some(request)) = conn.next().await {
             let at = self.world.now();
             let probe = request.method == "GET";
+            let stale;
             let n = {
                 let mut hits = self.hits.borrow_mut();
-                hits.push(Hit { at, until: f64::INFINITY, probe, status: 0 });
+                // It keeps the highest epoch that it has seen, and refuses what comes from an earlier lease.
+                let seen = hits.iter().map(|h| h.epoch).max().unwrap_or(0);
+                let epoch = request.epoch.unwrap_or(0);
+                stale = probe && epoch < seen;
+                hits.push(Hit { at, until: f64::INFINITY, probe, epoch, status: 0 });
                 hits.len() - 1
             };
-            let (status, headers, after) = self.judge(at);
+            let (status, headers, after) = if stale { (409, String::new(), 0.0) } else { self.judge(at) };
             // Whatever it does meanwhile, a call is over when its connection closes.
             let gone = if status == 0 {
                 conn.closed().await;
--- a/sharing/src/letters.rs
+++ b/sharing/src/letters.rs
@@ -1,7 +1,7 @@
 //! What the actors say to each other.
 
 use async_channel::Sender;
-use onyxrock_duties::{Member, Message};
+use onyxrock_duties::{Epoch, Member, Message};
 use onyxrock_membership::Keys;
 use serde_json::Value;
 use std::collections::BTreeSet;
@@ -20,6 +20,8 @@
     },
     /// For all.
     List(ListNews),
+    /// For all: this instance leads the fleet, under this epoch.
+    Lead(Epoch),
     Rekey(Keys),
     Show(Sender<Value>),
     /// This instance ends.
@@ -33,11 +35,14 @@
     Duties { from: Member, message: Message },
     Note { endpoint: String, news: Vec<u8> },
     List(ListNews),
+    Lead { from: Member, epoch: Epoch },
 }
 
 /// What the instance that asks for the list tells the others: it went from one version to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListNews {
+    /// Of the lease under which it was asked for.
+    pub epoch: Epoch,
     /// The version before.
     pub from: u64,
     pub generation: u64,
@@ -53,8 +58,8 @@
 pub enum Role {
     /// This instance, for itself.
     Alone,
-    /// This instance, and it tells the others.
-    Owner,
+    /// This instance, under this lease, and it tells the others.
+    Owner(Epoch),
     /// Another, which tells this one.
     Told,
 }
--- a/sharing/src/lib.rs
+++ b/sharing/src/lib.rs
@@ -15,4 +15,4 @@
 
 pub use letters::{FromPeers, LIST_NEWS_MOST, ListNews, Role, ToList, ToPeers};
 pub use peers::{Peers, listen, tempo};
-pub use probing::{Probing, place};
+pub use probing::{Keep, Probing, place};
--- a/sharing/src/peers.rs
+++ b/sharing/src/peers.rs
@@ -6,7 +6,7 @@
 use futures_lite::future;
 use onyxrock::interface::Micros;
 use onyxrock_config::duties::{Duties, Member as Named};
-use onyxrock_duties::{Member, Message};
+use onyxrock_duties::{Epoch, Member, Message};
 use onyxrock_membership::{Membership, Output, Refused};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -30,10 +30,15 @@
     /// The list went from one version to another, as discovery told it; empty where that is too long, or only a sign
     /// of life.
     List {
+        epoch: Epoch,
         from: u64,
         generation: u64,
         body: Vec<u8>,
     },
+    /// The sender leads the fleet.
+    Lead {
+        epoch: Epoch,
+    },
 }
 
 /// Listens where the settings say.
@@ -101,9 +106,10 @@
             ToPeers::Note { endpoint, news } if endpoint.len() <= NAME_MOST => {
                 self.say_all(&Word::Note { endpoint, news });
             }
-            ToPeers::List(ListNews { from, generation, body }) => {
-                self.say_all(&Word::List { from, generation, body });
+            ToPeers::List(ListNews { epoch, from, generation, body }) => {
+                self.say_all(&Word::List { epoch, from, generation, body });
             }
+            ToPeers::Lead(epoch) => self.say_all(&Word::Lead { epoch }),
             ToPeers::Note { .. } | ToPeers::Leave(_) => {}
             ToPeers::Rekey(keys) => self.membership.rekey(keys),
             ToPeers::Show(reply) => drop(reply.try_send(self.json())),
@@ -137,9 +143,10 @@
                 Output::Payload { from, bytes } => match postcard::from_bytes(&bytes) {
                     Ok(Word::Duties(message)) => FromPeers::Duties { from, message },
                     Ok(Word::Note { endpoint, news }) => FromPeers::Note { endpoint, news },
-                    Ok(Word::List { from, generation, body }) => {
-                        FromPeers::List(ListNews { from, generation, body })
+                    Ok(Word::List { epoch, from, generation, body }) => {
+                        FromPeers::List(ListNews { epoch, from, generation, body })
                     }
+                    Ok(Word::Lead { epoch }) => FromPeers::Lead { from, epoch },
                     Err(e) => {
                         tracing::warn!(member = %self.name(from), "members: a message that cannot be read: {e}");
                         continue;
--- a/sharing/src/probing.rs
+++ b/sharing/src/probing.rs
@@ -9,7 +9,7 @@
 use onyxrock::core::Desk;
 use onyxrock::interface::{ClassId, DestinationId, Micros};
 use onyxrock_config::duties::{Duties, Member as Named};
-use onyxrock_duties::{Book, Duty, Kind, Member, Output, Terms};
+use onyxrock_duties::{Book, Duty, Epoch, Fence, Kind, Member, Memory, Output, Terms};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -19,6 +19,11 @@
 
 /// The one duty of asking for the list.
 const LIST: Duty = Duty { kind: Kind::List, of: 0 };
+/// The one duty of leading the fleet.
+const LEAD: Duty = Duty { kind: Kind::Coordinator, of: 0 };
+
+/// Makes an epoch last, for [`Memory`] at the next start. False: it could not, and nothing beyond the last is promised.
+pub type Keep = Box<dyn Fn(Epoch) -> bool>;
 
 /// A probe that the module has.
 struct Probe {
@@ -44,6 +49,13 @@
     won: u64,
     out: Sender<ToPeers>,
     list: Option<ListDuty>,
+    keep: Keep,
+    kept: Epoch,
+    /// One of all leads.
+    leads: bool,
+    /// Who leads, by its own word or here, and under which epoch.
+    leader: Option<(Member, Epoch)>,
+    fence: Fence,
 }
 
 /// Who asks for the list.
@@ -58,23 +70,84 @@
 
 impl Probing {
     /// `class` is what [`core::probes`](onyxrock::core::probes) gave, `boot` a number that no other process of this
-    /// instance has. `out` is the mailbox of the other instances' actor, `list` that of the list's.
+    /// instance has. `out` is the mailbox of the other instances' actor, `list` that of the list's. `memory` is what
+    /// `keep` made last in an earlier process.
+    #[expect(clippy::too_many_arguments, reason = "each is another part of the program, handed over once")]
     pub fn new(
         d: &Duties, me: Member, boot: u64, now: Micros, class: ClassId, out: Sender<ToPeers>,
-        list: Sender<ToList>,
+        list: Sender<ToList>, memory: Memory, keep: Keep,
     ) -> Probing {
         let gap = Micros::from_secs(SLACK / d.probe.per_s);
         let terms = Terms { lease: d.lease, gap, patience: d.probe.patience };
         let alone = d.probe.alone;
         let book = match alone {
-            true => Book::new(Member(0), 1, 1, terms, boot, now),
-            false => Book::new(me, d.members.len() as u16, d.voters as u16, terms, boot, now),
+            true => Book::new(Member(0), 1, 1, terms, boot, now, memory),
+            false => Book::new(me, d.members.len() as u16, d.voters as u16, terms, boot, now, memory),
         };
         let path = d.probe.path.as_str().into();
         let (members, probes) = (d.members.clone(), BTreeMap::new());
         let share = d.list && !alone;
         let list = share.then_some(ListDuty { to: list, role: Role::Alone, heard: None, generation: None });
-        Probing { book, me, members, alone, class, path, probes, look_at: now, due: now, won: 0, out, list }
+        let leads = d.coordinator && !alone;
+        let (kept, leader, fence) = (0, None, Fence::default());
+        let mut new = Probing {
+            book,
+            me,
+            members,
+            alone,
+            class,
+            path,
+            probes,
+            look_at: now,
+            due: now,
+            won: 0,
+            out,
+            list,
+            keep,
+            kept,
+            leads,
+            leader,
+            fence,
+        };
+        new.make_last();
+        tracing::debug!(votes = !new.book.forgetful(), "duties: a new life");
+        new
+    }
+
+    /// What a voter may promise from now on must be known to its next process.
+    fn make_last(&mut self) {
+        if let Some(n) = self.book.to_keep().filter(|n| (self.keep)(*n)) {
+            self.book.kept(n);
+            self.kept = n;
+        }
+    }
+
+    /// The epoch under which the fleet is led, as far as is known here; zero if by nobody.
+    pub fn lead_epoch(&self) -> Epoch {
+        self.leader.map_or(0, |l| l.1)
+    }
+
+    /// What came from the others under a lease that was over, and was refused.
+    pub fn fenced(&self) -> u64 {
+        self.fence.refused()
+    }
+
+    /// What was done under this epoch may take effect here.
+    fn admit(&mut self, duty: Duty, epoch: Epoch) -> bool {
+        let admitted = self.fence.admit(duty, epoch);
+        tracing::debug!(told = duty.kind.name(), epoch, admitted, "duties: news under a lease");
+        admitted
+    }
+
+    /// Leads, if it holds the lease, and says so.
+    fn settle_lead(&mut self, now: Micros, sign_of_life: bool) {
+        let Some(epoch) = self.book.epoch(now, LEAD).filter(|_| self.leads) else { return };
+        if self.fence.highest(LEAD) <= epoch {
+            self.leader = Some((self.me, epoch));
+        }
+        if sign_of_life && self.book.step(now, LEAD, epoch).is_ok() {
+            let _ = self.out.try_send(ToPeers::Lead(epoch));
+        }
     }
 
     /// What came from the other instances. Notes are the module's.
@@ -85,9 +158,17 @@
             FromPeers::View(alive) => self.book.view(now, alive),
             FromPeers::Duties { from, message } => {
                 let out = self.book.receive(now, from, message);
+                self.make_last();
                 self.send(out);
             }
             FromPeers::Note { .. } => {}
+            FromPeers::Lead { from, epoch } => {
+                if self.admit(LEAD, epoch) {
+                    self.leader = Some((from, epoch));
+                }
+            }
+            // Who asked for it under a lease that was over tells of a list that is over, too.
+            FromPeers::List(news) if !self.admit(LIST, news.epoch) => {}
             FromPeers::List(news) => {
                 if let Some(l) = &mut self.list {
                     l.heard = Some(now);
@@ -107,19 +188,19 @@
 
     /// Who asks for the list: the one with the lease, and everybody who does not hear from it.
     fn settle_list(&mut self, now: Micros, sign_of_life: bool) {
-        let (lease, owner) = (self.book.terms().lease, self.book.holds(now, LIST));
+        let (lease, owner) = (self.book.terms().lease, self.book.epoch(now, LIST));
         let Some(l) = &mut self.list else { return };
         let fresh = l.heard.is_some_and(|t| now.since(t) < lease);
         let role = match owner {
-            true => Role::Owner,
-            false if fresh => Role::Told,
-            false => Role::Alone,
+            Some(epoch) => Role::Owner(epoch),
+            None if fresh => Role::Told,
+            None => Role::Alone,
         };
         if role != l.role && l.to.try_send(ToList::Role(role)).is_ok() {
             l.role = role;
         }
-        if let (true, true, Some(generation)) = (owner, sign_of_life, l.generation) {
-            let news = ListNews { from: generation, generation, body: Vec::new() };
+        if let (Some(epoch), true, Some(generation)) = (owner, sign_of_life, l.generation) {
+            let news = ListNews { epoch, from: generation, generation, body: Vec::new() };
             let _ = self.out.try_send(ToPeers::List(news));
         }
     }
@@ -152,9 +233,14 @@
             if self.list.is_some() {
                 self.book.want(LIST, now.after(terms.lease));
             }
+            if self.leads {
+                self.book.want(LEAD, now.after(terms.lease));
+            }
         }
         self.settle_list(now, look);
+        self.settle_lead(now, look);
         let out = self.book.tick(now);
+        self.make_last();
         self.send(out);
         // Those that the module would not let go: a told wait, its budget for what may be cold, no slot.
         let late = |p: &Probe| !p.begun && p.by <= now;
@@ -191,13 +277,13 @@
         self.book.terms().patience
     }
 
-    /// The call of a probe is about to be written. False: it must not be.
-    pub fn writing(&mut self, now: Micros, n: u64) -> bool {
-        let Some(p) = self.probes.get_mut(&n).filter(|p| !p.begun) else { return false };
+    /// The call of a probe is about to be written: the epoch that it carries. None: it must not be.
+    pub fn writing(&mut self, now: Micros, n: u64) -> Option<Epoch> {
+        let p = self.probes.get_mut(&n).filter(|p| !p.begun)?;
         let begins = self.book.begin(now, p.duty);
         tracing::debug!(of = p.duty.of, "duties: a probe, {begins:?}");
         p.begun = begins.is_ok();
-        p.begun
+        begins.ok()
     }
 
     /// The call of a probe has ended, or will not be made.
@@ -222,7 +308,7 @@
         let ms = |m: Micros| m.0 / 1000;
         let name = |m: Member| self.members.get(usize::from(m.0)).map_or("?", |n| n.name.as_str());
         let owned = self.book.owned(now).into_iter().map(|o| {
-            json!({"duty": o.duty.kind.name(), "of": o.duty.of, "held_for_ms": ms(now.since(o.since)),
+            json!({"duty": o.duty.kind.name(), "of": o.duty.of, "epoch": o.epoch, "held_for_ms": ms(now.since(o.since)),
                 "ends_in_ms": ms(o.until.since(now))})
         });
         let wanted = self.book.wanted(now).into_iter().map(|d| {
@@ -230,7 +316,9 @@
             json!({"duty": d.kind.name(), "of": d.of, "first": name(first)})
         });
         let terms = self.book.terms();
-        json!({"me": name(self.me), "alone": self.alone, "lease_ms": ms(terms.lease), "gap_ms": ms(terms.gap),
+        let leader = self.leader.filter(|_| self.leads);
+        json!({"coordinator": leader.map(|l| name(l.0)), "coordinator_epoch": leader.map(|l| l.1),
+            "fence_refused": self.fence.refused(), "epoch_kept": self.kept, "votes": !self.book.forgetful(), "me": name(self.me), "alone": self.alone, "lease_ms": ms(terms.lease), "gap_ms": ms(terms.gap),
             "owned": owned.collect::<Vec<_>>(), "wanted": wanted.collect::<Vec<_>>(), "won": self.book.won()})
     }
 }
@@ -270,6 +358,7 @@
             lease: Micros(1_200_000),
             probe: Pace { per_s: 2.0, patience, path, alone: false },
             list: true,
+            coordinator: false,
             keys: Keys::new(1, [Key { id: 1, secret: [1; 32] }]).unwrap(),
         };
         let mut settings = Settings { slots: 4, max_held: 9, max_attempts: 3, ..Settings::default() };
@@ -277,7 +366,8 @@
         let desk = Desk::new(settings, Names::default(), Default::default(), 1);
         let ((to_peers, out), (to_list, list)) = (bounded(64), bounded(64));
         let now = Micros(1_000_000);
-        let probing = Probing::new(&duties, Member(0), 5, now, class, to_peers, to_list);
+        let (memory, keep) = (Memory::Kept(0), Box::new(|_| true));
+        let probing = Probing::new(&duties, Member(0), 5, now, class, to_peers, to_list, memory, keep);
         Rig { probing, desk, now, out, list }
     }
 
@@ -301,7 +391,7 @@
     #[test]
     fn who_asks_for_the_list_gives_signs_of_life_only_while_it_is_answered() {
         let mut r = rig(1);
-        assert_eq!(r.run(3000), (vec![], vec![ToList::Role(Role::Owner)]), "it has no list yet");
+        assert_eq!(r.run(3000), (vec![], vec![ToList::Role(Role::Owner(1))]), "it has no list yet");
         r.probing.listed(Some(7));
         let (told, roles) = r.run(1200);
         assert!(told.len() >= 3 && told.iter().all(|g| *g == 7) && roles.is_empty(), "{told:?}");
@@ -313,9 +403,23 @@
     fn one_that_is_told_the_list_asks_for_itself_once_it_hears_nothing() {
         let mut r = rig(3);
         assert_eq!(r.run(2000).1, [], "it asks for itself from the start");
-        let news = ListNews { from: 7, generation: 8, body: Vec::new() };
+        let news = ListNews { epoch: 4, from: 7, generation: 8, body: Vec::new() };
         r.probing.take(r.now, FromPeers::List(news.clone()));
         assert_eq!(r.run(1000).1, [ToList::Told(news), ToList::Role(Role::Told)]);
         assert_eq!(r.run(1000).1, [ToList::Role(Role::Alone)]);
     }
+
+    /// A stalled holder's news, or its datagrams, come when the list is another's to ask for.
+    #[test]
+    fn news_under_a_lease_that_is_over_is_refused_and_counted() {
+        let mut r = rig(3);
+        let news = |epoch, generation| ListNews { epoch, from: 7, generation, body: Vec::new() };
+        r.probing.take(r.now, FromPeers::List(news(4, 8)));
+        r.probing.take(r.now, FromPeers::List(news(3, 5)));
+        r.probing.take(r.now, FromPeers::Lead { from: Member(1), epoch: 9 });
+        r.probing.take(r.now, FromPeers::Lead { from: Member(2), epoch: 8 });
+        let told: Vec<_> = std::iter::from_fn(|| r.list.try_recv().ok()).collect();
+        assert_eq!(told, [ToList::Told(news(4, 8))]);
+        assert_eq!((r.probing.fenced(), r.probing.lead_epoch()), (2, 9));
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,26 +53,25 @@
 //! }), &mut actions);
 //! brain.decide(now, &mut actions);
 //! assert!(matches!(actions[0], Action::Send { receiver: ReceiverId(7), .. }));
-//! let Action::WakeAfter(span) = actions[1] else { panic!("a timer is asked for") };
 //!
-//! // The timer comes; then the call is refused, and the message goes again a little later.
+//! // The call is refused: a timer is asked for, and when it comes the message goes again.
 //! actions.clear();
-//! let now = now.after(span);
-//! brain.on_event(now, Event::Wake, &mut actions);
+//! let elapsed = Micros(40_000);
+//! let now = now.after(elapsed);
 //! brain.on_event(now, Event::Outcome(Outcome {
 //!     id: MessageId(1),
 //!     attempt: 0,
 //!     receiver: ReceiverId(7),
 //!     verdict: Verdict::Full(None),
-//!     elapsed: span,
+//!     elapsed,
 //!     finished: false,
 //!     limit: None,
 //!     left: None,
 //! }), &mut actions);
 //! brain.decide(now, &mut actions);
-//! assert!(!actions.iter().any(|a| matches!(a, Action::Send { .. })));
+//! let Action::WakeAfter(span) = actions[0] else { panic!("a timer is asked for") };
 //! actions.clear();
-//! let now = now.after(Micros(500_000));
+//! let now = now.after(span);
 //! brain.on_event(now, Event::Wake, &mut actions);
 //! brain.decide(now, &mut actions);
 //! assert!(matches!(actions[0], Action::Send { id: MessageId(1), .. }));
