--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -101,12 +101,11 @@
             let by = asked.after(discovery.wait).after(GRACE);
             let address = shared.discovery.get();
             let stands_by = role == Role::Told && discovery.generation.is_some() && !behind;
-            let wait = if role == Role::Told { Micros(0) } else { discovery.wait };
             let heard = async {
                 if stands_by {
                     return future::pending().await;
                 }
-                let answer = ask(&shared.clock, &discovery, by, wait, address, &mut conn).await;
+                let answer = ask(&shared.clock, &discovery, by, address, role, &mut conn).await;
                 Heard::Answer(answer)
             };
             let moved = async {
@@ -215,7 +214,7 @@
 
 /// Asks for the list. The answer may begin until `by`; then each piece of it must come in time.
 async fn ask(
-    clock: &Clock, d: &Discovery, by: Micros, wait: Micros, address: SocketAddr, kept: &mut Option<Conn>,
+    clock: &Clock, d: &Discovery, by: Micros, address: SocketAddr, role: Role, kept: &mut Option<Conn>,
 ) -> Result<Answer, Failed> {
     let fail = |e: std::io::Error| e.to_string();
     let late = || "no answer in time".to_owned();
@@ -224,11 +223,17 @@
             Some(conn) => conn,
             None => Conn::open(address, PIECE).await.map_err(fail)?,
         };
+        let wait = if role == Role::Told { Micros(0) } else { d.wait };
         let query = match d.generation {
             None => String::new(),
             Some(g) => format!("?since={g}&timeout_ms={}", wait.0 / 1000),
         };
-        let request = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {address}\r\n\r\n");
+        // Who asks for all says under which lease: a source that keeps the highest refuses one that is over.
+        let epoch = match role {
+            Role::Owner(epoch) => format!("X-Epoch: {epoch}\r\n"),
+            Role::Alone | Role::Told => String::new(),
+        };
+        let request = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {address}\r\n{epoch}\r\n");
         conn.write(request.as_bytes()).await.map_err(fail)?;
         let answer = conn.answer(clock, by).await.map_err(|e| fail(e.into()))?;
         Ok::<_, String>((conn, answer))
--- a/lab/src/world/discovery.rs
+++ b/lab/src/world/discovery.rs
@@ -19,6 +19,10 @@
     told: RefCell<Option<Told>>,
     /// Questions for the list that came.
     pub asked: Cell<u64>,
+    /// The highest epoch under which it was asked for all, how often it came under a lower one, and how often that was
+    /// refused.
+    epoch: Cell<u64>,
+    pub stale: Cell<(usize, usize)>,
 }
 
 /// The whole list, and what has changed since the version before, if that can be told.
@@ -46,6 +50,8 @@
             states: RefCell::default(),
             told: RefCell::default(),
             asked: Cell::new(0),
+            epoch: Cell::new(0),
+            stale: Cell::default(),
         };
         let d = Rc::new(d);
         let (this, w) = (d.clone(), world.clone());
@@ -110,6 +116,17 @@
                     at.and_then(|n| n.parse::<u64>().ok())
                 };
                 self.asked.set(self.asked.get() + 1);
+                if let Some(epoch) = request.epoch {
+                    if epoch < self.epoch.get() {
+                        let (tried, refused) = self.stale.get();
+                        self.stale.set((tried + 1, refused + 1));
+                        if conn.answer(409, "", "").await.is_err() {
+                            return;
+                        }
+                        continue;
+                    }
+                    self.epoch.set(epoch);
+                }
                 let mut left = number("timeout_ms=").unwrap_or(0) as f64 / 1000.0;
                 let since = number("since=");
                 while since.is_some_and(|s| s >= self.generation.get()) && left > 0.0 {
