Duties: where most members have only just been seen again, all that are seen count

Cause by reading: under loss the members go and come in each other's view; Book::settled then leaves out all that came within eight leases, so each is left with itself alone, takes itself for the first of every duty, and all contend. Change: where not more than half are settled, all that are seen are ranked.

--- a/duties/src/book.rs
+++ b/duties/src/book.rs
@@ -135,12 +135,13 @@
         rank::first(duty, self.settled(now)).unwrap_or(self.me)
     }
 
-    /// A member that has only just come may go again, and knows little yet: duties do not move to it at once.
+    /// A member that has only just come may go again, and knows little yet: duties do not move to it at once. Where most
+    /// have only just come the net is at fault: by the few that are left each would take itself for the first.
     fn settled(&self, now: Micros) -> Vec<Member> {
         let rest = Micros(self.terms.lease.0 * SETTLE);
         let old = self.alive.iter().filter(|(_, since)| now.since(**since) >= rest);
         let old: Vec<_> = old.map(|(m, _)| *m).collect();
-        if old.is_empty() { self.alive.keys().copied().collect() } else { old }
+        if old.len() * 2 <= self.alive.len() { self.alive.keys().copied().collect() } else { old }
     }
 
     /// Takes what another member said; who it was must be known for sure.
--- a/lab/src/experiments/lease.rs
+++ b/lab/src/experiments/lease.rs
@@ -173,9 +173,9 @@
     let stalls: &[f64] = if setup.short { &[2.0, 5.0] } else { &[2.0, 5.0, 2.0, 5.0, 3.0, 2.0] };
     for leases in stalls {
         let a = w.leader();
+        w.loses(now(), a);
         c.net.faults.freeze(a);
         w.until(&c, setup, now() + 0.35).await;
-        w.loses(now(), a);
         c.daemons[a].stop();
         tell(&c, format!("{} leads and is stalled for {leases} leases", c.daemons[a].name));
         w.until(&c, setup, now() + leases * LEASE).await;
@@ -191,6 +191,10 @@
         c.net.faults.cut(others().filter(|_| from).map(|b| (a, b)));
         c.net.faults.cut(others().filter(|_| to).map(|b| (b, a)));
         tell(&c, format!("{} leads and is {what}", c.daemons[a].name));
+        // Who is heard goes on answering.
+        if from {
+            w.loses(now(), a);
+        }
         w.until(&c, setup, now() + if setup.short { 3.0 } else { 3.0 * LEASE + 2.0 }).await;
         c.net.heal();
         tell(&c, "all ways are open".into());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -559,8 +559,8 @@
 
     /// All slots are taken and messages wait: calls that were overtaken give way, where the message may be repeated.
     fn give_way(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let needed = self.set.cancel && !self.starved.is_empty();
-        for (id, m) in self.held.iter_mut().filter(|(_, m)| needed && m.attempts <= GIVES_WAY) {
+        let held = if self.set.cancel && !self.starved.is_empty() { &mut self.held } else { return };
+        for (id, m) in held.iter_mut().filter(|(_, m)| m.attempts <= GIVES_WAY) {
             let safe = self.set.classes[m.class.0].effect != Effect::Unsafe;
             for a in m.out.iter_mut().filter(|a| safe && !a.called_off) {
                 let r = self.receivers.get(&a.receiver);
