--- a/daemon/src/show.rs
+++ b/daemon/src/show.rs
@@ -81,8 +81,11 @@
         (Value::String(who), epoch) => format!("{who} leads, epoch {}", cell(epoch)),
         _ => "nobody is known to lead".to_owned(),
     };
-    let votes =
-        if v["votes"] == true { "votes" } else { "does not vote before the others have told their epochs" };
+    let votes = match &v["votes"] {
+        Value::Bool(true) => "votes",
+        Value::Bool(false) => "does not vote before the others have told their epochs",
+        _ => "has no vote",
+    };
     let (me, refused) = (cell(&v["me"]), cell(&v["fence_refused"]));
     let held = v["owned"].as_array().map_or(0, Vec::len);
     format!(
@@ -135,7 +138,8 @@
             "epoch_kept": 1006, "fence_refused": 3});
         let shown = status(&led);
         assert!(shown.starts_with("n2 leads, epoch 7\nn1 votes, holds 0 leases"), "{shown}");
-        assert!(status(&json!({"me": "n1", "votes": false})).starts_with("nobody is known to lead"));
+        assert!(status(&json!({"me": "n1", "votes": false})).contains("lead\nn1 does not vote"));
+        assert!(status(&json!({"me": "n4", "votes": null})).contains("lead\nn4 has no vote"));
         let v = json!({"me": "n1", "alone": false, "won": 2, "lease_ms": 3000, "gap_ms": 1100,
             "owned": [{"duty": "probe", "of": 7, "held_for_ms": 90, "ends_in_ms": 2500}],
             "wanted": [{"duty": "probe", "of": 7, "first": "n1"}, {"duty": "probe", "of": 8, "first": "n2"}]});
--- a/duties/src/book.rs
+++ b/duties/src/book.rs
@@ -283,13 +283,13 @@
     /// When [`Book::tick`] is due; none while nothing is wanted, and this voter has what it needs.
     #[must_use]
     pub fn due(&self) -> Option<Micros> {
-        (!self.wanted.is_empty() || self.forgetful()).then_some(self.round)
+        (!self.wanted.is_empty() || self.votes() == Some(false)).then_some(self.round)
     }
 
-    /// This member's vote waits until the others have told what epochs there may have been.
+    /// Whether this member has a vote, and casts it.
     #[must_use]
-    pub fn forgetful(&self) -> bool {
-        self.voter.as_ref().is_some_and(Voter::is_lost)
+    pub fn votes(&self) -> Option<bool> {
+        self.voter.as_ref().map(|v| !v.is_lost())
     }
 
     /// A number to make last, for the [`Memory`] of the next process; then say [`Book::kept`]. Until it lasts nothing is
--- a/sharing/src/probing.rs
+++ b/sharing/src/probing.rs
@@ -110,7 +110,7 @@
             fence,
         };
         new.make_last();
-        tracing::debug!(votes = !new.book.forgetful(), "duties: a new life");
+        tracing::debug!(votes = new.book.votes(), "duties: a new life");
         new
     }
 
@@ -318,7 +318,7 @@
         let terms = self.book.terms();
         let leader = self.leader.filter(|_| self.leads);
         json!({"coordinator": leader.map(|l| name(l.0)), "coordinator_epoch": leader.map(|l| l.1),
-            "fence_refused": self.fence.refused(), "epoch_kept": self.kept, "votes": !self.book.forgetful(), "me": name(self.me), "alone": self.alone, "lease_ms": ms(terms.lease), "gap_ms": ms(terms.gap),
+            "fence_refused": self.fence.refused(), "epoch_kept": self.kept, "votes": self.book.votes(), "me": name(self.me), "alone": self.alone, "lease_ms": ms(terms.lease), "gap_ms": ms(terms.gap),
             "owned": owned.collect::<Vec<_>>(), "wanted": wanted.collect::<Vec<_>>(), "won": self.book.won()})
     }
 }
