--- a/duties/src/holder.rs
+++ b/duties/src/holder.rs
@@ -197,8 +197,8 @@
         if now < next { Err(NotNow::Pace(next)) } else { Ok(()) }
     }
 
-    /// A doing begins now, under this epoch. Ask right before its first byte leaves: a process that was stopped for a while finds its
-    /// lease over here. It must be over after the patience of the terms.
+    /// A doing begins now, under this epoch. Ask right before its first byte leaves: a process that was stopped for a
+    /// while finds its lease over here. It must be over after the patience of the terms.
     ///
     /// # Errors
     /// As [`Holder::may_begin`]; then it must not begin.
--- a/sharing/src/probing.rs
+++ b/sharing/src/probing.rs
@@ -132,6 +132,11 @@
         self.fence.refused()
     }
 
+    /// A lease that is held here fences off the earlier ones, too. False if a later one has been heard of.
+    fn own(&mut self, duty: Duty, epoch: Epoch) -> bool {
+        self.fence.highest(duty) <= epoch && self.fence.admit(duty, epoch)
+    }
+
     /// What was done under this epoch may take effect here.
     fn admit(&mut self, duty: Duty, epoch: Epoch) -> bool {
         let admitted = self.fence.admit(duty, epoch);
@@ -142,7 +147,7 @@
     /// Leads, if it holds the lease, and says so.
     fn settle_lead(&mut self, now: Micros, sign_of_life: bool) {
         let Some(epoch) = self.book.epoch(now, LEAD).filter(|_| self.leads) else { return };
-        if self.fence.highest(LEAD) <= epoch {
+        if self.own(LEAD, epoch) {
             self.leader = Some((self.me, epoch));
         }
         if sign_of_life && self.book.step(now, LEAD, epoch).is_ok() {
@@ -189,6 +194,9 @@
     /// Who asks for the list: the one with the lease, and everybody who does not hear from it.
     fn settle_list(&mut self, now: Micros, sign_of_life: bool) {
         let (lease, owner) = (self.book.terms().lease, self.book.epoch(now, LIST));
+        if let Some(epoch) = owner {
+            self.own(LIST, epoch);
+        }
         let Some(l) = &mut self.list else { return };
         let fresh = l.heard.is_some_and(|t| now.since(t) < lease);
         let role = match owner {
@@ -349,6 +357,11 @@
 
     /// One of so many members, which hears from the others only what the test hands it.
     fn rig(members: u16) -> Rig {
+        rig_after(members, 0)
+    }
+
+    /// The same, after an earlier life that has promised epochs up to this.
+    fn rig_after(members: u16, kept: Epoch) -> Rig {
         let named = |i| Named { name: format!("n{i}"), address: ([127, 0, 0, 1], 9).into() };
         let (patience, path) = (Micros(250_000), "/health".to_owned());
         let duties = Duties {
@@ -358,7 +371,7 @@
             lease: Micros(1_200_000),
             probe: Pace { per_s: 2.0, patience, path, alone: false },
             list: true,
-            coordinator: false,
+            coordinator: true,
             keys: Keys::new(1, [Key { id: 1, secret: [1; 32] }]).unwrap(),
         };
         let mut settings = Settings { slots: 4, max_held: 9, max_attempts: 3, ..Settings::default() };
@@ -366,7 +379,7 @@
         let desk = Desk::new(settings, Names::default(), Default::default(), 1);
         let ((to_peers, out), (to_list, list)) = (bounded(64), bounded(64));
         let now = Micros(1_000_000);
-        let (memory, keep) = (Memory::Kept(0), Box::new(|_| true));
+        let (memory, keep) = (Memory::Kept(kept), Box::new(|_| true));
         let probing = Probing::new(&duties, Member(0), 5, now, class, to_peers, to_list, memory, keep);
         Rig { probing, desk, now, out, list }
     }
@@ -422,4 +435,15 @@
         assert_eq!(told, [ToList::Told(news(4, 8))]);
         assert_eq!((r.probing.fenced(), r.probing.lead_epoch()), (2, 9));
     }
+
+    /// What the leader itself holds counts as heard of: the word of an earlier one changes nothing here.
+    #[test]
+    fn one_that_leads_does_not_believe_an_earlier_leader() {
+        let mut r = rig_after(1, 5);
+        r.run(4000);
+        assert_eq!(r.probing.lead_epoch(), 6);
+        r.probing.take(r.now, FromPeers::Lead { from: Member(2), epoch: 5 });
+        assert_eq!((r.probing.lead_epoch(), r.probing.fenced()), (6, 1));
+        assert_eq!(r.probing.json(r.now)["coordinator"], "n0");
+    }
 }
