--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -42,7 +42,9 @@
     inbound_open, inbound_opened, inbound_turned_away, inbound_sent_off, inbound_given_back, inbound_silent, taken, fail_fast, bad_requests, ids_again, unheard, resumed,
     // the endpoints' side
     outbound_open, outbound_opened, outbound_reused, outbound_passed_over, outbound_calls,
-    delivered, spoilt, error, full, timed_out, connect_failed, reset, stale, moot, cancelled, late_decisions,
+    delivered, spoilt, error, full, timed_out, connect_failed, reset, stale, moot, cancelled, held_back, late_decisions,
+    // the gate before a call's first byte, and the waits that it heeds
+    held_back_wait, held_back_drain, held_back_late, held_back_ending, waits_told, waits_unread,
     // ends
     failed, returned, notices_sent, notices_retried,
     // the list
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -1,5 +1,6 @@
 //! The actor round the module: one letter after the other, then one decision, then its steps.
 
+use crate::counters::Count;
 use crate::list::{Part, SWEEP, endpoint as listed_endpoint};
 use crate::net::http::endpoint;
 use crate::net::smpp::gateway;
@@ -7,7 +8,7 @@
 use crate::wal::Wal;
 use async_channel::{Receiver, Sender, TrySendError, bounded};
 use onyxrock::core::{Answered, Desk, End, Owed, Record, Step, Taken};
-use onyxrock::interface::{Event, Listing, Micros, ReceiverId, Verdict};
+use onyxrock::interface::{self, Event, Listing, Micros, ReceiverId, Verdict};
 use onyxrock_config::list::List;
 use onyxrock_config::smpp::Gateway;
 use onyxrock_roster::{Directory, Endpoint, Follows, Memory, Order, Refused, Standing, Whose};
@@ -53,8 +54,14 @@
         n: u64,
         attempt: u32,
         to: ReceiverId,
-        /// None: it must not. The epoch that a probe carries; zero for a message.
-        reply: Sender<Option<u64>>,
+        /// Some of it has been written; the rest waited.
+        begun: bool,
+        reply: Sender<Leave>,
+    },
+    /// An endpoint has told a wait, and its answer has not ended yet.
+    Wait {
+        to: ReceiverId,
+        until: Micros,
     },
     Answered(Answered),
     List(List),
@@ -73,6 +80,10 @@
     Quiet(Sender<()>),
 }
 
+/// What the gate says of a call whose first byte is about to leave: the epoch that a probe carries, zero for a message;
+/// or how the call ends that must not go.
+pub type Leave = Result<u64, Verdict>;
+
 impl From<FromPeers> for ToModule {
     fn from(news: FromPeers) -> ToModule {
         ToModule::Peers(news)
@@ -206,9 +217,10 @@
                 let record = self.desk.withdraw(now, n);
                 self.keep(record.as_slice());
             }
-            ToModule::Writing { n, attempt, to, reply } => {
-                let _ = reply.try_send(self.writing(now, n, attempt, to));
+            ToModule::Writing { n, attempt, to, begun, reply } => {
+                let _ = reply.try_send(self.writing(now, n, attempt, to, begun));
             }
+            ToModule::Wait { to, until } => self.desk.wait(now, to, until),
             ToModule::Answered(a) => self.answered(now, &a),
             ToModule::List(list) => self.list(now, list),
             ToModule::Part(part) => self.part(now, part),
@@ -286,25 +298,41 @@
         let _ = reply.try_send(Reply::Taken(n));
     }
 
-    /// The last look before a call is written. It may have waited for a connection meanwhile.
-    fn writing(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId) -> Option<u64> {
-        let peer = self.directory.peer(to).filter(|_| !self.hold)?;
-        if peer.drains.is_some_and(|t| now.since(t) > DRAIN_GRACE) {
-            return None;
+    /// The last look before a call is written: whatever was asked when it was queued, for it may have waited for a
+    /// connection meanwhile. One that has begun asks for what runs against its last byte alone.
+    fn writing(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, begun: bool) -> Leave {
+        let c = &self.shared.counters;
+        let held_back = |why: &Count| {
+            why.up();
+            Err(Verdict::HeldBack)
+        };
+        let Some(peer) = self.directory.peer(to) else { return Err(Verdict::Moot) };
+        if self.hold && !begun {
+            return held_back(&c.held_back_ending);
+        }
+        if peer.drains.is_some_and(|t| now.since(t) > DRAIN_GRACE) && !begun {
+            return held_back(&c.held_back_drain);
+        }
+        match self.desk.leave(now, n, attempt, to) {
+            interface::Leave::Wait => return held_back(&c.held_back_wait),
+            interface::Leave::Late => return held_back(&c.held_back_late),
+            interface::Leave::Over => return Err(Verdict::Moot),
+            interface::Leave::Go if begun => return Ok(0),
+            interface::Leave::Go => {}
         }
         if let Some(p) = self.probing.as_mut().filter(|_| self.desk.probing(n)) {
             let may = p.writing(now, n);
             let c = &self.shared.counters;
             if may.is_some() { &c.probes } else { &c.probes_refused }.up();
-            return may;
+            return may.ok_or(Verdict::Moot);
         }
-        let record = self.desk.attempt(n, attempt, &peer.name, &peer.zone, now)?;
+        let record = self.desk.attempt(n, attempt, &peer.name, &peer.zone, now).ok_or(Verdict::Moot)?;
         // An attempt that is not in the log could be made again after a restart.
         let kept = self.keep(std::slice::from_ref(&record));
         if !kept {
             self.desk.unsent(n, attempt);
         }
-        kept.then_some(0)
+        kept.then_some(0).ok_or(Verdict::Moot)
     }
 
     fn answered(&mut self, now: Micros, a: &Answered) {
@@ -325,8 +353,12 @@
             Verdict::Reset | Verdict::Stale => &c.reset,
             Verdict::Cancelled => &c.cancelled,
             Verdict::Moot => &c.moot,
+            Verdict::HeldBack => &c.held_back,
         }
         .up();
+        if a.told > Micros(0) {
+            c.waits_told.up();
+        }
         self.directory.ended(a.to);
         let record = self.desk.answered(now, a);
         self.keep(record.as_slice());
@@ -643,35 +675,13 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::clock::Clock;
     use onyxrock::interface::{ClassSettings, Effect, KindSettings, Settings};
     use onyxrock::interface::{DestinationId, Entry, KindId, ZoneId};
     use onyxrock_config::list::Listed;
     use onyxrock_roster::{Rules, Terms};
-    use std::cell::Cell;
 
     fn module(folder: &std::path::Path) -> Module {
-        let (module, _) = bounded(8);
-        let (_, closed) = bounded(1);
-        let shared = Rc::new(Shared {
-            clock: Clock::default(),
-            counters: Default::default(),
-            module,
-            ending: closed.clone(),
-            closing: closed,
-            serials: Cell::new(0),
-            crowd: Default::default(),
-            reuse: Default::default(),
-            stopping: Cell::new(false),
-            list: Default::default(),
-            discovery: Cell::new("127.0.0.1:1".parse().unwrap()),
-            connect_timeout: Micros(1_000_000),
-            idle_for: None,
-            peers: None,
-            inbound_most: 10,
-            outbound_most: 10,
-            executor: Rc::new(async_executor::LocalExecutor::new()),
-        });
+        let shared = Shared::alone(bounded(8).0);
         let class =
             ClassSettings { give_up: Micros(9_000_000), effect: Effect::Unsafe, ..Default::default() };
         let settings = Settings {
@@ -726,11 +736,66 @@
         assert!(matches!(steps[0], Step::Call { n: 1, .. }));
         m.list(now, list(Listing::Draining));
         let to = ReceiverId(1);
-        assert_eq!(m.writing(now.after(Micros(900_000)), 1, 0, to), None, "too late");
-        assert_eq!(m.writing(now.after(Micros(400_000)), 1, 0, to), Some(0), "there is time");
-        assert_eq!(m.writing(now.after(Micros(400_000)), 1, 1, to), None, "one attempt is out already");
+        assert_eq!(
+            m.writing(now.after(Micros(900_000)), 1, 0, to, false),
+            Err(Verdict::HeldBack),
+            "too late"
+        );
+        assert_eq!(m.writing(now.after(Micros(400_000)), 1, 0, to, false), Ok(0), "there is time");
+        assert_eq!(
+            m.writing(now.after(Micros(400_000)), 1, 1, to, false),
+            Err(Verdict::Moot),
+            "no such attempt"
+        );
         m.hold = true;
-        assert_eq!(m.writing(now, 1, 0, to), None, "the process ends");
+        assert_eq!(m.writing(now, 1, 0, to, false), Err(Verdict::HeldBack), "the process ends");
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
+    /// The operators' case: one call is decided on and its connection is late; another is told a wait meanwhile. As soon
+    /// as the head of that answer is read, the first must not leave, and it is none of its message's attempts.
+    #[test]
+    fn a_call_that_was_decided_before_a_wait_was_told_is_not_written_within_it() {
+        let folder = std::env::temp_dir().join(format!("onyxrock-module-wait-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut m = module(&folder);
+        let now = m.shared.clock.now();
+        m.list(now, list(Listing::Ready));
+        m.used(now, 1);
+        let deadline = now.after(Micros(5_000_000));
+        let taken = Taken { n: 1, class: "a".into(), destination: 1, deadline, ..Taken::default() };
+        m.desk.take(now, taken);
+        let mut steps = Vec::new();
+        m.desk.decide(now, true, &mut steps);
+        let to = ReceiverId(1);
+        let (told, late) = (now.after(Micros(300_000)), now.after(Micros(900_000)));
+        assert_eq!(m.writing(told, 1, 0, to, false), Ok(0), "nothing was told yet");
+        m.take(ToModule::Wait { to, until: told.after(Micros(2_000_000)) });
+        assert_eq!(
+            m.writing(late, 1, 0, to, true),
+            Err(Verdict::HeldBack),
+            "its last byte would come too late"
+        );
+        assert_eq!(m.shared.counters.held_back_wait.get(), 1);
+        let held_back = Answered {
+            n: 1,
+            attempt: 0,
+            to,
+            verdict: Verdict::HeldBack,
+            elapsed: Micros(900_000),
+            finished: false,
+            limit: (None, None),
+            told: Micros(0),
+        };
+        m.answered(late, &held_back);
+        assert_eq!(m.desk.get(1).map(|o| (o.attempts, o.out.len())), Some((0, 0)));
+        m.desk.decide(late, true, &mut steps);
+        assert_eq!(steps.len(), 1, "nor is it decided on again");
+        let over = told.after(Micros(2_000_000));
+        m.desk.decide(over, true, &mut steps);
+        assert!(matches!(steps[1..], [Step::Call { n: 1, attempt: 1, .. }]), "{steps:?}");
+        assert_eq!(m.writing(over, 1, 1, to, false), Ok(0));
+        assert_eq!(m.desk.get(1).map(|o| o.attempts), Some(1));
         std::fs::remove_dir_all(&folder).unwrap();
     }
 }
--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -1,12 +1,12 @@
 //! One connection to a server: calls go over it one at a time.
 
-use super::{BODY_MOST, Framing, HEADERS, framing, header};
+use super::{BODY_MOST, Framing, HEADERS, framing, header, seconds};
 use crate::clock::Clock;
 use crate::net::buffer::Buffer;
 use async_io::Async;
 use futures_lite::AsyncWriteExt;
 use onyxrock::interface::Micros;
-use std::io;
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 
 /// How long an answer that has begun may take to end.
@@ -20,15 +20,32 @@
     buffer: Buffer,
 }
 
+/// What an answer says of when to come again: the longest, where it says it more than once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Again {
+    Unsaid,
+    /// It says something that is no time.
+    Unread,
+    After(Micros),
+}
+
+impl Again {
+    fn read(headers: &[httparse::Header]) -> Again {
+        let said = headers.iter().filter(|h| h.name.eq_ignore_ascii_case("retry-after"));
+        let read = |value| seconds(std::str::from_utf8(value).ok()?.trim());
+        said.map(|h| read(h.value).map_or(Again::Unread, Again::After)).max().unwrap_or(Again::Unsaid)
+    }
+}
+
 /// The first line and headers of an answer, as far as anybody here asks for them.
 #[derive(Debug, Clone)]
 pub struct Answer {
     pub status: u16,
-    pub retry_after: Option<String>,
+    pub again: Again,
     pub no_slot: bool,
     pub load: Option<String>,
-    /// None where only the first line could be read: nothing says where such an answer ends.
-    framing: Option<Framing>,
+    /// Where it ends; or why nothing says that.
+    framing: Result<Framing, &'static str>,
 }
 
 /// Why there is no answer.
@@ -80,6 +97,25 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Writes what there is room for now, and says how much that was.
+    pub fn put(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self.stream.get_ref().write(bytes) {
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => Ok(0),
+            done => done,
+        }
+    }
+
+    /// Comes to its end once there is room for more.
+    pub async fn room(&self) -> io::Result<()> {
+        self.stream.writable().await
+    }
+
+    /// All of the body is here already.
+    pub fn whole(&self, answer: &Answer) -> bool {
+        let length = answer.framing.ok().and_then(|f| f.length.filter(|_| !f.chunked));
+        length.is_some_and(|l| l <= self.buffer.data().len())
+    }
+
     /// Reads the head of the answer. Its first byte may come until `until`; what has begun must end soon, or it
     /// is no answer. One whose first line says 200 is true, whatever follows that line.
     pub async fn answer(&mut self, clock: &Clock, until: Micros) -> Result<Answer, Lost> {
@@ -117,10 +153,10 @@
                     let text = |name| header(h, name).map(str::to_owned);
                     let read = Answer {
                         status: answer.code.unwrap_or(0),
-                        retry_after: text("retry-after"),
+                        again: Again::read(h),
                         no_slot: header(h, "x-no-slot") == Some("1"),
                         load: text("x-load"),
-                        framing: Some(framing(answer.version, h).map_err(|e| Lost::Spoilt(e.into()))?),
+                        framing: framing(answer.version, h),
                     };
                     self.buffer.consume(n);
                     return Ok(read);
@@ -137,7 +173,8 @@
         let line = std::str::from_utf8(&data[..data.iter().position(|b| *b == b'\n')?]).ok()?;
         let status = line.strip_prefix("HTTP/1.")?.trim_end_matches('\r').get(1..)?;
         let ok = status == " 200" || status.starts_with(" 200 ");
-        ok.then_some(Answer { status: 200, retry_after: None, no_slot: false, load: None, framing: None })
+        let framing = Err("only its first line can be read");
+        ok.then_some(Answer { status: 200, again: Again::Unsaid, no_slot: false, load: None, framing })
     }
 
     /// Reads the rest of an answer and keeps nothing of it. Whether the connection can take another call; an
@@ -146,13 +183,13 @@
         let mut body = self.body(answer, BODY_MOST)?;
         while self.part(&mut body).await?.is_some() {}
         let again = body.again;
-        answer.framing = Some(Framing { length: Some(0), chunked: false, close: !again });
+        answer.framing = Ok(Framing { length: Some(0), chunked: false, close: !again });
         Ok(again)
     }
 
     /// Begins to read the body of an answer, of so many bytes at most.
     pub fn body(&self, answer: &Answer, most: usize) -> io::Result<Body> {
-        let framing = answer.framing.ok_or_else(|| bad("only its first line can be read"))?;
+        let framing = answer.framing.map_err(bad)?;
         if framing.chunked && !matches!(answer.status, 204 | 304) {
             return Err(bad("chunked answers are not read"));
         }
@@ -205,3 +242,19 @@
     /// Once it has ended: the connection can take another call.
     pub again: bool,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case(&[], Again::Unsaid)]
+    #[case(&["soon"], Again::Unread)]
+    #[case(&["1.5", "0.5"], Again::After(Micros(1_500_000)))]
+    #[case(&["0.5", "soon", "1.5"], Again::After(Micros(1_500_000)))]
+    fn of_several_the_longest_holds(#[case] said: &[&'static str], #[case] read: Again) {
+        let header = |v: &&'static str| httparse::Header { name: "retry-AFTER", value: v.as_bytes() };
+        assert_eq!(Again::read(&said.iter().map(header).collect::<Vec<_>>()), read);
+    }
+}
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -1,15 +1,16 @@
 //! One endpoint: its idle connections, and the outbound calls over them.
 
-use super::client::{Answer, Conn, Lost, TAIL};
+use super::HEAD_MOST;
+use super::client::{Again, Answer, Conn, Lost, TAIL};
 use super::reuse::AT_ONCE;
-use super::{HEAD_MOST, seconds};
 use crate::clock::Clock;
-use crate::module::ToModule;
+use crate::module::{Leave, ToModule};
 use crate::net::{OutboundCall, Shared, ToEndpoint};
 use async_channel::{Receiver, Sender, bounded};
 use futures_lite::future;
 use onyxrock::core::Answered;
 use onyxrock::interface::{Micros, Verdict};
+use std::cell::Cell;
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -119,26 +120,37 @@
 async fn outbound_call(
     shared: Rc<Shared>, address: SocketAddr, call: OutboundCall, idle: Option<Idle>, give_back: Sender<Back>,
 ) {
+    // Until when its answer told to wait: that holds whatever becomes of the attempt.
+    let told = Cell::new(Micros(0));
     // To give up a call is to close its connection: dropping the attempt does that.
     let called_off = async {
         call.called_off().await;
         (Verdict::Cancelled, None, None)
     };
-    let (verdict, answer, conn) = future::or(attempt(&shared, address, &call, idle), called_off).await;
+    let (verdict, answer, conn) = future::or(attempt(&shared, address, &call, idle, &told), called_off).await;
     let load = answer.as_ref().and_then(|a| a.load.as_deref()).map(report).unwrap_or_default();
     let answered = Answered {
         finished: answer.as_ref().is_some_and(|a| a.status == 410),
         limit: load,
+        told: told.get(),
         ..call.answered(shared.clock.now(), verdict)
     };
     if matches!(verdict, Verdict::TimedOut | Verdict::Reset | Verdict::Stale) {
         let _ = give_back.try_send(Back::Suspect);
     }
     let _ = shared.module.send(ToModule::Answered(answered)).await;
-    // A delivery needed the first line only; the connection is good for another call after the rest.
-    let tail = shared.clock.now().after(TAIL);
-    if let (Some(mut answer), Some(mut conn)) = (answer, conn)
-        && let Some(Ok(true)) = shared.clock.before(tail, conn.rest(&mut answer)).await
+    let sound = match (answer, conn) {
+        // A delivery needed the first line only; the connection is good for another call after the rest.
+        (Some(mut answer), Some(mut conn)) => {
+            let tail = shared.clock.now().after(TAIL);
+            let again = shared.clock.before(tail, conn.rest(&mut answer)).await;
+            Some(conn).filter(|_| matches!(again, Some(Ok(true))))
+        }
+        // The call was held back: nothing has gone over its connection.
+        (None, conn) => conn,
+        (Some(_), None) => None,
+    };
+    if let Some(conn) = sound
         && give_back.try_send(Back::Sound(Box::new((conn, address)))).is_ok()
     {
         return;
@@ -146,9 +158,17 @@
     shared.counters.outbound_open.down();
 }
 
+/// Asks the module whether a call may leave, or go on.
+async fn gate(shared: &Shared, call: &OutboundCall, begun: bool) -> Leave {
+    let (reply, allowed) = bounded(1);
+    let (n, attempt, to) = (call.n, call.attempt, call.to);
+    let asked = shared.module.send(ToModule::Writing { n, attempt, to, begun, reply }).await.is_ok();
+    allowed.recv().await.ok().filter(|_| asked).unwrap_or(Err(Verdict::Moot))
+}
+
 /// Makes one attempt. A connection that is not handed back is closed, which is how a call is given up.
 async fn attempt(
-    shared: &Shared, address: SocketAddr, call: &OutboundCall, idle: Option<Idle>,
+    shared: &Shared, address: SocketAddr, call: &OutboundCall, idle: Option<Idle>, told: &Cell<Micros>,
 ) -> (Verdict, Option<Answer>, Option<Conn>) {
     let (clock, counters) = (&shared.clock, &shared.counters);
     let until = call.until();
@@ -180,20 +200,31 @@
         }
     };
     // From here on the call may run: the module has it in the log first, or says that it must not go.
-    let (reply, allowed) = bounded(1);
-    let ask = ToModule::Writing { n: call.n, attempt: call.attempt, to: call.to, reply };
-    let asked = shared.module.send(ask).await.is_ok();
-    let Some(epoch) = allowed.recv().await.ok().flatten().filter(|_| asked) else {
-        return (Verdict::Moot, None, None);
+    let epoch = match gate(shared, call, false).await {
+        Ok(epoch) => epoch,
+        Err(verdict) => return (verdict, None, Some(conn)),
     };
     let bytes = request(address, call, epoch, clock);
     // A process that was stood still since then may have lost the right to probe.
     if call.probe.is_some() && clock.now() >= until {
-        return (Verdict::Moot, None, None);
+        return (Verdict::Moot, None, Some(conn));
     }
-    match clock.before(until, conn.write(&bytes)).await {
-        Some(Ok(())) => {}
-        _ => return (Verdict::ConnectFailed, None, None),
+    let mut left = &bytes[..];
+    loop {
+        match conn.put(left) {
+            Ok(n) => left = &left[n..],
+            Err(_) => return (Verdict::ConnectFailed, None, None),
+        }
+        if left.is_empty() {
+            break;
+        }
+        // A call counts when its last byte has come: what has to wait for room asks again. Closed here it never ran.
+        if !matches!(clock.before(until, conn.room()).await, Some(Ok(()))) {
+            return (Verdict::ConnectFailed, None, None);
+        }
+        if let Err(verdict) = gate(shared, call, true).await {
+            return (verdict, None, None);
+        }
     }
     counters.outbound_calls.up();
     let written = clock.now();
@@ -213,6 +244,17 @@
         Err(Lost::Broken(_)) => return (Verdict::Reset, None, None),
         Err(Lost::Spoilt(why)) => return spoilt(shared, address, &why),
     };
+    // A whole head tells a wait, which runs from now on, whatever the body does.
+    if answer.status == 429 {
+        match answer.again {
+            Again::After(wait) => told.set(clock.now().after(wait)),
+            Again::Unread => counters.waits_unread.up(),
+            Again::Unsaid => {}
+        }
+        if told.get() > Micros(0) && !conn.whole(&answer) {
+            let _ = shared.module.send(ToModule::Wait { to: call.to, until: told.get() }).await;
+        }
+    }
     // That a call has not run is believed only of an answer that is whole.
     if answer.status != 200 {
         let tail = clock.now().after(TAIL);
@@ -222,7 +264,8 @@
             None => return spoilt(shared, address, "a body without end"),
         }
     }
-    (verdict(&answer), Some(answer), Some(conn))
+    let verdict = verdict(&answer, told.get().since(clock.now()));
+    (verdict, Some(answer), Some(conn))
 }
 
 /// Something came that is no answer: the call may have run. The endpoint is there, so its other connections are
@@ -252,12 +295,11 @@
     bytes
 }
 
-/// The protocol's table.
-pub fn verdict(answer: &Answer) -> Verdict {
-    let wait = answer.retry_after.as_deref().and_then(seconds).filter(|w| *w > Micros(0));
+/// The protocol's table; `wait` is what is left of a told wait.
+fn verdict(answer: &Answer, wait: Micros) -> Verdict {
     match answer.status {
         200 => Verdict::Delivered,
-        429 => Verdict::Full(wait),
+        429 => Verdict::Full(Some(wait).filter(|w| *w > Micros(0))),
         503 if answer.no_slot => Verdict::Moot,
         503 => Verdict::Full(None),
         504 | 410 => Verdict::Moot,
@@ -272,3 +314,152 @@
     let field = |name: &str| v.get(name).and_then(serde_json::Value::as_f64);
     onyxrock::interface::report(field("x1"), field("x0"))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use onyxrock::interface::ReceiverId;
+    use std::io::{Read, Write};
+    use std::net::{Shutdown, TcpListener, TcpStream};
+
+    /// An endpoint's actor between a peer and a module that the test plays.
+    struct Rig {
+        shared: Rc<Shared>,
+        module: Receiver<ToModule>,
+        mailbox: Sender<ToEndpoint>,
+        peer: TcpListener,
+    }
+
+    impl Rig {
+        fn new() -> Rig {
+            let (module, letters) = bounded(8);
+            let shared = Shared::alone(module);
+            let peer = TcpListener::bind("127.0.0.1:0").unwrap();
+            let mailbox = start(&shared, peer.local_addr().unwrap(), 8);
+            Rig { shared, module: letters, mailbox, peer }
+        }
+        /// Has a call made; it ends when what is returned is dropped.
+        fn call(&self, id: &str, body: usize) -> Sender<()> {
+            let (wanted, called_off) = bounded(1);
+            let call = OutboundCall {
+                n: 1,
+                attempt: 0,
+                to: ReceiverId(7),
+                id: id.into(),
+                key: String::new(),
+                note: String::new(),
+                body: vec![b'x'; body],
+                started: self.shared.clock.now(),
+                patience: Micros(20_000_000),
+                harmful: true,
+                probe: None,
+                called_off: Some(called_off),
+            };
+            self.mailbox.try_send(ToEndpoint::Call(Box::new(call))).unwrap();
+            wanted
+        }
+        fn letter(&self) -> ToModule {
+            async_io::block_on(self.shared.executor.run(self.module.recv())).unwrap()
+        }
+        /// The actor asks whether its call may go.
+        fn gate(&self, says: Leave) -> bool {
+            let ToModule::Writing { begun, reply, .. } = self.letter() else { panic!("no question") };
+            reply.try_send(says).unwrap();
+            begun
+        }
+        fn answered(&self) -> Answered {
+            match self.letter() {
+                ToModule::Answered(a) => a,
+                other => panic!("{other:?}"),
+            }
+        }
+        fn accept(&self, said: &mut Vec<u8>, until: &str) -> TcpStream {
+            let mut stream = self.peer.accept().unwrap().0;
+            let mut byte = [0];
+            while !String::from_utf8_lossy(said).contains(until) {
+                stream.read_exact(&mut byte).unwrap();
+                said.extend(byte);
+            }
+            stream
+        }
+    }
+
+    #[test]
+    fn of_a_call_held_back_no_byte_leaves_and_its_connection_takes_the_next() {
+        let rig = Rig::new();
+        let _first = rig.call("first", 10);
+        assert!(!rig.gate(Err(Verdict::HeldBack)));
+        assert_eq!(rig.answered().verdict, Verdict::HeldBack);
+        let _second = rig.call("second", 0);
+        rig.gate(Ok(0));
+        async_io::block_on(rig.shared.executor.run(futures_lite::future::yield_now()));
+        let mut said = Vec::new();
+        let mut stream = rig.accept(&mut said, "\r\n\r\n");
+        let said = String::from_utf8(said).unwrap();
+        assert!(said.contains("second") && !said.contains("first"), "{said}");
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        assert_eq!(rig.answered().verdict, Verdict::Delivered);
+        assert_eq!(rig.shared.counters.outbound_opened.get(), 1);
+    }
+
+    /// More than the system takes at once: its rest asks again, and closed before its last byte it never ran.
+    #[test]
+    fn a_call_that_waits_for_room_asks_again_before_it_goes_on() {
+        let rig = Rig::new();
+        let body = 24 << 20;
+        let _wanted = rig.call("big", body);
+        assert!(!rig.gate(Ok(0)));
+        let peer = rig.peer.try_clone().unwrap();
+        let read = std::thread::spawn(move || {
+            let mut all = Vec::new();
+            peer.accept().unwrap().0.read_to_end(&mut all).map(|_| all.len())
+        });
+        assert!(rig.gate(Err(Verdict::HeldBack)), "some of it has gone");
+        assert_eq!(rig.answered().verdict, Verdict::HeldBack);
+        assert!(read.join().unwrap().is_ok_and(|n| n < body));
+    }
+
+    /// Its body drips, ends early, or cannot be framed: what its head told holds. Whether it ran is not known.
+    #[rstest::rstest]
+    #[case("Content-Length: 9\r\n\r\nx", false, Verdict::Error)]
+    #[case("Content-Length: 9\r\n\r\nx", true, Verdict::Error)]
+    #[case("Content-Length: -1\r\n\r\n", false, Verdict::Error)]
+    #[case("Retry-After: 0.2\r\nContent-Length: 9\r\n\r\n", false, Verdict::Error)]
+    fn a_whole_head_tells_its_wait(#[case] rest: &str, #[case] ends: bool, #[case] verdict: Verdict) {
+        let rig = Rig::new();
+        let _wanted = rig.call("m", 0);
+        rig.gate(Ok(0));
+        async_io::block_on(rig.shared.executor.run(futures_lite::future::yield_now()));
+        let mut stream = rig.accept(&mut Vec::new(), "\r\n\r\n");
+        let before = rig.shared.clock.now();
+        stream.write_all(format!("HTTP/1.1 429 X\r\nRetry-After: 2.5\r\n{rest}").as_bytes()).unwrap();
+        if ends {
+            stream.shutdown(Shutdown::Write).unwrap();
+        }
+        let ToModule::Wait { to, until } = rig.letter() else { panic!("the head was whole") };
+        assert_eq!((to, until >= before.after(Micros(2_500_000))), (ReceiverId(7), true));
+        let a = rig.answered();
+        assert_eq!((a.verdict, a.told), (verdict, until));
+    }
+
+    #[test]
+    fn a_call_off_that_crosses_a_refusal_keeps_its_wait() {
+        let rig = Rig::new();
+        let wanted = rig.call("m", 0);
+        rig.gate(Ok(0));
+        async_io::block_on(rig.shared.executor.run(futures_lite::future::yield_now()));
+        let mut stream = rig.accept(&mut Vec::new(), "\r\n\r\n");
+        stream.write_all(b"HTTP/1.1 429 X\r\nRetry-After: 2.5\r\nContent-Length: 9\r\n\r\n").unwrap();
+        drop(wanted);
+        let mut told = Micros(0);
+        let a = loop {
+            match rig.letter() {
+                ToModule::Wait { until, .. } => told = until,
+                ToModule::Answered(a) => break a,
+                other => panic!("{other:?}"),
+            }
+        };
+        assert_eq!((a.verdict, a.told > Micros(0)), (Verdict::Cancelled, true));
+        assert!(told == Micros(0) || told == a.told);
+    }
+}
--- a/daemon/src/net/http/mod.rs
+++ b/daemon/src/net/http/mod.rs
@@ -10,8 +10,8 @@
 /// First line and headers.
 pub const HEAD_MOST: usize = 16 * 1024;
 const HEADERS: usize = 64;
-/// Digits on each side of the point.
-const SECONDS_MOST: usize = 9;
+/// A longer time is read as this one: some 30 years, which adds to any clock.
+const SECONDS_MOST: f64 = 1e9;
 
 /// What a message's headers say of its framing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +50,34 @@
 /// Seconds with decimals: digits, perhaps a point, and nothing that a number may be written with elsewhere.
 pub fn seconds(text: &str) -> Option<onyxrock::interface::Micros> {
     let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
-    let digits = |t: &str| (1..=SECONDS_MOST).contains(&t.len()) && t.bytes().all(|b| b.is_ascii_digit());
+    let digits = |t: &str| !t.is_empty() && t.bytes().all(|b| b.is_ascii_digit());
     let s: f64 = text.parse().ok().filter(|_| digits(whole) && digits(part))?;
-    Some(onyxrock::interface::Micros::from_secs(s))
+    Some(onyxrock::interface::Micros::from_secs(s.min(SECONDS_MOST)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use onyxrock::interface::Micros;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case("0", Some(0))]
+    #[case("1.5", Some(1_500_000))]
+    #[case("0.3000000000000000000000000000001", Some(300_000))]
+    #[case("00000000000000000000000000000002", Some(2_000_000))]
+    #[case("99999999999999999999999999999999999999", Some(1_000_000_000_000_000))]
+    #[case("", None)]
+    #[case("-1", None)]
+    #[case("+1", None)]
+    #[case("1e3", None)]
+    #[case(".5", None)]
+    #[case("5.", None)]
+    #[case("inf", None)]
+    #[case("NaN", None)]
+    #[case("Wed, 21 Oct 2026 07:28:00 GMT", None)]
+    fn times_are_digits_of_any_length(#[case] text: &str, #[case] micros: Option<u64>) {
+        assert_eq!(seconds(text), micros.map(Micros));
+        assert_eq!(seconds(&"9".repeat(400)), Some(Micros(1_000_000_000_000_000)), "no overflow");
+    }
 }
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -57,6 +57,30 @@
 }
 
 impl Shared {
+    /// What an actor shares that a test plays the module for.
+    #[cfg(test)]
+    pub fn alone(module: Sender<ToModule>) -> Rc<Shared> {
+        let (_, closed) = async_channel::bounded(1);
+        Rc::new(Shared {
+            clock: Clock::default(),
+            counters: Counters::default(),
+            module,
+            ending: closed.clone(),
+            closing: closed,
+            serials: Cell::new(0),
+            crowd: Default::default(),
+            reuse: Default::default(),
+            stopping: Cell::new(false),
+            list: Default::default(),
+            discovery: Cell::new(([127, 0, 0, 1], 1).into()),
+            connect_timeout: Micros(1_000_000),
+            idle_for: None,
+            peers: None,
+            inbound_most: 10,
+            outbound_most: 10,
+            executor: Rc::new(LocalExecutor::new()),
+        })
+    }
     /// A number that no other caller in this process gets.
     pub fn serial(&self) -> u64 {
         self.serials.set(self.serials.get() + 1);
@@ -106,6 +130,7 @@
             elapsed: now.since(self.started),
             finished: false,
             limit: (None, None),
+            told: Micros(0),
         }
     }
 }
--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender, bounded};
 use async_io::Async;
 use futures_lite::future;
-use onyxrock::interface::{Micros, Verdict};
+use onyxrock::interface::{Micros, ReceiverId, Verdict};
 use onyxrock_config::smpp::Gateway;
 use rusmpp::pdus::{BindTransceiver, DeliverSmResp, SubmitSm};
 use rusmpp::tlvs::{MessageSubmissionRequestTlvValue as Tlv, TlvTag, TlvValue};
@@ -37,6 +37,7 @@
         shared.counters.outbound_opened.up();
         match shared.clock.before(by, bind(&shared, &gateway)).await {
             Some(Some(link)) => {
+                let to = call.to;
                 let waiting = VecDeque::from([*call]);
                 let session = Session {
                     shared: &shared,
@@ -47,6 +48,7 @@
                     heard: shared.clock.now(),
                     asked: false,
                     closing: false,
+                    to,
                 };
                 session.run(&inbox).await;
             }
@@ -128,6 +130,8 @@
     heard: Micros,
     asked: bool,
     closing: bool,
+    /// The number that the module has for this gateway.
+    to: ReceiverId,
 }
 
 impl Session<'_> {
@@ -238,9 +242,13 @@
                 continue;
             }
             let (reply, allowed) = bounded(1);
-            let ask = ToModule::Writing { n: call.n, attempt: call.attempt, to: call.to, reply };
-            if self.shared.module.send(ask).await.is_err() || !matches!(allowed.recv().await, Ok(Some(_))) {
-                end(self.shared, &call, Verdict::Moot).await;
+            let (n, attempt, to) = (call.n, call.attempt, call.to);
+            let asked =
+                self.shared.module.send(ToModule::Writing { n, attempt, to, begun: false, reply }).await;
+            if let Err(verdict) =
+                allowed.recv().await.ok().filter(|_| asked.is_ok()).unwrap_or(Err(Verdict::Moot))
+            {
+                end(self.shared, &call, verdict).await;
                 continue;
             }
             self.shared.counters.outbound_calls.up();
@@ -261,10 +269,13 @@
         let sequence = c.sequence_number();
         match (c.id(), c.pdu()) {
             (CommandId::SubmitSmResp | CommandId::GenericNack, pdu) => {
-                // An answer that comes after its call was given up finds nothing here, and counts for nothing.
+                // An answer that comes after its call was given up counts for nothing but the wait that it tells.
+                let verdict = self.verdict(c.id(), c.status(), pdu);
                 if let Some(call) = self.out.remove(&sequence) {
-                    let verdict = self.verdict(c.id(), c.status(), pdu);
                     end(self.shared, &call, verdict).await;
+                } else if let Verdict::Full(Some(wait)) = verdict {
+                    let until = self.shared.clock.now().after(wait);
+                    let _ = self.shared.module.send(ToModule::Wait { to: self.to, until }).await;
                 }
                 true
             }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -186,14 +186,9 @@
     }
     /// Restrict: when the next call may go.
     fn ready_at(&self, now: Micros) -> Micros {
-        let paced = match &self.control {
-            // Not beyond the next update, which may raise the rate.
-            Some(c) if c.tokens < 1.0 => {
-                now.after(Micros::from_secs((1.0 - c.tokens) / c.rate).min(UPDATE_EVERY))
-            }
-            _ => now,
-        };
-        paced.max(self.wait_until).max(self.breath)
+        // Not beyond the next update, which may raise the rate.
+        let gap = |c: &Control| Micros::from_secs((1.0 - c.tokens).max(0.0) / c.rate).min(UPDATE_EVERY);
+        now.after(self.control.as_ref().map_or(Micros(0), gap)).max(self.wait_until).max(self.breath)
     }
     fn on_send(&mut self, now: Micros) {
         if let Some(c) = &mut self.control {
@@ -281,8 +276,7 @@
         self.last_delivered = now;
         let proven = std::mem::replace(&mut self.last_proof, sent);
         self.latency += 0.3 * (elapsed - self.latency);
-        let weight = if elapsed > self.norm { 0.03 } else { 0.1 };
-        let weight = if proven == Micros(0) { 1.0 } else { weight };
+        let weight = if proven == Micros(0) { 1.0 } else { [0.1, 0.03][usize::from(elapsed > self.norm)] };
         self.norm += weight * (elapsed.min(self.norm * 4.0) - self.norm);
         // No outage longer than a window of the rule fits between two proofs so close to each other.
         let blinked = sent.since(proven).min(now.since(trouble)) <= set.fall_window;
@@ -326,21 +320,20 @@
     /// What another found up was no colder than if it came back that moment. A late note only makes slower.
     fn on_note(&mut self, now: Micros, data: &[u8]) {
         let Some((id, news)) = News::read(data) else { return };
+        self.note_wait(now, id, if let News::Wait(wait) = news { wait } else { Micros(0) });
         let Some(r) = self.receivers.get_mut(&id) else { return };
         let Some(d) = self.destinations.get_mut(&r.destination) else { return };
-        let warming = matches!(r.health, Health::Recovering { .. });
-        let doubted = r.doubted(d);
+        let out_of_order = r.out_of_order(d);
         let pace = if r.apart { &mut r.pace } else { &mut d.pace };
         match news {
             News::Refused => pace.note_refusal(now, self.scale),
-            News::Up if doubted && !warming => {
+            News::Up if out_of_order => {
                 pace.doubt = Doubt { from: now, phase: self.dice.roll(), ..pace.doubt };
                 r.health = Health::Recovering { since: now };
                 self.agenda.look(r.destination, now);
             }
             News::Wait(wait) => {
                 pace.note_refusal(now, self.scale);
-                pace.wait_until = pace.wait_until.max(now.after(wait));
                 if wait >= LONG_WAIT && matches!(r.health, Health::Well | Health::Suspect { .. }) {
                     let phase = self.dice.roll() + 0.5;
                     pace.doubt = Doubt { from: now.after(wait), phase, proven: r.last_proof };
@@ -394,7 +387,7 @@
         let id = m.id;
         self.on_submit(now, m);
         let Some(held) = self.held.get_mut(&id) else { return };
-        (held.attempts, held.maybe_ran) = (past.attempts, past.maybe_ran);
+        (held.attempts, held.number, held.maybe_ran) = (past.attempts, past.attempts, past.maybe_ran);
         let lost = past.maybe_ran.is_some() && self.set.classes[held.class.0].effect == Effect::Unsafe;
         if lost || past.attempts >= self.set.max_attempts {
             self.end(now, id, None, actions);
@@ -410,10 +403,7 @@
 
     /// The single place that ends a message undelivered: refused where a repeat is harmless, else failed.
     fn end(&mut self, now: Micros, id: MessageId, wait: Option<Micros>, actions: &mut Vec<Action>) {
-        let Some(m) = self.held.get(&id) else { return };
-        if m.ended || !m.out.is_empty() {
-            return;
-        }
+        let Some(m) = self.held.get(&id).filter(|m| !m.ended && m.out.is_empty()) else { return };
         actions.push(if m.may_refuse(&self.set, now) {
             let retry_after = wait.filter(|_| self.set.retry_after).map(|w| w.min(self.set.max_retry_after));
             Action::Refuse { id, retry_after }
@@ -424,18 +414,19 @@
     }
 
     fn on_outcome(&mut self, now: Micros, o: &Outcome, actions: &mut Vec<Action>) {
+        self.note_wait(now, o.receiver, o.wait()); // whoever the call belonged to
         let Some(m) = self.held.get_mut(&o.id) else { return };
         let of = |a: &Attempt| a.number == o.attempt && a.receiver == o.receiver;
         let Some(place) = m.out.iter().position(of) else { return };
         let attempt = m.out.remove(place);
         let may_have_run = o.verdict.may_have_run();
-        let lingers = may_have_run && o.verdict != Verdict::Error;
-        if lingers && let Some(k) = &m.key {
+        if let Some(k) = m.key.as_ref().filter(|_| may_have_run && o.verdict != Verdict::Error) {
             self.turns.rest(k, o.id, now.after(self.set.key_rest));
         }
         if may_have_run {
             m.maybe_ran = m.maybe_ran.into_iter().chain([(attempt.sent, attempt.zone)]).min_by_key(|f| f.0);
         }
+        m.attempts -= u32::from(o.verdict == Verdict::HeldBack).min(m.attempts);
         // Both prove that it never ran; at once the table or the limit would be as full.
         if matches!(o.verdict, Verdict::Full(_) | Verdict::ConnectFailed) {
             let doubled = f64::from(1u32 << (m.attempts.clamp(1, 6) - 1));
@@ -475,13 +466,11 @@
         let Some(d) = self.destinations.get_mut(&r.destination) else { return };
         let trouble = if r.apart { Micros(0) } else { d.trouble_at };
         let told = told_share(&self.set, r);
-        let was_doubted = r.doubted(d) && !matches!(r.health, Health::Recovering { .. });
+        let was_doubted = r.out_of_order(d);
         let was_sick = r.sick();
         let overtaken = r.overtaken(attempt.sent, o.elapsed.secs());
         let pace = if r.apart { &mut r.pace } else { &mut d.pace };
-        if told > 0.0
-            && let Some(left) = o.left()
-        {
+        if let Some(left) = o.left().filter(|_| told > 0.0) {
             pace.spacing = Micros::from_secs((SPACING - SPACING_LEFT * left) / told).min(SPACING_MOST);
             pace.wary_until = NEVER;
             if matches!(o.verdict, Verdict::Full(_)) {
@@ -489,9 +478,6 @@
             }
         }
         let mut tell = None;
-        if o.wait() > Micros(0) {
-            pace.wait_until = pace.wait_until.max(now.after(o.wait()));
-        }
         // A full table says so at once; a connect that takes its time meets silence or a slow handshake.
         if o.verdict == Verdict::ConnectFailed && o.elapsed < FAST_CONNECT {
             self.scarce.insert(r.kind, now);
@@ -522,7 +508,7 @@
             Verdict::Error | Verdict::TimedOut | Verdict::Reset | Verdict::ConnectFailed => {
                 r.on_failure(now, attempt.sent, self.broad);
             }
-            Verdict::Stale | Verdict::Cancelled | Verdict::Moot => {}
+            Verdict::Stale | Verdict::Cancelled | Verdict::Moot | Verdict::HeldBack => {}
         }
         if !was_sick && r.sick() {
             d.trouble_at = now;
@@ -544,14 +530,11 @@
 
     /// Near the end of the holding room the least worth goes, before newcomers are turned away unseen.
     fn shed(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let most = (f64::from(self.set.max_held) * HELD_HIGH) as usize;
-        if self.held.len() <= most {
-            return;
-        }
-        let idle = self.held.iter().filter(|(_, m)| m.out.is_empty() && !m.ended);
+        let surplus = self.held.len().saturating_sub((f64::from(self.set.max_held) * HELD_HIGH) as usize);
+        let held = if surplus > 0 { &self.held } else { return };
+        let idle = held.iter().filter(|(_, m)| m.out.is_empty() && !m.ended);
         let mut waiting: Vec<_> = idle.map(|(id, m)| (m.worth(&self.set, now), *id)).collect();
         waiting.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let surplus = self.held.len() - most;
         for (_, id) in waiting.into_iter().take(surplus) {
             self.end(now, id, Some(self.set.max_retry_after), actions);
         }
@@ -606,10 +589,13 @@
     /// Returns when it would have to.
     fn give_up(&mut self, now: Micros, id: MessageId, ahead: &mut f64, actions: &mut Vec<Action>) -> Micros {
         let Some(m) = self.held.get(&id).filter(|m| m.out.is_empty()) else { return NEVER };
-        let control = self.destinations.get(&m.destination).and_then(|d| d.pace.control.as_ref());
+        let Some(d) = self.destinations.get(&m.destination) else { return NEVER };
         *ahead += 1.0;
-        let wait = control.map_or(Micros(0), |c| Micros::from_secs(*ahead / c.rate / REACH));
-        let hopeless = m.sends_end(&self.set).since(MARGIN);
+        let paced = d.pace.control.as_ref().map_or(0.0, |c| *ahead / c.rate / REACH);
+        let hopeless = m.sends_end(&self.set, None).since(MARGIN);
+        let listed = d.receivers.iter().filter_map(|r| self.receivers.get(r));
+        let told = listed.filter(|r| r.listing == Listing::Ready).map(|r| r.told_until(d)).min();
+        let wait = Micros::from_secs(paced).max(told.unwrap_or_default().since(now));
         if now >= hopeless || now.after(wait) > m.deadline {
             self.end(now, id, Some(wait).filter(|w| *w > Micros(0)), actions);
             return NEVER;
@@ -621,13 +607,14 @@
     fn try_send(&mut self, now: Micros, id: MessageId, actions: &mut Vec<Action>) -> Gate<()> {
         let m = self.held.get(&id).ok_or(NEVER)?;
         let class = &self.set.classes[m.class.0];
-        if m.ended || m.attempts >= self.set.max_attempts || now >= m.sends_end(&self.set).since(MARGIN) {
+        if m.ended || m.attempts >= self.set.max_attempts || now >= m.sends_end(&self.set, None).since(MARGIN)
+        {
             return Err(NEVER);
         }
         not_before(now, m.not_before)?;
         m.key.as_ref().map_or(Ok(()), |k| self.turns.gate(now, k, id))?;
         self.copy_open(now, m)?;
-        let group = match (m.first(), class.effect) {
+        let group = match (m.first(None), class.effect) {
             (Some(_), Effect::Unsafe) => return Err(NEVER),
             (Some((_, zone)), Effect::Keyed { group: Group::Zone, .. }) => Some(zone),
             _ => None,
@@ -789,13 +776,28 @@
         wait.min(left).max(Micros(1))
     }
 
+    /// A call is about to leave: what was decided when it was queued is asked again, for it may have waited for its
+    /// connection meanwhile. Whoever drains is the caller's to say, who knows when that was told.
+    pub fn leave(&self, now: Micros, id: MessageId, attempt: u32, to: ReceiverId) -> Leave {
+        let Some(m) = self.held.get(&id).filter(|m| !m.ended) else { return Leave::Over };
+        let known = self.receivers.get(&to).zip(self.destinations.get(&m.destination));
+        let Some((r, d)) = known.filter(|_| m.out.iter().any(|a| a.number == attempt)) else {
+            return Leave::Over;
+        };
+        match now < r.told_until(d) {
+            true => Leave::Wait,
+            false if now >= m.sends_end(&self.set, Some(attempt)) => Leave::Late,
+            false => Leave::Go,
+        }
+    }
+
     fn commit(&mut self, now: Micros, id: MessageId, target: ReceiverId, joins: bool) {
         let life = self.scale.connection_life;
         let (Some(m), Some(r)) = (self.held.get_mut(&id), self.receivers.get_mut(&target)) else { return };
         let call = self.calls.add(target, r.batch, joins);
         let copy = !m.out.is_empty();
-        m.out.push(Attempt::new(m.attempts, target, r.zone, now, call));
-        m.attempts += 1;
+        m.out.push(Attempt::new(m.number, target, r.zone, now, call));
+        (m.attempts, m.number) = (m.attempts + 1, m.number + 1);
         // A copy may follow, once this one is late.
         let may = self.set.second_copies && self.set.classes[m.class.0].effect != Effect::Unsafe;
         if copy || !may {
--- a/src/brain/books.rs
+++ b/src/brain/books.rs
@@ -81,6 +81,7 @@
             Event::Outcome(o) if self.set.reports => self.on_outcome(now, &o, actions),
             // Nobody has promised that such figures mean what a report would.
             Event::Outcome(o) => self.on_outcome(now, &Outcome { limit: None, left: None, ..o }, actions),
+            Event::Wait(receiver, wait) => self.note_wait(now, receiver, wait),
             Event::Note(data) => self.on_note(now, &data),
             Event::Withdrawn(id) => self.close(id),
             Event::Wake => self.wake_at = self.wake_at.filter(|t| *t > now),
@@ -101,6 +102,18 @@
         }
     }
 
+    /// A receiver told a wait. Waits only grow while they run. Where routes are not apart it is the whole destination's;
+    /// the receiver keeps it as well, for the time when routes become apart.
+    pub(super) fn note_wait(&mut self, now: Micros, id: ReceiverId, wait: Micros) {
+        let Some(r) = self.receivers.get_mut(&id).filter(|_| wait > Micros(0)) else { return };
+        let until = now.after(wait);
+        r.pace.wait_until = r.pace.wait_until.max(until);
+        if let Some(d) = self.destinations.get_mut(&r.destination).filter(|_| !r.apart) {
+            d.pace.wait_until = d.pace.wait_until.max(until);
+        }
+        self.agenda.look(r.destination, now); // what cannot outlast it ends at once
+    }
+
     pub(super) fn on_list(&mut self, entries: Vec<Entry>, whole: bool) {
         let mut touched = BTreeSet::new();
         if whole {
@@ -114,6 +127,16 @@
             let r = self.receivers.entry(e.receiver).or_insert_with(|| Receiver::new(&e, kind, NORM_START_S));
             (r.listing, r.weight) = (e.listing, e.weight);
             let d = self.destinations.entry(r.destination).or_default();
+            // Routes that become apart, or one pace, keep the waits that were told before.
+            if e.listing != Listing::Gone && r.kind != e.kind {
+                let until = r.told_until(d);
+                (r.kind, r.apart) = (e.kind, kind.is_some_and(|k| k.apart));
+                r.batch = kind.map_or(1, |k| k.batch.max(1));
+                r.pace.wait_until = until;
+                if !r.apart {
+                    d.pace.wait_until = d.pace.wait_until.max(until);
+                }
+            }
             if !d.receivers.contains(&e.receiver) {
                 d.receivers.push(e.receiver);
             }
--- a/src/brain/rest.rs
+++ b/src/brain/rest.rs
@@ -19,10 +19,9 @@
             return None;
         }
         let of = |pace: &Pace, sick| Repute { served: pace.usual, wait_until: pace.wait_until, sick };
-        let out_of_order = |r: &Receiver| r.doubted(d) && !matches!(r.health, Health::Recovering { .. });
-        let each: Vec<_> = known().map(|(to, r)| (to, of(&r.pace, out_of_order(r)))).collect();
+        let each: Vec<_> = known().map(|(to, r)| (to, of(&r.pace, r.out_of_order(d)))).collect();
         let listed = || known().filter(|(_, r)| r.listing != Listing::Gone);
-        let whole = of(&d.pace, listed().next().is_some() && listed().all(|(_, r)| out_of_order(r)));
+        let whole = of(&d.pace, listed().next().is_some() && listed().all(|(_, r)| r.out_of_order(d)));
         for (to, _) in &each {
             self.receivers.remove(to);
         }
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -71,6 +71,8 @@
     pub finished: bool,
     /// The limit that the answer told, and what is left of it.
     pub limit: (Option<f64>, Option<f64>),
+    /// Nothing more may go there before, as its answer told, whatever became of the attempt; zero if it told nothing.
+    pub told: Micros,
 }
 
 /// Adds the class of probes to the settings, which no client can name. One is worth more than any message: nothing is
@@ -191,6 +193,16 @@
         }
     }
 
+    /// An endpoint told that nothing may go there before a time.
+    pub fn wait(&mut self, now: Micros, to: ReceiverId, until: Micros) {
+        self.brain.on_event(now, Event::Wait(to, until.since(now)), &mut self.actions);
+    }
+
+    /// An attempt is about to leave; see [`Brain::leave`].
+    pub fn leave(&self, now: Micros, n: u64, attempt: u32, to: ReceiverId) -> Leave {
+        self.brain.leave(now, MessageId(n), attempt, to)
+    }
+
     /// What another sender was asked to tell of an endpoint that has this number here.
     pub fn note(&mut self, now: Micros, receiver: ReceiverId, news: &[u8]) {
         let id = &receiver.0.to_le_bytes()[..4];
@@ -335,6 +347,7 @@
     pub fn answered(&mut self, now: Micros, a: &Answered) -> Option<Record> {
         // One call is all that a probe is.
         let probe = self.probes.remove(&a.n).is_some();
+        self.wait(now, a.to, a.told);
         let over = a.finished || a.verdict == Verdict::Delivered || probe;
         let outcome = Outcome {
             id: MessageId(a.n),
--- a/src/core/record.rs
+++ b/src/core/record.rs
@@ -41,11 +41,17 @@
     NeverRan,
     /// It may have run.
     MayHaveRun,
+    /// It never ran, and is none of the attempts that its request may have.
+    HeldBack,
 }
 
 impl From<Verdict> for CallEnd {
     fn from(v: Verdict) -> CallEnd {
-        if v.may_have_run() { CallEnd::MayHaveRun } else { CallEnd::NeverRan }
+        match v {
+            Verdict::HeldBack => CallEnd::HeldBack,
+            v if v.may_have_run() => CallEnd::MayHaveRun,
+            _ => CallEnd::NeverRan,
+        }
     }
 }
 
@@ -175,7 +181,7 @@
                 w.num(*n).num(at.0).text(endpoint).text(zone).num(u64::from(*attempt));
             }
             Record::Outcome { n, attempt, end } => {
-                w.0.extend([b'O', u8::from(*end == CallEnd::MayHaveRun)]);
+                w.0.extend([b'O', *end as u8]);
                 w.num(*n).num(u64::from(*attempt));
             }
             Record::Past { n, attempts, maybe_ran } => {
@@ -226,7 +232,11 @@
                 Record::Attempt { n, at, endpoint: r.text()?, zone: r.text()?, attempt: r.attempt() }
             }
             b'O' => {
-                let end = if r.byte()? == 0 { CallEnd::NeverRan } else { CallEnd::MayHaveRun };
+                let end = match r.byte()? {
+                    0 => CallEnd::NeverRan,
+                    2 => CallEnd::HeldBack,
+                    _ => CallEnd::MayHaveRun,
+                };
                 Record::Outcome { n: r.num()?, end, attempt: r.attempt() }
             }
             b'P' => {
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -29,7 +29,9 @@
                 self.out.insert(*attempt, (*at, zone.clone()));
             }
             Record::Outcome { attempt, end, .. } => {
-                let out = self.out.remove(attempt).filter(|_| *end == CallEnd::MayHaveRun);
+                let out = self.out.remove(attempt);
+                self.attempts -= u32::from(out.is_some() && *end == CallEnd::HeldBack).min(self.attempts);
+                let out = out.filter(|_| *end == CallEnd::MayHaveRun);
                 // A copy may end before the attempt that went ahead of it: the earlier of both counts.
                 self.maybe_ran = self.maybe_ran.take().into_iter().chain(out).min_by_key(|m| m.0);
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -293,6 +293,22 @@
     Cancelled,
     /// Not sent; never ran.
     Moot,
+    /// Held back as its first byte was about to leave, or closed before its last one had: it never ran, and it is none
+    /// of the attempts that its message may have.
+    HeldBack,
+}
+
+/// Whether a call may leave that was decided on before: it may have waited for its connection meanwhile.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Leave {
+    /// It may.
+    Go,
+    /// Its message has ended.
+    Over,
+    /// A wait that its receiver or destination told still runs.
+    Wait,
+    /// No rule lets it go any more.
+    Late,
 }
 
 /// The end of one attempt.
@@ -358,6 +374,8 @@
     Resume(Message, Past),
     /// An attempt ended. Exactly one for each send.
     Outcome(Outcome),
+    /// A receiver told a wait, whatever becomes of the call that it told it to.
+    Wait(ReceiverId, Micros),
     /// Bytes that another sender was asked to [`Action::Tell`]; anything else is ignored.
     Note(Vec<u8>),
     /// Nobody wants the message any more; attempts in flight run on.
--- a/src/state.rs
+++ b/src/state.rs
@@ -352,6 +352,10 @@
     pub fn sick(&self) -> bool {
         matches!(self.health, Health::Sick { .. })
     }
+    /// When the waits that it and its destination told are over.
+    pub fn told_until(&self, d: &Destination) -> Micros {
+        if self.apart { self.pace.wait_until } else { self.pace.wait_until.max(d.pace.wait_until) }
+    }
     pub fn sicken(&mut self, now: Micros, backoff: Micros) {
         self.health = Health::Sick { since: now, trial_at: now.after(backoff), backoff };
     }
@@ -359,6 +363,10 @@
     pub fn doubted(&self, d: &Destination) -> bool {
         self.health != Health::Well || !self.apart && self.last_proof < d.trouble_at
     }
+    /// Doubted, and no sign yet that it is back.
+    pub fn out_of_order(&self, d: &Destination) -> bool {
+        self.doubted(d) && !matches!(self.health, Health::Recovering { .. })
+    }
 }
 
 /// A destination: its receivers, and what waits for it.
@@ -398,7 +406,10 @@
     pub over_share: bool,
     pub deadline: Micros,
     pub aim_at: Micros,
+    /// Attempts that count: not those that were held back.
     pub attempts: u32,
+    /// The number of the next one.
+    pub number: u32,
     /// Two where a second copy has gone.
     pub out: Vec<Attempt>,
     /// When and where the first attempt went that may have run.
@@ -408,14 +419,14 @@
 }
 
 impl Held {
-    /// When and where the first attempt went that may have run, or may still.
-    pub fn first(&self) -> Option<(Micros, ZoneId)> {
-        let out = self.out.iter().map(|a| (a.sent, a.zone));
+    /// When and where the first attempt went that may have run, or may still, but for this one.
+    pub fn first(&self, but: Option<u32>) -> Option<(Micros, ZoneId)> {
+        let out = self.out.iter().filter(|a| but != Some(a.number)).map(|a| (a.sent, a.zone));
         self.maybe_ran.into_iter().chain(out).min_by_key(|f| f.0)
     }
-    /// The time after which no rule allows a further attempt.
-    pub fn sends_end(&self, set: &Settings) -> Micros {
-        match (self.first(), set.classes[self.class.0].effect) {
+    /// The time after which no rule allows a further attempt, or this one.
+    pub fn sends_end(&self, set: &Settings, this: Option<u32>) -> Micros {
+        match (self.first(this), set.classes[self.class.0].effect) {
             (Some((sent, _)), Effect::Keyed { window, .. }) => self.deadline.min(sent.after(window)),
             _ => self.deadline,
         }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -65,7 +65,16 @@
     fn answer(&mut self, (n, attempt, to): (u64, u32, ReceiverId), verdict: Verdict) {
         let elapsed = ms(100);
         self.now = self.now.after(elapsed);
-        let a = Answered { n, attempt, to, verdict, elapsed, finished: false, limit: (None, None) };
+        let a = Answered {
+            n,
+            attempt,
+            to,
+            verdict,
+            elapsed,
+            finished: false,
+            limit: (None, None),
+            told: Micros(0),
+        };
         self.log.extend(self.desk.answered(self.now, &a));
     }
     /// Another process, from what the log holds.
--- a/tests/fleet_restart.rs
+++ b/tests/fleet_restart.rs
@@ -239,6 +239,7 @@
                 elapsed: now.since(sent),
                 finished: false,
                 limit: (None, None),
+                told: Micros(0),
             };
             let record = self.senders[s].desk.as_mut().expect("live").answered(now, &a);
             if let Some(record) = record {
--- a/tests/probes.rs
+++ b/tests/probes.rs
@@ -109,7 +109,8 @@
     fn answer(&mut self, n: u64, verdict: Verdict) {
         self.now = self.now.after(ms(50));
         let (to, limit) = (ReceiverId(1), (None, None));
-        let a = Answered { n, attempt: 0, to, verdict, elapsed: ms(50), finished: false, limit };
+        let a =
+            Answered { n, attempt: 0, to, verdict, elapsed: ms(50), finished: false, limit, told: Micros(0) };
         assert_eq!(self.desk.answered(self.now, &a), None, "no log has it");
     }
 }
