--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -220,7 +220,10 @@
             ToModule::Writing { n, attempt, to, begun, reply } => {
                 let _ = reply.try_send(self.writing(now, n, attempt, to, begun));
             }
-            ToModule::Wait { to, until } => self.desk.wait(now, to, until),
+            ToModule::Wait { to, until } => {
+                self.desk.wait(now, to, until);
+                self.directory.told(to, until);
+            }
             ToModule::Answered(a) => self.answered(now, &a),
             ToModule::List(list) => self.list(now, list),
             ToModule::Part(part) => self.part(now, part),
@@ -359,6 +362,8 @@
         if a.told > Micros(0) {
             c.waits_told.up();
         }
+        let wait = if let Verdict::Full(Some(wait)) = a.verdict { wait } else { Micros(0) };
+        self.directory.told(a.to, a.told.max(now.after(wait)));
         self.directory.ended(a.to);
         let record = self.desk.answered(now, a);
         self.keep(record.as_slice());
@@ -398,8 +403,12 @@
         match self.assumed {
             Some(assumed) => self.desk.wake(now, destination, woken.whole, woken.each, assumed),
             None => {
-                let entries = woken.each.into_iter().map(|(e, _)| e).collect();
+                let (entries, known): (Vec<_>, Vec<_>) = woken.each.into_iter().unzip();
+                let numbers: Vec<_> = entries.iter().map(|e| e.receiver).collect();
                 self.desk.list(now, Event::Known(entries));
+                for (to, repute) in numbers.into_iter().zip(known) {
+                    self.desk.recall(now, to, repute);
+                }
             }
         }
     }
--- a/roster/src/directory.rs
+++ b/roster/src/directory.rs
@@ -48,6 +48,8 @@
     fixed: bool,
     /// Calls that it has and has not told the end of.
     pub out: usize,
+    /// It told that nothing may go there before.
+    wait_until: Micros,
 }
 
 /// Something for the caller to carry out at an endpoint.
@@ -109,7 +111,7 @@
     last: u64,
     /// Those that are gone, and when to look whether they can be let go.
     leaving: BTreeSet<(Micros, ReceiverId)>,
-    forget: VecDeque<(Micros, String)>,
+    forget: BTreeSet<(Micros, String)>,
     /// Destinations that have left the list, and until when that is known.
     left: HashMap<u64, Micros>,
     left_order: VecDeque<(Micros, u64)>,
@@ -133,7 +135,7 @@
             numbers: HashMap::new(),
             last: 0,
             leaving: BTreeSet::new(),
-            forget: VecDeque::new(),
+            forget: BTreeSet::new(),
             left: HashMap::new(),
             left_order: VecDeque::new(),
             fixed: BTreeSet::new(),
@@ -215,6 +217,13 @@
         }
     }
 
+    /// An endpoint told that nothing may go there before: its name is known by the same number until then.
+    pub fn told(&mut self, to: ReceiverId, until: Micros) {
+        if let Some(p) = self.peers.get_mut(&to) {
+            p.wait_until = p.wait_until.max(until);
+        }
+    }
+
     fn number(&mut self) -> ReceiverId {
         self.last += 1;
         ReceiverId(self.last)
@@ -228,7 +237,17 @@
         let (name, zone) = (e.name.to_owned(), e.zone.to_owned());
         self.numbers.insert(format!("gateway {name}"), to);
         let (destination, address) = (e.destination, e.address);
-        let peer = Peer { name, zone, destination, address, drains: None, gone: false, fixed: true, out: 0 };
+        let peer = Peer {
+            name,
+            zone,
+            destination,
+            address,
+            drains: None,
+            gone: false,
+            fixed: true,
+            out: 0,
+            wait_until: Micros(0),
+        };
         self.peers.insert(to, peer);
         (to, self.entry(to, e))
     }
@@ -280,6 +299,7 @@
             gone: false,
             fixed: false,
             out: 0,
+            wait_until: Micros(0),
         };
         if known.is_none() {
             self.last += 1;
@@ -291,8 +311,7 @@
                 if p.address != address {
                     follows.orders.push(Order::Moved(to, address));
                 }
-                let out = p.out;
-                *p = Peer { out, ..peer };
+                *p = Peer { out: p.out, wait_until: p.wait_until, ..peer };
             }
             None => {
                 self.peers.insert(to, peer);
@@ -348,6 +367,9 @@
             // What the module knows of it belongs to the destination that it had.
             (_, Some((to, p))) if p.destination != destination && !p.fixed => {
                 let (before, name) = (p.destination, p.name.clone());
+                // All but its wait, which was told by whoever is there.
+                let wait = Repute { wait_until: p.wait_until, ..Repute::default() };
+                self.memories.keep(now, Whose::Endpoint(name.as_str().into()), wait);
                 self.leave(now, to, follows);
                 self.numbers.remove(&name);
                 if !self.roster.lists(before) {
@@ -447,11 +469,11 @@
             }
             if let Some(p) = self.peers.remove(&to) {
                 follows.orders.push(Order::Close(to));
-                self.forget.push_back((now.after(FORGET), p.name));
+                self.forget.insert((now.after(FORGET).max(p.wait_until), p.name));
             }
         }
-        while self.forget.front().is_some_and(|(t, _)| *t <= now) {
-            let Some((_, name)) = self.forget.pop_front() else { break };
+        while self.forget.first().is_some_and(|(t, _)| *t <= now) {
+            let Some((_, name)) = self.forget.pop_first() else { break };
             // It may be back meanwhile.
             if self.numbers.get(&name).is_some_and(|to| !self.peers.contains_key(to)) {
                 self.numbers.remove(&name);
--- a/roster/tests/directory.rs
+++ b/roster/tests/directory.rs
@@ -263,3 +263,32 @@
     let follows = put(&mut d, s(4.0), one("a", 1, Listing::Ready));
     assert_eq!(follows.recalled, [(d.number_of("a").unwrap(), waits)]);
 }
+
+/// Its number is what the module knows a wait by: it is kept as long as that runs, and a wait moves with its name.
+#[test]
+fn a_wait_outlives_the_number_of_an_endpoint_that_is_gone_and_follows_its_name() {
+    let mut d = Directory::new(rules(None));
+    put(&mut d, s(0.0), one("e", 1, Listing::Ready));
+    let (to, _, _) = wake(&mut d, s(0.0), 1);
+    d.told(to[0], s(300.0));
+    d.told(to[0], s(200.0));
+    put(&mut d, s(1.0), one("e", 1, Listing::Gone));
+    for t in [5.0, 90.0, 200.0] {
+        d.tidy(s(t), &mut Follows::default());
+    }
+    assert_eq!(d.number_of("e"), Some(to[0]));
+    let back = put(&mut d, s(201.0), one("e", 1, Listing::Ready));
+    assert_eq!(back.entries[0].receiver, to[0], "the module still holds the wait under this number");
+    d.told(to[0], s(300.0));
+    let moved = put(&mut d, s(202.0), one("e", 2, Listing::Ready));
+    assert!(moved.recalled.is_empty(), "its new destination is at rest");
+    let mut follows = Follows::default();
+    let woken = d.touch(s(203.0), 2, &mut follows).expect("it was at rest");
+    let (entry, repute) = &woken.each[0];
+    assert!(entry.receiver != to[0]);
+    assert_eq!(repute.wait_until, s(300.0));
+    for t in [220.0, 301.0, 400.0] {
+        d.tidy(s(t), &mut Follows::default());
+    }
+    assert_eq!(d.number_of("e"), Some(entry.receiver));
+}
--- a/src/brain/books.rs
+++ b/src/brain/books.rs
@@ -129,12 +129,10 @@
             let d = self.destinations.entry(r.destination).or_default();
             // Routes that become apart, or one pace, keep the waits that were told before.
             if e.listing != Listing::Gone && r.kind != e.kind {
-                let until = r.told_until(d);
                 (r.kind, r.apart) = (e.kind, kind.is_some_and(|k| k.apart));
                 r.batch = kind.map_or(1, |k| k.batch.max(1));
-                r.pace.wait_until = until;
                 if !r.apart {
-                    d.pace.wait_until = d.pace.wait_until.max(until);
+                    d.pace.wait_until = r.told_until(d);
                 }
             }
             if !d.receivers.contains(&e.receiver) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -352,9 +352,9 @@
     pub fn sick(&self) -> bool {
         matches!(self.health, Health::Sick { .. })
     }
-    /// When the waits that it and its destination told are over.
+    /// When the waits are over that it told, and its destination while its routes were not apart.
     pub fn told_until(&self, d: &Destination) -> Micros {
-        if self.apart { self.pace.wait_until } else { self.pace.wait_until.max(d.pace.wait_until) }
+        self.pace.wait_until.max(d.pace.wait_until)
     }
     pub fn sicken(&mut self, now: Micros, backoff: Micros) {
         self.health = Health::Sick { since: now, trial_at: now.after(backoff), backoff };
--- a/tests/waits.rs
+++ b/tests/waits.rs
@@ -129,6 +129,21 @@
     }
 }
 
+#[test]
+fn routes_that_become_apart_or_one_keep_the_waits_of_all() {
+    for (before, after) in [(0, APART), (APART, 0)] {
+        let both = |kind| vec![entry(1, 1, kind, 0), entry(2, 1, kind, 0)];
+        let mut rig = Rig::new(settings(), both(before));
+        told(&mut rig, 1, 2000);
+        rig.event(Event::ListChanges(both(after)));
+        rig.submit(1, SAFE, 1);
+        rig.pass(ms(1990));
+        assert_eq!(rig.sends_of(1), 0, "{before} {after}");
+        rig.pass(ms(20));
+        assert_eq!(rig.sends_of(1), 1, "{before} {after}");
+    }
+}
+
 #[test]
 fn what_cannot_outlast_a_wait_is_returned_at_once_with_it() {
     let set = Settings { max_retry_after: ms(100_000), ..settings() };
--- a/tower/src/lib.rs
+++ b/tower/src/lib.rs
@@ -308,21 +308,33 @@
                 held.out = Some((receiver, shared.now()));
                 let mut service = inner.clone();
                 let call = Call { request: request.clone(), receiver };
+                let attempt = shared.lock().attempts.get(&id).map_or(0, |n| n - 1);
                 let work = async {
-                    poll_fn(|cx| service.poll_ready(cx)).await?;
-                    service.call(call).await
+                    if let Err(e) = poll_fn(|cx| service.poll_ready(cx)).await {
+                        return Some(Err(e));
+                    }
+                    // The inner service may have made it wait: a wait may have been told meanwhile, a time be up.
+                    match shared.lock().brain.leave(shared.now(), MessageId(id), attempt, receiver) {
+                        Leave::Go => {}
+                        Leave::Wait | Leave::Late | Leave::Over => return None,
+                    }
+                    Some(service.call(call).await)
                 };
                 let in_time = async {
                     Timer::after(Duration::from_micros(patience.0)).await;
-                    None
+                    Err(Verdict::TimedOut)
+                };
+                let work = async { work.await.ok_or(Verdict::HeldBack) };
+                let (verdict, result) = match shared.drive(future::or(work, in_time)).await {
+                    Ok(result) => (judge.verdict(&result), Some(result)),
+                    Err(verdict) => (verdict, None),
                 };
-                let result = shared.drive(future::or(async { Some(work.await) }, in_time)).await;
-                let verdict = result.as_ref().map_or(Verdict::TimedOut, |r| judge.verdict(r));
                 let outcome = held.outcome(verdict);
                 shared.tell(outcome);
                 match (verdict, result) {
                     (Verdict::Delivered, Some(Ok(answer))) => return Ok(answer),
                     (Verdict::Delivered, other) => return Err(Ended::Failed(other)),
+                    (Verdict::HeldBack, None) => {}
                     (_, other) => last = other,
                 }
             }
