--- a/config/src/daemon.rs
+++ b/config/src/daemon.rs
@@ -11,6 +11,8 @@
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub mgmt: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub state: PathBuf,
     pub seed: u64,
@@ -30,6 +32,7 @@
         let all = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("mgmt", self.mgmt != new.mgmt),
             ("limits", limits(self) != limits(new)),
             ("settings", self.settings != new.settings || self.connect_timeout != new.connect_timeout),
         ];
@@ -70,6 +73,7 @@
     Ok(Config {
         name: text("GW_NAME", "name")?,
         listen: parse("listen", text("GW_LISTEN", "listen")?)?,
+        mgmt: text("GW_MGMT", "mgmt").ok().map(|t| parse("mgmt", t)).transpose()?,
         discovery: match v.get("discovery").and_then(Value::as_str) {
             Some(t) => parse("discovery", t.to_owned())?,
             None => parse("discovery", text("GW_DISCOVERY", "discovery")?)?,
--- /dev/null
+++ b/daemon/src/folder.rs
@@ -0,0 +1,162 @@
+//! Who works in the folder that lasts: one process of a forwarder, or two while one takes over from the other.
+//!
+//! Each has a place, with a log and a lock that dies with its process; docs/design/upgrade.md says why.
+
+use onyxrock::core::{Scan, frames};
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io::{self, ErrorKind};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Place {
+    pub log: &'static str,
+    /// The next log, until it takes the place of that one.
+    pub new: &'static str,
+    lock: &'static str,
+}
+
+pub const PLACES: [Place; 2] = [
+    Place { log: "onyxrock.log", new: "onyxrock.log.new", lock: "onyxrock.lock" },
+    Place { log: "onyxrock-2.log", new: "onyxrock-2.log.new", lock: "onyxrock-2.lock" },
+];
+
+/// Whoever looks at the other place holds its lock for a moment; a process that starts just then tries again.
+const TRIES: u32 = 25;
+const AGAIN: Duration = Duration::from_millis(20);
+
+/// A place in the folder that is this process's until it ends.
+#[derive(Debug)]
+pub struct Claim {
+    pub folder: PathBuf,
+    pub place: Place,
+    other: Place,
+    _lock: File,
+}
+
+/// What is at the other place.
+#[derive(Debug)]
+pub enum Other {
+    /// A process that lives.
+    Held,
+    /// Nobody. What a process left there is nobody's, as long as this is kept.
+    Free(Left),
+}
+
+/// What a process that is gone has left.
+#[derive(Debug)]
+pub struct Left {
+    log: PathBuf,
+    new: PathBuf,
+    _lock: File,
+}
+
+fn lock(folder: &Path, place: Place) -> io::Result<Option<File>> {
+    let path = folder.join(place.lock);
+    let file = OpenOptions::new().write(true).create(true).truncate(false).open(path)?;
+    match file.try_lock() {
+        Ok(()) => Ok(Some(file)),
+        Err(TryLockError::WouldBlock) => Ok(None),
+        Err(TryLockError::Error(e)) => Err(e),
+    }
+}
+
+impl Claim {
+    /// The first place that nobody has.
+    ///
+    /// # Errors
+    /// One line: both are taken, or the folder cannot be used.
+    pub fn take(folder: &Path) -> Result<Claim, String> {
+        let shown = folder.display();
+        for _ in 0..TRIES {
+            for (place, other) in [(PLACES[0], PLACES[1]), (PLACES[1], PLACES[0])] {
+                let locked =
+                    lock(folder, place).map_err(|e| format!("cannot lock the log in {shown}: {e}"))?;
+                if let Some(lock) = locked {
+                    return Ok(Claim { folder: folder.into(), place, other, _lock: lock });
+                }
+            }
+            std::thread::sleep(AGAIN);
+        }
+        Err(format!("two processes use {shown} already"))
+    }
+
+    /// Looks at the other place.
+    ///
+    /// # Errors
+    /// The folder cannot be used.
+    pub fn other(&self) -> io::Result<Other> {
+        let at = |name| self.folder.join(name);
+        let left = |lock| Left { log: at(self.other.log), new: at(self.other.new), _lock: lock };
+        Ok(lock(&self.folder, self.other)?.map_or(Other::Held, |lock| Other::Free(left(lock))))
+    }
+
+    /// Where the other place's logs are: both have to fit in the folder.
+    #[must_use]
+    pub fn beside(&self) -> [PathBuf; 2] {
+        [self.folder.join(self.other.log), self.folder.join(self.other.new)]
+    }
+}
+
+impl Left {
+    /// There is a log.
+    #[must_use]
+    pub fn is_there(&self) -> bool {
+        self.log.exists()
+    }
+
+    /// What it says.
+    ///
+    /// # Errors
+    /// It cannot be read.
+    pub fn scan(&self) -> io::Result<Scan> {
+        match std::fs::read(&self.log) {
+            Ok(bytes) => Ok(frames(&bytes)),
+            Err(e) if e.kind() == ErrorKind::NotFound => Ok(Scan::default()),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Somebody else has all of it now.
+    ///
+    /// # Errors
+    /// It is still there.
+    pub fn clear(&self) -> io::Result<()> {
+        for path in [&self.log, &self.new] {
+            match std::fs::remove_file(path) {
+                Err(e) if e.kind() != ErrorKind::NotFound => return Err(e),
+                _ => {}
+            }
+        }
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_have_a_place_each_and_a_third_has_none() {
+        let folder = std::env::temp_dir().join(format!("onyxrock-folder-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let first = Claim::take(&folder).unwrap();
+        assert!(matches!(first.other(), Ok(Other::Free(_))));
+        let second = Claim::take(&folder).unwrap();
+        assert_eq!((first.place, second.place), (PLACES[0], PLACES[1]));
+        assert!(matches!(first.other(), Ok(Other::Held)));
+        let third = Claim::take(&folder).unwrap_err();
+        assert!(third.contains("two processes"), "{third}");
+        std::fs::write(folder.join(PLACES[0].log), b"noise").unwrap();
+        drop(first);
+        let Ok(Other::Free(left)) = second.other() else { panic!("its process is gone") };
+        assert!(left.is_there());
+        assert_eq!(left.scan().unwrap().damaged, 5);
+        assert_eq!(lock(&folder, PLACES[0]).unwrap().map(drop), None, "it is nobody's while it is looked at");
+        left.clear().unwrap();
+        assert!(!left.is_there());
+        drop(left);
+        assert_eq!(Claim::take(&folder).unwrap().place, PLACES[0]);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod clock;
 pub mod counters;
+pub mod folder;
 pub mod keep;
 pub mod list;
 pub mod log;
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -1,19 +1,20 @@
 //! The actor round the module: one letter after the other, then one decision, then its steps.
 
 use crate::counters::Count;
+use crate::folder::Left;
 use crate::list::{Part, SWEEP, endpoint as listed_endpoint};
 use crate::net::http::endpoint;
 use crate::net::smpp::gateway;
 use crate::net::{Held, OutboundCall, Shared, ToEndpoint};
 use crate::wal::Wal;
 use async_channel::{Receiver, Sender, TrySendError, bounded};
-use onyxrock::core::{Answered, Desk, End, Owed, Record, Step, Taken};
+use onyxrock::core::{Answered, Desk, End, Owed, Record, Step, Taken, recover};
 use onyxrock::interface::{self, Event, Listing, Micros, ReceiverId, Verdict};
 use onyxrock_config::list::List;
 use onyxrock_config::smpp::Gateway;
 use onyxrock_roster::{Directory, Endpoint, Follows, Memory, Order, Refused, Standing, Whose};
 use onyxrock_sharing::{FromPeers, Probing, ToPeers};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// Nothing may go out later than a second after the list told of a drain; a queued call stops well before.
@@ -74,6 +75,8 @@
     Peers(FromPeers),
     /// Shows the duties, as JSON.
     Duties(Sender<serde_json::Value>),
+    /// What another process of this forwarder owed, which is gone. The answer: it is taken over.
+    Adopt(Left, Sender<bool>),
     /// Hold all further sends.
     Hold,
     /// Says when no call is out any more.
@@ -167,6 +170,29 @@
         }
     }
 
+    /// Takes over what another process of this forwarder owed, under numbers of its own. One that died between the two
+    /// logs has left it in both: who is owed already is known by its id.
+    pub fn adopt(&mut self, left: &Left) -> std::io::Result<()> {
+        let scan = left.scan()?;
+        if scan.damaged > 0 {
+            tracing::warn!("log: {} bytes of another process belong to no whole record", scan.damaged);
+        }
+        let whose = |t: &Taken| (t.front, t.id.clone(), t.deadline);
+        let known: BTreeSet<_> = self.desk.owed().map(|o| whose(&o.taken)).collect();
+        let mut owed: Vec<_> = recover(scan.records).into_values().collect();
+        owed.retain(|o| !known.contains(&whose(&o.taken)));
+        owed.iter_mut().for_each(|o| o.taken.n = self.desk.number());
+        let records: Vec<_> = owed.iter().flat_map(Owed::records).collect();
+        if !records.is_empty() && !self.keep(&records) {
+            return Err(std::io::ErrorKind::StorageFull.into());
+        }
+        if !owed.is_empty() {
+            tracing::info!("log: {} messages of another process are taken over", owed.len());
+        }
+        self.resume(owed);
+        left.clear()
+    }
+
     pub async fn run(mut self, inbox: Receiver<ToModule>) {
         loop {
             self.settle();
@@ -245,6 +271,13 @@
             ToModule::Duties(reply) => {
                 drop(reply.try_send(self.probing.as_ref().map(|p| p.json(now)).unwrap_or_default()));
             }
+            ToModule::Adopt(left, reply) => {
+                let taken = self.adopt(&left);
+                if let Err(e) = &taken {
+                    tracing::error!("log: what another process owed is not taken over yet: {e}");
+                }
+                let _ = reply.try_send(taken.is_ok());
+            }
             ToModule::Hold => {
                 self.hold = true;
                 if let Some(p) = &mut self.probing {
@@ -807,4 +840,44 @@
         assert_eq!(m.desk.get(1).map(|o| o.attempts), Some(1));
         std::fs::remove_dir_all(&folder).unwrap();
     }
+
+    /// Killed between the two logs, a process leaves a message in both; what may have run there is not forgotten.
+    #[test]
+    fn what_another_process_owed_is_taken_over_once() {
+        let folder = std::env::temp_dir().join(format!("onyxrock-module-adopt-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let claim = crate::folder::Claim::take(&folder).unwrap();
+        let mut m = module(&folder);
+        let now = m.shared.clock.now();
+        m.list(now, list(Listing::Ready));
+        let deadline = now.after(Micros(5_000_000));
+        let taken = |n: u64| Taken {
+            n,
+            id: format!("id-{n}"),
+            class: "a".into(),
+            destination: 1,
+            deadline,
+            ..Taken::default()
+        };
+        let (endpoint, zone) = ("e".to_owned(), "z".to_owned());
+        let mut log = Vec::new();
+        Record::Taken(taken(1)).write(&mut log);
+        Record::Taken(taken(2)).write(&mut log);
+        Record::Attempt { n: 2, attempt: 0, endpoint, zone, at: now }.write(&mut log);
+        m.desk.take(now, Taken { n: 1, id: "ours".into(), ..taken(1) });
+        for _ in 0..2 {
+            std::fs::write(&claim.beside()[0], &log).unwrap();
+            let Ok(crate::folder::Other::Free(left)) = claim.other() else { panic!("nobody is there") };
+            m.adopt(&left).unwrap();
+            assert!(!left.is_there());
+        }
+        let owed: Vec<_> =
+            m.desk.owed().map(|o| (o.taken.n, o.taken.id.as_str(), o.maybe_ran.is_some())).collect();
+        assert_eq!(owed, [(1, "ours", false), (2, "id-1", false), (3, "id-2", true)]);
+        let mut steps = Vec::new();
+        m.desk.decide(now, true, &mut steps);
+        let ended = |s: &Step| matches!(s, Step::End { n: 3, end: End::Failed });
+        assert_eq!(steps.iter().filter(|s| ended(s)).count(), 1, "unsafe: not repeated");
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
 }
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod buffer;
 pub mod crowd;
 pub mod http;
+pub mod mgmt;
 pub mod smpp;
 
 use crate::clock::Clock;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -2,11 +2,13 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
+use crate::folder::{Claim, Other};
 use crate::keep;
 use crate::list::{self, Discovery, dns};
 use crate::module::{Module, ToModule};
 use crate::net::Shared;
 use crate::net::http::inbound;
+use crate::net::mgmt;
 use crate::net::smpp;
 use crate::notices;
 use crate::wal::Wal;
@@ -22,9 +24,11 @@
 use onyxrock_membership::Membership;
 use onyxrock_roster::{Directory, Rules, Terms};
 use onyxrock_sharing::{Peers, Probing, ToPeers, listen, place, tempo};
+use rustix::net::sockopt::{set_socket_reuseaddr, set_socket_reuseport};
+use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, listen as listen_at, socket_with};
 use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -34,6 +38,10 @@
 const SEND_FOR: Duration = Duration::from_millis(1200);
 const END_BY: Duration = Duration::from_millis(3300);
 
+/// How often a process looks whether another one of its forwarder is there, or still is.
+const LOOK: Duration = Duration::from_secs(2);
+const LOOK_BESIDE: Duration = Duration::from_millis(50);
+
 type Reread<'a> = &'a dyn Fn() -> Result<(Config, Product), String>;
 
 /// Runs a forwarder until it is told to end.
@@ -63,7 +71,8 @@
         ));
     }
     // The file of what is remembered, old and new, too.
-    let (wal, scan) = Wal::open(&config.state, config.disk_bytes.saturating_sub(zones + 2 * kept))
+    let claim = Claim::take(&config.state)?;
+    let (wal, scan) = Wal::of(&claim, config.disk_bytes.saturating_sub(zones + 2 * kept))
         .map_err(|e| format!("cannot open the log in {}: {e}", config.state.display()))?;
     if scan.damaged > 0 {
         tracing::warn!("log: {} bytes belong to no whole record and are left out", scan.damaged);
@@ -183,6 +192,15 @@
     if let Err(e) = module.wal.compact(module.desk.owed()) {
         tracing::error!("log: {e}");
     }
+    // A process that ended beside another one, both of which are gone.
+    let other =
+        claim.other().map_err(|e| format!("cannot lock the log in {}: {e}", claim.folder.display()))?;
+    let beside = matches!(other, Other::Held);
+    if let Other::Free(left) = other
+        && let Err(e) = module.adopt(&left)
+    {
+        tracing::error!("log: what another process owed is not taken over yet: {e}");
+    }
     let wait = if ask_every > Micros(0) { Micros(ask_every.0 / 2) } else { Micros(5_000_000) };
     let discovery = Discovery {
         names: config.names,
@@ -200,10 +218,12 @@
     executor.spawn(notices::run(shared.clone(), endings, notice_moves)).detach();
     executor.spawn(module.run(module_inbox)).detach();
 
-    let listener = Async::<TcpListener>::bind(config.listen)
+    executor.spawn(take_over(shared.clone(), claim, beside)).detach();
+    let listener = door(config.listen, beside)
+        .and_then(Async::new)
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let at = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
-    let (door, door_shut) = bounded::<()>(1);
+    let (open, door_shut) = bounded::<()>(1);
     executor.spawn(inbound::listen(shared.clone(), listener, door_shut.clone())).detach();
     let (receipts, sessions) = bounded(256);
     executor.spawn(smpp::receipts::run(shared.clone(), smpp_endings, sessions)).detach();
@@ -216,6 +236,13 @@
         executor.spawn(smpp::inbound::listen(front, listener, door_shut)).detach();
         tracing::info!("listens on {at} for SMPP");
     }
+    if let Some(address) = config.mgmt {
+        let listener = Async::<TcpListener>::bind(address)
+            .map_err(|e| format!("cannot listen on {address} for operators: {e}"))?;
+        let at = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
+        executor.spawn(mgmt::listen(shared.clone(), listener)).detach();
+        tracing::info!("listens on {at} for operators");
+    }
     tracing::info!("listens on {at}");
 
     while let Some(Ok(Signal::Hup)) = signals.next().await {
@@ -227,7 +254,7 @@
     let told = Instant::now();
     shared.stopping.set(true);
     Timer::after(ACCEPT_FOR).await;
-    drop((door, ending));
+    drop((open, ending));
     Timer::at(told + SEND_FOR).await;
     let (quiet, is_quiet) = bounded(1);
     let _ = to_module.send(ToModule::Hold).await;
@@ -253,6 +280,43 @@
     Ok(())
 }
 
+/// Where clients connect. Another process of this forwarder may listen there as well, to take over from this one; anybody
+/// else who does is a fault, which shows as long as nobody of ours does.
+fn door(at: SocketAddr, beside: bool) -> std::io::Result<TcpListener> {
+    if !beside {
+        drop(TcpListener::bind(at)?);
+    }
+    let family = if at.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let socket = socket_with(family, SocketType::STREAM, SocketFlags::CLOEXEC, None)?;
+    set_socket_reuseaddr(&socket, true)?;
+    // Where the system does not know it there is one process at a time, as before.
+    let _ = set_socket_reuseport(&socket, true);
+    bind(&socket, &at)?;
+    listen_at(&socket, 1024)?;
+    Ok(TcpListener::from(socket))
+}
+
+/// Takes over what another process of this forwarder owes as soon as that is gone.
+async fn take_over(shared: Rc<Shared>, claim: Claim, mut beside: bool) {
+    while !shared.stopping.get() {
+        Timer::after(if beside { LOOK_BESIDE } else { LOOK }).await;
+        match claim.other() {
+            Ok(Other::Held) => beside = true,
+            Ok(Other::Free(left)) => {
+                beside = false;
+                if left.is_there() && !shared.stopping.get() {
+                    let (reply, taken) = bounded(1);
+                    let _ = shared.module.send(ToModule::Adopt(left, reply)).await;
+                    let _ = taken.recv().await;
+                }
+            }
+            Err(e) => tracing::warn!("log: cannot look at another process's: {e}"),
+        }
+    }
+    // The place is this process's until it ends.
+    future::pending::<()>().await;
+}
+
 /// Keys for members hold at once; what else differs in our own file is named.
 fn reload_product(shared: &Shared, ours: &Product, new: &Product) {
     if let (Some(peers), Some(d)) = (&shared.peers, &new.duties) {
@@ -294,3 +358,16 @@
     tracing::info!("reload: discovery is at {}", new.discovery);
     true
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn another_process_of_ours_may_listen_beside_this_one_and_nobody_else() {
+        let first = door(([127, 0, 0, 1], 0).into(), false).unwrap();
+        let at = first.local_addr().unwrap();
+        assert!(door(at, false).is_err(), "whoever that is has another folder");
+        assert!(door(at, true).is_ok());
+    }
+}
--- a/daemon/src/wal.rs
+++ b/daemon/src/wal.rs
@@ -1,12 +1,11 @@
 //! The log in the folder that lasts. What write() has taken survives the process, so nothing is synced.
 
+use crate::folder::{Claim, PLACES, Place};
 use onyxrock::core::{Owed, Record, Scan, frames};
 use std::fs::{File, OpenOptions, rename};
 use std::io::{self, ErrorKind, Write};
 use std::path::{Path, PathBuf};
 
-const NAME: &str = "onyxrock.log";
-const NEW: &str = "onyxrock.log.new";
 /// Kept free for the records that follow a request which is already taken on.
 const RESERVE: u64 = 96 * 1024;
 /// A log is rewritten once it holds so much more than what is owed.
@@ -15,24 +14,37 @@
 #[derive(Debug)]
 pub struct Wal {
     folder: PathBuf,
+    place: Place,
     file: File,
     size: u64,
-    /// Bytes that log and new log may take together.
+    /// Bytes that log and new log may take together, and those of another process of this forwarder.
     budget: u64,
+    beside: Vec<PathBuf>,
     /// At this size it is worth asking how much of the log is owed, which takes a look at all that is held.
     look_at: u64,
     pub compactions: u64,
 }
 
 impl Wal {
-    /// Opens the log, made if there is none, and reads what an earlier process left in it.
+    /// Opens the log of the place that this process has.
+    pub fn of(claim: &Claim, budget: u64) -> io::Result<(Wal, Scan)> {
+        let (wal, scan) = Wal::at(&claim.folder, claim.place, budget)?;
+        Ok((Wal { beside: claim.beside().into(), ..wal }, scan))
+    }
+
+    /// Opens the log of a folder where there is nobody else.
     pub fn open(folder: &Path, budget: u64) -> io::Result<(Wal, Scan)> {
+        Wal::at(folder, PLACES[0], budget)
+    }
+
+    /// Opens a log, made if there is none, and reads what an earlier process left in it.
+    fn at(folder: &Path, place: Place, budget: u64) -> io::Result<(Wal, Scan)> {
         // A new log that was not renamed yet says nothing that the old one does not.
-        match std::fs::remove_file(folder.join(NEW)) {
+        match std::fs::remove_file(folder.join(place.new)) {
             Err(e) if e.kind() != ErrorKind::NotFound => return Err(e),
             _ => {}
         }
-        let path = folder.join(NAME);
+        let path = folder.join(place.log);
         let bytes = match std::fs::read(&path) {
             Err(e) if e.kind() == ErrorKind::NotFound => Vec::new(),
             other => other?,
@@ -42,11 +54,25 @@
         // Files count in whole blocks: keep two of them and a little more out of it.
         let budget = budget.saturating_sub(4096);
         Ok((
-            Wal { folder: folder.into(), file, size, budget, look_at: SLACK, compactions: 0 },
+            Wal {
+                folder: folder.into(),
+                place,
+                file,
+                size,
+                budget,
+                beside: Vec::new(),
+                look_at: SLACK,
+                compactions: 0,
+            },
             frames(&bytes),
         ))
     }
 
+    /// What another process of this forwarder has in the folder.
+    fn beside(&self) -> u64 {
+        self.beside.iter().filter_map(|p| Some(p.metadata().ok()?.len())).sum()
+    }
+
     pub fn size(&self) -> u64 {
         self.size
     }
@@ -62,7 +88,7 @@
         let more = bytes.len() as u64;
         let (twice, kept) = if takes_on { (more * 2, RESERVE) } else { (more, 0) };
         if self.size > self.look_at || self.size + twice + kept > self.budget / 2 {
-            let live = live(owed());
+            let live = live(owed()) + self.beside();
             let tight = self.size + live + twice + kept > self.budget;
             if tight || self.size > live * 2 + SLACK {
                 self.compact(owed())?;
@@ -85,10 +111,10 @@
     pub fn compact<'a>(&mut self, owed: impl Iterator<Item = &'a Owed>) -> io::Result<()> {
         let mut bytes = Vec::new();
         owed.flat_map(Owed::records).for_each(|r| r.write(&mut bytes));
-        if self.size + bytes.len() as u64 > self.budget {
+        if self.size + bytes.len() as u64 + self.beside() > self.budget {
             return Err(io::Error::new(ErrorKind::StorageFull, "no room for a new log beside the old one"));
         }
-        let (new, path) = (self.folder.join(NEW), self.folder.join(NAME));
+        let (new, path) = (self.folder.join(self.place.new), self.folder.join(self.place.log));
         let mut file = OpenOptions::new().append(true).create_new(true).open(&new)?;
         if let Err(e) = file.write_all(&bytes).and_then(|()| rename(&new, &path)) {
             let _ = std::fs::remove_file(&new);
@@ -189,7 +215,7 @@
         let (mut wal, _) = Wal::open(&folder.0, 1_000_000).unwrap();
         let taken = Record::Taken(Taken { n: 7, ..Taken::default() });
         assert!(put(&mut wal, &mut BTreeMap::new(), &taken));
-        std::fs::write(folder.0.join(NEW), b"half of a rec").unwrap();
+        std::fs::write(folder.0.join(PLACES[0].new), b"half of a rec").unwrap();
         let (mut wal, scan) = Wal::open(&folder.0, 1_000_000).unwrap();
         assert_eq!(scan.records, [taken]);
         wal.compact(recover(scan.records).values()).unwrap();
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -129,6 +129,8 @@
     dns_at: Option<SocketAddr>,
     listing: Arc<Mutex<Listing>>,
     child: Option<Child>,
+    /// The process that was there before the one beside it.
+    old: Option<Child>,
     limits: Value,
     http: Option<SocketAddr>,
     smpp: Option<SocketAddr>,
@@ -159,6 +161,7 @@
             dns_at,
             listing,
             child,
+            old: None,
             limits,
             http,
             smpp,
@@ -169,7 +172,7 @@
 
 impl Drop for Stage {
     fn drop(&mut self) {
-        if let Some(child) = &mut self.child {
+        for child in self.child.iter_mut().chain(&mut self.old) {
             let _ = child.kill();
             let _ = child.wait();
         }
@@ -307,9 +310,16 @@
                 std::fs::write(self.folder.join("config.json"), "{\"name\": ").map_err(|e| e.to_string())
             }
             ["expect", "log", words @ ..] => self.logged(&words.join(" ")),
-            ["send", "daemon", signal] => self.daemon(signal),
-            ["expect", "daemon", "exit", code] => {
-                let status = self.child.as_mut().ok_or("no daemon")?.wait().map_err(|e| e.to_string())?;
+            ["send", "daemon", "start"] => self.start("127.0.0.1:0"),
+            // A second process over the same folder, at the same address for clients. The first one is `old` then.
+            ["send", "daemon", "beside"] => {
+                self.old = self.child.take();
+                let at = self.http.ok_or("no daemon")?.to_string();
+                self.start(&at)
+            }
+            ["send", who @ ("daemon" | "old"), sign] => signal(self.process(who)?, sign),
+            ["expect", who @ ("daemon" | "old"), "exit", code] => {
+                let status = self.process(who)?.wait().map_err(|e| e.to_string())?;
                 let got = status.code().map_or("signal".to_owned(), |c| c.to_string());
                 if got == *code { Ok(()) } else { Err(format!("it ended with {got}")) }
             }
@@ -388,18 +398,9 @@
         Ok(())
     }
 
-    fn daemon(&mut self, signal: &str) -> Done {
-        if signal == "start" {
-            return self.start();
-        }
-        let child = self.child.as_mut().ok_or("no daemon")?;
-        if signal == "KILL" {
-            child.kill().map_err(|e| e.to_string())?;
-            return child.wait().map(drop).map_err(|e| e.to_string());
-        }
-        let id = child.id().to_string();
-        let done = Command::new("kill").args([&format!("-{signal}"), &id]).status();
-        done.map(drop).map_err(|e| e.to_string())
+    fn process(&mut self, who: &str) -> Result<&mut Child, String> {
+        let child = if who == "old" { &mut self.old } else { &mut self.child };
+        child.as_mut().ok_or_else(|| format!("no {who}"))
     }
 
     fn configure(&self) -> PathBuf {
@@ -416,7 +417,7 @@
         file
     }
 
-    fn start(&mut self) -> Done {
+    fn start(&mut self, listen: &str) -> Done {
         let file = self.configure();
         let mut toml = "[smpp]\nlisten = \"127.0.0.1:0\"\nsystem_id = \"onyxrock\"\nenquire_link_s = 1\nwindow = 4\n\
             [[smpp.client]]\nsystem_id = \"office\"\ntenant = \"khangai-clubs\"\n\
@@ -451,7 +452,7 @@
         let mut child = Command::new(env!("CARGO_BIN_EXE_onyxrock"))
             .args(["serve", "--config", file.to_str().unwrap()])
             .args(["--product", product.to_str().unwrap()])
-            .env("GW_LISTEN", "127.0.0.1:0")
+            .env("GW_LISTEN", listen)
             // The file names the address that holds; the variable may be as old as the process.
             .env("GW_DISCOVERY", "127.0.0.1:9")
             .env("GW_STATE", self.folder.join("state"))
@@ -485,6 +486,16 @@
     }
 }
 
+fn signal(child: &mut Child, signal: &str) -> Done {
+    if signal == "KILL" {
+        child.kill().map_err(|e| e.to_string())?;
+        return child.wait().map(drop).map_err(|e| e.to_string());
+    }
+    let id = child.id().to_string();
+    let done = Command::new("kill").args([&format!("-{signal}"), &id]).status();
+    done.map(drop).map_err(|e| e.to_string())
+}
+
 /// Writes all bytes, or says why not.
 pub fn write(stream: &mut TcpStream, bytes: &[u8]) -> Done {
     stream.write_all(bytes).map_err(|e| e.to_string())
