--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -1,6 +1,6 @@
 //! The clients' side: one actor a connection.
 
-use super::{BODY_MOST, Framing, HEAD_MOST, HEADERS, framing, seconds};
+use super::{BODY_MOST, Framing, HEAD_MOST, HEADERS, client_seconds, framing};
 use crate::module::{HandIn, Reply, ToModule};
 use crate::net::buffer::Buffer;
 use crate::net::smpp::Note;
@@ -418,7 +418,7 @@
     }
     let id = only(h, "x-request-id")?.filter(|i| !i.is_empty()).ok_or(Bad(400, "no X-Request-Id"))?;
     let key = only(h, "idempotency-key")?.unwrap_or("");
-    let left = only(h, "x-deadline")?.and_then(seconds).ok_or(Bad(400, "bad X-Deadline"))?;
+    let left = only(h, "x-deadline")?.and_then(client_seconds).ok_or(Bad(400, "bad X-Deadline"))?;
     let envelope = only(h, "x-envelope")?.unwrap_or("");
     let digits = |d: &&str| !d.is_empty() && d.bytes().all(|b| b.is_ascii_digit());
     let destination = envelope
--- a/daemon/src/net/http/mod.rs
+++ b/daemon/src/net/http/mod.rs
@@ -47,6 +47,14 @@
     std::str::from_utf8(h.value).ok().map(str::trim)
 }
 
+/// Digits on each side of the point that a client may write.
+const DIGITS_MOST: usize = 9;
+
+/// The seconds that a client gives: a request whose time is longer than any is a wrong one, and not taken on.
+pub fn client_seconds(text: &str) -> Option<onyxrock::interface::Micros> {
+    seconds(text).filter(|_| text.split('.').all(|part| part.len() <= DIGITS_MOST))
+}
+
 /// Seconds with decimals: digits, perhaps a point, and nothing that a number may be written with elsewhere.
 pub fn seconds(text: &str) -> Option<onyxrock::interface::Micros> {
     let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
@@ -78,6 +86,8 @@
     #[case("Wed, 21 Oct 2026 07:28:00 GMT", None)]
     fn times_are_digits_of_any_length(#[case] text: &str, #[case] micros: Option<u64>) {
         assert_eq!(seconds(text), micros.map(Micros));
+        let short = !text.split('.').any(|part| part.len() > 9);
+        assert_eq!(client_seconds(text), seconds(text).filter(|_| short));
         assert_eq!(seconds(&"9".repeat(400)), Some(Micros(1_000_000_000_000_000)), "no overflow");
     }
 }
