--- a/config/src/daemon.rs
+++ b/config/src/daemon.rs
@@ -73,7 +73,10 @@
     Ok(Config {
         name: text("GW_NAME", "name")?,
         listen: parse("listen", text("GW_LISTEN", "listen")?)?,
-        mgmt: text("GW_MGMT", "mgmt").ok().map(|t| parse("mgmt", t)).transpose()?,
+        mgmt: match (var("GW_MGMT"), v.get("mgmt").filter(|m| !m.is_null())) {
+            (None, None) => None,
+            _ => Some(parse("mgmt", text("GW_MGMT", "mgmt")?)?),
+        },
         discovery: match v.get("discovery").and_then(Value::as_str) {
             Some(t) => parse("discovery", t.to_owned())?,
             None => parse("discovery", text("GW_DISCOVERY", "discovery")?)?,
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -9,7 +9,7 @@
 use crate::wal::Wal;
 use async_channel::{Receiver, Sender, TrySendError, bounded};
 use onyxrock::core::{Answered, Desk, End, Owed, Record, Step, Taken, recover};
-use onyxrock::interface::{self, Event, Listing, Micros, ReceiverId, Verdict};
+use onyxrock::interface::{Event, Leave, Listing, Micros, ReceiverId, Verdict};
 use onyxrock_config::list::List;
 use onyxrock_config::smpp::Gateway;
 use onyxrock_roster::{Directory, Endpoint, Follows, Memory, Order, Refused, Standing, Whose};
@@ -57,7 +57,7 @@
         to: ReceiverId,
         /// Some of it has been written; the rest waited.
         begun: bool,
-        reply: Sender<Leave>,
+        reply: Sender<Gate>,
     },
     /// An endpoint has told a wait, and its answer has not ended yet.
     Wait {
@@ -75,8 +75,8 @@
     Peers(FromPeers),
     /// Shows the duties, as JSON.
     Duties(Sender<serde_json::Value>),
-    /// What another process of this forwarder owed, which is gone. The answer: it is taken over.
-    Adopt(Left, Sender<bool>),
+    /// What another process of this forwarder owed, which is gone.
+    Adopt(Left),
     /// Hold all further sends.
     Hold,
     /// Says when no call is out any more.
@@ -85,7 +85,7 @@
 
 /// What the gate says of a call whose first byte is about to leave: the epoch that a probe carries, zero for a message;
 /// or how the call ends that must not go.
-pub type Leave = Result<u64, Verdict>;
+pub type Gate = Result<u64, Verdict>;
 
 impl From<FromPeers> for ToModule {
     fn from(news: FromPeers) -> ToModule {
@@ -172,7 +172,7 @@
 
     /// Takes over what another process of this forwarder owed, under numbers of its own. One that died between the two
     /// logs has left it in both: who is owed already is known by its id.
-    pub fn adopt(&mut self, left: &Left) -> std::io::Result<()> {
+    fn take_over(&mut self, left: &Left) -> std::io::Result<()> {
         let scan = left.scan()?;
         if scan.damaged > 0 {
             tracing::warn!("log: {} bytes of another process belong to no whole record", scan.damaged);
@@ -193,6 +193,13 @@
         left.clear()
     }
 
+    /// The same; what fails is tried again at the next look.
+    pub fn adopt(&mut self, left: &Left) {
+        if let Err(e) = self.take_over(left) {
+            tracing::error!("log: what another process owed is not taken over yet: {e}");
+        }
+    }
+
     pub async fn run(mut self, inbox: Receiver<ToModule>) {
         loop {
             self.settle();
@@ -271,13 +278,7 @@
             ToModule::Duties(reply) => {
                 drop(reply.try_send(self.probing.as_ref().map(|p| p.json(now)).unwrap_or_default()));
             }
-            ToModule::Adopt(left, reply) => {
-                let taken = self.adopt(&left);
-                if let Err(e) = &taken {
-                    tracing::error!("log: what another process owed is not taken over yet: {e}");
-                }
-                let _ = reply.try_send(taken.is_ok());
-            }
+            ToModule::Adopt(left) => self.adopt(&left),
             ToModule::Hold => {
                 self.hold = true;
                 if let Some(p) = &mut self.probing {
@@ -336,7 +337,7 @@
 
     /// The last look before a call is written: whatever was asked when it was queued, for it may have waited for a
     /// connection meanwhile. One that has begun asks for what runs against its last byte alone.
-    fn writing(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, begun: bool) -> Leave {
+    fn writing(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, begun: bool) -> Gate {
         let c = &self.shared.counters;
         let held_back = |why: &Count| {
             why.up();
@@ -350,11 +351,11 @@
             return held_back(&c.held_back_drain);
         }
         match self.desk.leave(now, n, attempt, to) {
-            interface::Leave::Wait => return held_back(&c.held_back_wait),
-            interface::Leave::Late => return held_back(&c.held_back_late),
-            interface::Leave::Over => return Err(Verdict::Moot),
-            interface::Leave::Go if begun => return Ok(0),
-            interface::Leave::Go => {}
+            Leave::Wait => return held_back(&c.held_back_wait),
+            Leave::Late => return held_back(&c.held_back_late),
+            Leave::Over => return Err(Verdict::Moot),
+            Leave::Go if begun => return Ok(0),
+            Leave::Go => {}
         }
         if let Some(p) = self.probing.as_mut().filter(|_| self.desk.probing(n)) {
             let may = p.writing(now, n);
@@ -395,8 +396,7 @@
         if a.told > Micros(0) {
             c.waits_told.up();
         }
-        let wait = if let Verdict::Full(Some(wait)) = a.verdict { wait } else { Micros(0) };
-        self.directory.told(a.to, a.told.max(now.after(wait)));
+        self.directory.told(a.to, a.told);
         self.directory.ended(a.to);
         let record = self.desk.answered(now, a);
         self.keep(record.as_slice());
@@ -868,7 +868,7 @@
         for _ in 0..2 {
             std::fs::write(&claim.beside()[0], &log).unwrap();
             let Ok(crate::folder::Other::Free(left)) = claim.other() else { panic!("nobody is there") };
-            m.adopt(&left).unwrap();
+            m.adopt(&left);
             assert!(!left.is_there());
         }
         let owed: Vec<_> =
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -4,7 +4,7 @@
 use super::client::{Again, Answer, Conn, Lost, TAIL};
 use super::reuse::AT_ONCE;
 use crate::clock::Clock;
-use crate::module::{Leave, ToModule};
+use crate::module::{Gate, ToModule};
 use crate::net::{OutboundCall, Shared, ToEndpoint};
 use async_channel::{Receiver, Sender, bounded};
 use futures_lite::future;
@@ -159,7 +159,7 @@
 }
 
 /// Asks the module whether a call may leave, or go on.
-async fn gate(shared: &Shared, call: &OutboundCall, begun: bool) -> Leave {
+async fn gate(shared: &Shared, call: &OutboundCall, begun: bool) -> Gate {
     let (reply, allowed) = bounded(1);
     let (n, attempt, to) = (call.n, call.attempt, call.to);
     let asked = shared.module.send(ToModule::Writing { n, attempt, to, begun, reply }).await.is_ok();
@@ -362,7 +362,7 @@
             async_io::block_on(self.shared.executor.run(self.module.recv())).unwrap()
         }
         /// The actor asks whether its call may go.
-        fn gate(&self, says: Leave) -> bool {
+        fn gate(&self, says: Gate) -> bool {
             let ToModule::Writing { begun, reply, .. } = self.letter() else { panic!("no question") };
             reply.try_send(says).unwrap();
             begun
@@ -374,6 +374,8 @@
             }
         }
         fn accept(&self, said: &mut Vec<u8>, until: &str) -> TcpStream {
+            // What was allowed is written.
+            async_io::block_on(self.shared.executor.run(future::yield_now()));
             let mut stream = self.peer.accept().unwrap().0;
             let mut byte = [0];
             while !String::from_utf8_lossy(said).contains(until) {
@@ -392,7 +394,6 @@
         assert_eq!(rig.answered().verdict, Verdict::HeldBack);
         let _second = rig.call("second", 0);
         rig.gate(Ok(0));
-        async_io::block_on(rig.shared.executor.run(futures_lite::future::yield_now()));
         let mut said = Vec::new();
         let mut stream = rig.accept(&mut said, "\r\n\r\n");
         let said = String::from_utf8(said).unwrap();
@@ -429,7 +430,6 @@
         let rig = Rig::new();
         let _wanted = rig.call("m", 0);
         rig.gate(Ok(0));
-        async_io::block_on(rig.shared.executor.run(futures_lite::future::yield_now()));
         let mut stream = rig.accept(&mut Vec::new(), "\r\n\r\n");
         let before = rig.shared.clock.now();
         stream.write_all(format!("HTTP/1.1 429 X\r\nRetry-After: 2.5\r\n{rest}").as_bytes()).unwrap();
@@ -447,7 +447,6 @@
         let rig = Rig::new();
         let wanted = rig.call("m", 0);
         rig.gate(Ok(0));
-        async_io::block_on(rig.shared.executor.run(futures_lite::future::yield_now()));
         let mut stream = rig.accept(&mut Vec::new(), "\r\n\r\n");
         stream.write_all(b"HTTP/1.1 429 X\r\nRetry-After: 2.5\r\nContent-Length: 9\r\n\r\n").unwrap();
         drop(wanted);
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -131,7 +131,7 @@
             elapsed: now.since(self.started),
             finished: false,
             limit: (None, None),
-            told: Micros(0),
+            told: if let Verdict::Full(Some(wait)) = verdict { now.after(wait) } else { Micros(0) },
         }
     }
 }
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -196,10 +196,8 @@
     let other =
         claim.other().map_err(|e| format!("cannot lock the log in {}: {e}", claim.folder.display()))?;
     let beside = matches!(other, Other::Held);
-    if let Other::Free(left) = other
-        && let Err(e) = module.adopt(&left)
-    {
-        tracing::error!("log: what another process owed is not taken over yet: {e}");
+    if let Other::Free(left) = other {
+        module.adopt(&left);
     }
     let wait = if ask_every > Micros(0) { Micros(ask_every.0 / 2) } else { Micros(5_000_000) };
     let discovery = Discovery {
@@ -305,9 +303,7 @@
             Ok(Other::Free(left)) => {
                 beside = false;
                 if left.is_there() && !shared.stopping.get() {
-                    let (reply, taken) = bounded(1);
-                    let _ = shared.module.send(ToModule::Adopt(left, reply)).await;
-                    let _ = taken.recv().await;
+                    let _ = shared.module.send(ToModule::Adopt(left)).await;
                 }
             }
             Err(e) => tracing::warn!("log: cannot look at another process's: {e}"),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -276,7 +276,8 @@
         self.last_delivered = now;
         let proven = std::mem::replace(&mut self.last_proof, sent);
         self.latency += 0.3 * (elapsed - self.latency);
-        let weight = if proven == Micros(0) { 1.0 } else { [0.1, 0.03][usize::from(elapsed > self.norm)] };
+        let weight = if elapsed > self.norm { 0.03 } else { 0.1 };
+        let weight = if proven == Micros(0) { 1.0 } else { weight };
         self.norm += weight * (elapsed.min(self.norm * 4.0) - self.norm);
         // No outage longer than a window of the rule fits between two proofs so close to each other.
         let blinked = sent.since(proven).min(now.since(trouble)) <= set.fall_window;
@@ -784,11 +785,8 @@
         let Some((r, d)) = known.filter(|_| m.out.iter().any(|a| a.number == attempt)) else {
             return Leave::Over;
         };
-        match now < r.told_until(d) {
-            true => Leave::Wait,
-            false if now >= m.sends_end(&self.set, Some(attempt)) => Leave::Late,
-            false => Leave::Go,
-        }
+        let late = if now < m.sends_end(&self.set, Some(attempt)) { Leave::Go } else { Leave::Late };
+        if now < r.told_until(d) { Leave::Wait } else { late }
     }
 
     fn commit(&mut self, now: Micros, id: MessageId, target: ReceiverId, joins: bool) {
