--- a/daemon/src/folder.rs
+++ b/daemon/src/folder.rs
@@ -61,6 +61,16 @@
     }
 }
 
+/// What a file holds; one that is not there holds nothing.
+pub fn read(path: &Path) -> io::Result<Vec<u8>> {
+    std::fs::read(path).or_else(|e| if e.kind() == ErrorKind::NotFound { Ok(Vec::new()) } else { Err(e) })
+}
+
+/// Has a file be there no more.
+pub fn remove(path: &Path) -> io::Result<()> {
+    std::fs::remove_file(path).or_else(|e| if e.kind() == ErrorKind::NotFound { Ok(()) } else { Err(e) })
+}
+
 impl Claim {
     /// The first place that nobody has.
     ///
@@ -110,11 +120,7 @@
     /// # Errors
     /// It cannot be read.
     pub fn scan(&self) -> io::Result<Scan> {
-        match std::fs::read(&self.log) {
-            Ok(bytes) => Ok(frames(&bytes)),
-            Err(e) if e.kind() == ErrorKind::NotFound => Ok(Scan::default()),
-            Err(e) => Err(e),
-        }
+        read(&self.log).map(|bytes| frames(&bytes))
     }
 
     /// Somebody else has all of it now.
@@ -122,13 +128,8 @@
     /// # Errors
     /// It is still there.
     pub fn clear(&self) -> io::Result<()> {
-        for path in [&self.log, &self.new] {
-            match std::fs::remove_file(path) {
-                Err(e) if e.kind() != ErrorKind::NotFound => return Err(e),
-                _ => {}
-            }
-        }
-        Ok(())
+        remove(&self.log)?;
+        remove(&self.new)
     }
 }
 
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -819,16 +819,9 @@
             "its last byte would come too late"
         );
         assert_eq!(m.shared.counters.held_back_wait.get(), 1);
-        let held_back = Answered {
-            n: 1,
-            attempt: 0,
-            to,
-            verdict: Verdict::HeldBack,
-            elapsed: Micros(900_000),
-            finished: false,
-            limit: (None, None),
-            told: Micros(0),
-        };
+        let (elapsed, verdict) = (late.since(now), Verdict::HeldBack);
+        let (finished, limit) = (false, (None, None));
+        let held_back = Answered { n: 1, attempt: 0, to, verdict, elapsed, finished, limit, told: Micros(0) };
         m.answered(late, &held_back);
         assert_eq!(m.desk.get(1).map(|o| (o.attempts, o.out.len())), Some((0, 0)));
         m.desk.decide(late, true, &mut steps);
--- a/daemon/src/wal.rs
+++ b/daemon/src/wal.rs
@@ -1,6 +1,6 @@
 //! The log in the folder that lasts. What write() has taken survives the process, so nothing is synced.
 
-use crate::folder::{Claim, PLACES, Place};
+use crate::folder::{Claim, PLACES, Place, read, remove};
 use onyxrock::core::{Owed, Record, Scan, frames};
 use std::fs::{File, OpenOptions, rename};
 use std::io::{self, ErrorKind, Write};
@@ -40,15 +40,9 @@
     /// Opens a log, made if there is none, and reads what an earlier process left in it.
     fn at(folder: &Path, place: Place, budget: u64) -> io::Result<(Wal, Scan)> {
         // A new log that was not renamed yet says nothing that the old one does not.
-        match std::fs::remove_file(folder.join(place.new)) {
-            Err(e) if e.kind() != ErrorKind::NotFound => return Err(e),
-            _ => {}
-        }
+        remove(&folder.join(place.new))?;
         let path = folder.join(place.log);
-        let bytes = match std::fs::read(&path) {
-            Err(e) if e.kind() == ErrorKind::NotFound => Vec::new(),
-            other => other?,
-        };
+        let bytes = read(&path)?;
         let file = OpenOptions::new().append(true).create(true).open(&path)?;
         let size = bytes.len() as u64;
         // Files count in whole blocks: keep two of them and a little more out of it.
