--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -4,7 +4,7 @@
 use super::client::{Again, Answer, Conn, Lost, TAIL};
 use super::reuse::AT_ONCE;
 use crate::clock::Clock;
-use crate::module::{Gate, ToModule};
+use crate::module::ToModule;
 use crate::net::{OutboundCall, Shared, ToEndpoint};
 use async_channel::{Receiver, Sender, bounded};
 use futures_lite::future;
@@ -158,14 +158,6 @@
     shared.counters.outbound_open.down();
 }
 
-/// Asks the module whether a call may leave, or go on.
-async fn gate(shared: &Shared, call: &OutboundCall, begun: bool) -> Gate {
-    let (reply, allowed) = bounded(1);
-    let (n, attempt, to) = (call.n, call.attempt, call.to);
-    let asked = shared.module.send(ToModule::Writing { n, attempt, to, begun, reply }).await.is_ok();
-    allowed.recv().await.ok().filter(|_| asked).unwrap_or(Err(Verdict::Moot))
-}
-
 /// Makes one attempt. A connection that is not handed back is closed, which is how a call is given up.
 async fn attempt(
     shared: &Shared, address: SocketAddr, call: &OutboundCall, idle: Option<Idle>, told: &Cell<Micros>,
@@ -200,7 +192,7 @@
         }
     };
     // From here on the call may run: the module has it in the log first, or says that it must not go.
-    let epoch = match gate(shared, call, false).await {
+    let epoch = match shared.gate(call, false).await {
         Ok(epoch) => epoch,
         Err(verdict) => return (verdict, None, Some(conn)),
     };
@@ -222,7 +214,7 @@
         if !matches!(clock.before(until, conn.room()).await, Some(Ok(()))) {
             return (Verdict::ConnectFailed, None, None);
         }
-        if let Err(verdict) = gate(shared, call, true).await {
+        if let Err(verdict) = shared.gate(call, true).await {
             return (verdict, None, None);
         }
     }
@@ -362,7 +354,7 @@
             async_io::block_on(self.shared.executor.run(self.module.recv())).unwrap()
         }
         /// The actor asks whether its call may go.
-        fn gate(&self, says: Gate) -> bool {
+        fn gate(&self, says: crate::module::Gate) -> bool {
             let ToModule::Writing { begun, reply, .. } = self.letter() else { panic!("no question") };
             reply.try_send(says).unwrap();
             begun
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -8,8 +8,8 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::module::ToModule;
-use async_channel::{Receiver, Sender};
+use crate::module::{Gate, ToModule};
+use async_channel::{Receiver, Sender, bounded};
 use async_executor::LocalExecutor;
 use onyxrock::core::Answered;
 use onyxrock::interface::{Micros, ReceiverId, Verdict};
@@ -61,7 +61,7 @@
     /// What an actor shares that a test plays the module for.
     #[cfg(test)]
     pub fn alone(module: Sender<ToModule>) -> Rc<Shared> {
-        let (_, closed) = async_channel::bounded(1);
+        let (_, closed) = bounded(1);
         Rc::new(Shared {
             clock: Clock::default(),
             counters: Counters::default(),
@@ -82,6 +82,14 @@
             executor: Rc::new(LocalExecutor::new()),
         })
     }
+    /// Asks the module whether a call may leave, or go on where some of it has been written.
+    pub async fn gate(&self, call: &OutboundCall, begun: bool) -> Gate {
+        let (reply, allowed) = bounded(1);
+        let (n, attempt, to) = (call.n, call.attempt, call.to);
+        let asked = self.module.send(ToModule::Writing { n, attempt, to, begun, reply }).await.is_ok();
+        allowed.recv().await.ok().filter(|_| asked).unwrap_or(Err(Verdict::Moot))
+    }
+
     /// A number that no other caller in this process gets.
     pub fn serial(&self) -> u64 {
         self.serials.set(self.serials.get() + 1);
--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -241,13 +241,7 @@
                 end(self.shared, &call, Verdict::Moot).await;
                 continue;
             }
-            let (reply, allowed) = bounded(1);
-            let (n, attempt, to) = (call.n, call.attempt, call.to);
-            let asked =
-                self.shared.module.send(ToModule::Writing { n, attempt, to, begun: false, reply }).await;
-            if let Err(verdict) =
-                allowed.recv().await.ok().filter(|_| asked.is_ok()).unwrap_or(Err(Verdict::Moot))
-            {
+            if let Err(verdict) = self.shared.gate(&call, false).await {
                 end(self.shared, &call, verdict).await;
                 continue;
             }
