What a restart finds taken on and untried gets its call first, whatever the pace

Seen: a line that a start now logs once all it found is settled. Ruled out: the list at the start (scenario restart_no_list: they wait for it and go), given ends told again (restart.scn). Now: untried ones go first, the soonest to end ahead; the pace holds them, but ends none; they take no room that newcomers are shed for; a share is charged once. Held back, moot or not connected, a call leaves its message untried. Calls go on until 2.3 s after SIGTERM. Counters resumed_untried, _over, _tried, _late, _early, and one line.

--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -40,6 +40,8 @@
 counters! {
     // the clients' side
     inbound_open, inbound_opened, inbound_turned_away, inbound_sent_off, inbound_given_back, inbound_silent, taken, fail_fast, bad_requests, ids_again, unheard, resumed,
+    // of what a start found taken on and untried: what became of it
+    resumed_untried, resumed_over, resumed_tried, resumed_late, resumed_early,
     // the endpoints' side
     outbound_open, outbound_opened, outbound_reused, outbound_passed_over, outbound_calls,
     delivered, spoilt, error, full, timed_out, connect_failed, reset, stale, moot, cancelled, held_back, late_decisions,
--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -8,7 +8,7 @@
 use crate::net::{Held, OutboundCall, Shared, ToEndpoint};
 use crate::wal::Wal;
 use async_channel::{Receiver, Sender, TrySendError, bounded};
-use onyxrock::core::{Answered, Desk, End, Owed, Record, Step, Taken, recover};
+use onyxrock::core::{Answered, Desk, End, Found, Owed, Record, Step, Taken, recover};
 use onyxrock::interface::{Event, Leave, Listing, Micros, ReceiverId, Verdict};
 use onyxrock_config::list::List;
 use onyxrock_config::smpp::Gateway;
@@ -128,6 +128,7 @@
     /// Calls out that may be called off, each of which ends early when its sender here is dropped.
     out: BTreeMap<(u64, u32), Sender<()>>,
     hold: bool,
+    found: Found,
 }
 
 impl Module {
@@ -152,6 +153,7 @@
             quiet: Vec::new(),
             out: BTreeMap::new(),
             hold: false,
+            found: Found::default(),
         }
     }
 
@@ -605,6 +607,20 @@
                 Step::Log(text) => tracing::info!("module: {text}"),
             }
         }
+        let (c, found) = (&self.shared.counters, self.desk.found());
+        // How a restart went, said once.
+        if found.settled() && found != self.found && !self.hold {
+            let Found { untried, over, tried, late, early } = found;
+            tracing::info!(
+                "resumed: {untried} untried; {tried} tried, {over} over at the start, {late} later, {early} ended early"
+            );
+        }
+        self.found = found;
+        c.resumed_untried.set(found.untried);
+        c.resumed_over.set(found.over);
+        c.resumed_tried.set(found.tried);
+        c.resumed_late.set(found.late);
+        c.resumed_early.set(found.early);
         while let Some(ending) = self.waiting.pop_front() {
             if !self.pass(ending) {
                 break;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -34,8 +34,9 @@
 
 /// After SIGTERM connections still come for a moment; whoever finds the door shut has lost a try.
 const ACCEPT_FOR: Duration = Duration::from_millis(500);
-/// Then calls that are out may end, while nothing new goes.
-const SEND_FOR: Duration = Duration::from_millis(1200);
+/// Until then what was taken on goes out as before: the less is left for the next process, which comes seconds later,
+/// the less of it runs out of time untried. Then calls that are out may end, while nothing new goes.
+const SEND_FOR: Duration = Duration::from_millis(2300);
 const END_BY: Duration = Duration::from_millis(3300);
 
 /// How often a process looks whether another one of its forwarder is there, or still is.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -386,9 +386,10 @@
     /// A message of an earlier process: what it may have done there binds as if it were done here.
     fn on_resume(&mut self, now: Micros, m: Message, past: Past, actions: &mut Vec<Action>) {
         let id = m.id;
-        self.on_submit(now, m);
+        self.on_submit(now, Message { tenant: None, ..m }); // its share was charged when it came
         let Some(held) = self.held.get_mut(&id) else { return };
         (held.attempts, held.number, held.maybe_ran) = (past.attempts, past.attempts, past.maybe_ran);
+        held.untried = past.attempts == 0;
         let lost = past.maybe_ran.is_some() && self.set.classes[held.class.0].effect == Effect::Unsafe;
         if lost || past.attempts >= self.set.max_attempts {
             self.end(now, id, None, actions);
@@ -428,6 +429,7 @@
             m.maybe_ran = m.maybe_ran.into_iter().chain([(attempt.sent, attempt.zone)]).min_by_key(|f| f.0);
         }
         m.attempts -= u32::from(o.verdict == Verdict::HeldBack).min(m.attempts);
+        m.untried &= matches!(o.verdict, Verdict::HeldBack | Verdict::Moot | Verdict::ConnectFailed);
         // Both prove that it never ran; at once the table or the limit would be as full.
         if matches!(o.verdict, Verdict::Full(_) | Verdict::ConnectFailed) {
             let doubled = f64::from(1u32 << (m.attempts.clamp(1, 6) - 1));
@@ -531,9 +533,11 @@
 
     /// Near the end of the holding room the least worth goes, before newcomers are turned away unseen.
     fn shed(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let surplus = self.held.len().saturating_sub((f64::from(self.set.max_held) * HELD_HIGH) as usize);
-        let held = if surplus > 0 { &self.held } else { return };
-        let idle = held.iter().filter(|(_, m)| m.out.is_empty() && !m.ended);
+        let most = (f64::from(self.set.max_held) * HELD_HIGH) as usize;
+        let held = if self.held.len() > most { &self.held } else { return };
+        let may_go = held.iter().filter(|(_, m)| !m.untried);
+        let surplus = may_go.clone().count().saturating_sub(most);
+        let idle = may_go.filter(|(_, m)| m.out.is_empty() && !m.ended);
         let mut waiting: Vec<_> = idle.map(|(id, m)| (m.worth(&self.set, now), *id)).collect();
         waiting.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, id) in waiting.into_iter().take(surplus) {
@@ -554,9 +558,10 @@
         }
     }
 
-    /// What sending now rather than `horizon` later is worth, with a part of the worth itself.
+    /// What sending now rather than `horizon` later is worth, with a part of the worth itself. What an earlier process
+    /// has left untried goes before all: it has waited through a restart already.
     fn urgency(&self, now: Micros, m: &Held, horizon: f64) -> f64 {
-        let soon = m.worth(&self.set, now);
+        let soon = if m.untried && m.out.is_empty() { f64::INFINITY } else { m.worth(&self.set, now) };
         soon - m.worth(&self.set, now.after(Micros::from_secs(horizon))) + 0.3 * soon
     }
 
@@ -591,7 +596,7 @@
     fn give_up(&mut self, now: Micros, id: MessageId, ahead: &mut f64, actions: &mut Vec<Action>) -> Micros {
         let Some(m) = self.held.get(&id).filter(|m| m.out.is_empty()) else { return NEVER };
         let Some(d) = self.destinations.get(&m.destination) else { return NEVER };
-        *ahead += 1.0;
+        *ahead += if m.untried { 0.0 } else { 1.0 }; // which goes first, and has its call to come
         let paced = d.pace.control.as_ref().map_or(0.0, |c| *ahead / c.rate / REACH);
         let hopeless = m.sends_end(&self.set, None).since(MARGIN);
         let listed = d.receivers.iter().filter_map(|r| self.receivers.get(r));
@@ -805,8 +810,7 @@
         }
         self.copies = (self.copies + if copy { -1.0 } else { COPY_SHARE }).min(3.0); // so many at once
         if joins {
-            r.sends.back_mut().into_iter().for_each(|s| s.1 += EXTRA_WEIGHT);
-            return;
+            return r.sends.back_mut().into_iter().for_each(|s| s.1 += EXTRA_WEIGHT);
         }
         r.note_send(now, call, life, self.set.fall_window);
         if r.apart {
@@ -831,9 +835,7 @@
 /// This sender's share of what a destination or route takes; part of what is asked for where nothing is known.
 fn likely_share(set: &Settings, r: &Receiver, pace: &Pace, asked: f64) -> f64 {
     let told = told_share(set, r);
-    if told > 0.0 {
-        return told.max(pace.usual);
-    }
     let known = if pace.usual > 0.0 { pace.usual } else { asked * UNKNOWN_PART };
-    known.max(UNKNOWN_CAPACITY / f64::from(set.senders.max(1)))
+    let least = UNKNOWN_CAPACITY / f64::from(set.senders.max(1));
+    if told > 0.0 { told.max(pace.usual) } else { known.max(least) }
 }
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -91,6 +91,23 @@
     class
 }
 
+/// What became of the messages that a start found taken on and untried. What is in none of the ends still waits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Found {
+    /// So many there were.
+    pub untried: usize,
+    /// Their time was over at the start.
+    pub over: usize,
+    /// They got their call.
+    pub tried: usize,
+    /// They ended without one, at the end of their time.
+    pub late: usize,
+    /// The same with time left: a wait was told, or their class has left the settings.
+    pub early: usize,
+}
+
+/// What ends so shortly before its deadline has used its time.
+const TIME_UP: Micros = Micros(100_000);
 /// An attempt may run on for so long after its request is over.
 const ID_REST: Micros = Micros(2_000_000);
 
@@ -116,6 +133,9 @@
     /// Ids of hand-ins.
     ids: Ids,
     given: usize,
+    /// Messages of an earlier process that have had no call yet, and what became of all of them.
+    untried: BTreeSet<u64>,
+    found: Found,
     wakes: BTreeSet<Micros>,
     receipts: Vec<u64>,
     /// Probes that the module has: the destination.
@@ -123,6 +143,13 @@
     actions: Vec<Action>,
 }
 
+impl Found {
+    /// None of them waits any more.
+    pub fn settled(&self) -> bool {
+        self.over + self.tried + self.late + self.early >= self.untried
+    }
+}
+
 impl Desk {
     /// A desk with nothing on it.
     ///
@@ -154,6 +181,8 @@
             attempts: BTreeMap::new(),
             next: 1,
             given: 0,
+            untried: BTreeSet::new(),
+            found: Found::default(),
             wakes: BTreeSet::new(),
             receipts: Vec::new(),
             probes: BTreeMap::new(),
@@ -221,6 +250,10 @@
     pub fn calls_off(&self) -> bool {
         self.cancel
     }
+    /// What became of the messages that a start found untried.
+    pub fn found(&self) -> Found {
+        self.found
+    }
     /// Attempts that are out.
     pub fn out(&self) -> usize {
         self.owed.values().map(|o| o.out.len()).sum()
@@ -294,6 +327,14 @@
         let maybe_ran = owed.maybe_ran.as_ref().map(|(at, z)| (*at, self.zone(z)));
         let past = Past { attempts: owed.attempts, maybe_ran };
         let given = owed.given.is_some();
+        if !given && owed.attempts == 0 {
+            self.found.untried += 1;
+            if owed.taken.deadline <= now.after(TIME_UP) {
+                self.found.over += 1;
+            } else {
+                self.untried.insert(n);
+            }
+        }
         self.attempts.insert(n, owed.attempts);
         self.owed.insert(n, owed);
         self.given += usize::from(given);
@@ -332,6 +373,7 @@
         let (endpoint, zone) = (endpoint.to_owned(), zone.to_owned());
         let record = Record::Attempt { n, attempt, endpoint, zone, at };
         o.apply(&record);
+        self.found.tried += usize::from(self.untried.remove(&n));
         Some(record)
     }
 
@@ -380,6 +422,7 @@
     pub fn over(&mut self, n: u64) -> Option<Record> {
         let o = self.owed.remove(&n)?;
         self.given -= usize::from(o.given.is_some());
+        self.untried.remove(&n);
         self.attempts.remove(&n);
         Some(Record::Over(n))
     }
@@ -423,8 +466,8 @@
                 *made += 1;
                 Step::Call { n: id.0, attempt: *made - 1, to: receiver, patience }
             }
-            Action::Refuse { id, retry_after } => self.end(id.0, End::Returned(retry_after))?,
-            Action::Fail(id) => self.end(id.0, End::Failed)?,
+            Action::Refuse { id, retry_after } => self.end(now, id.0, End::Returned(retry_after))?,
+            Action::Fail(id) => self.end(now, id.0, End::Failed)?,
             Action::CallOff { id, attempt } => Step::CallOff { n: id.0, attempt },
             Action::CloseIdle(to) => Step::CloseIdle(to),
             Action::Follow => Step::Follow,
@@ -440,10 +483,14 @@
         })
     }
 
-    fn end(&mut self, n: u64, end: End) -> Option<Step> {
+    fn end(&mut self, now: Micros, n: u64, end: End) -> Option<Step> {
         let o = self.owed.get_mut(&n).filter(|o| o.given.is_none())?;
         o.given = Some(end);
         self.given += 1;
+        if self.untried.remove(&n) {
+            let late = now.after(TIME_UP) >= o.taken.deadline;
+            *(if late { &mut self.found.late } else { &mut self.found.early }) += 1;
+        }
         Some(Step::End { n, end })
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -416,6 +416,8 @@
     pub maybe_ran: Option<(Micros, ZoneId)>,
     pub not_before: Micros,
     pub ended: bool,
+    /// An earlier process took it on, and none of its calls has left yet.
+    pub untried: bool,
 }
 
 impl Held {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -91,7 +91,7 @@
     pub closed: Vec<u64>,
     pub told: Vec<Vec<u8>>,
     pub called_off: Vec<(u64, u32)>,
-    attempts: std::collections::BTreeMap<u64, u32>,
+    pub attempts: std::collections::BTreeMap<u64, u32>,
 }
 
 impl Rig {
--- /dev/null
+++ b/tests/restart.rs
@@ -0,0 +1,105 @@
+//! What an earlier process took on and never tried gets its call, whatever else there is to do.
+
+mod common;
+use common::*;
+use onyxrock::interface::*;
+
+fn one_slot() -> Settings {
+    Settings { slots: 1, max_held: 20, fall_multiple: 0.0, ..settings() }
+}
+
+impl Rig {
+    fn message(id: u64, tenant: Option<usize>, left: Micros) -> Message {
+        let (class, tenant, destination) = (ClassId(SAFE), tenant.map(TenantId), DestinationId(1));
+        Message { id: MessageId(id), class, tenant, key: None, destination, left }
+    }
+    /// All that a start finds comes before the first decision.
+    fn resume(&mut self, ids: std::ops::Range<u64>, tenant: Option<usize>, past: Past) {
+        let mut actions = Vec::new();
+        for id in ids {
+            let m = Rig::message(id, tenant, ms(4000 + id));
+            self.attempts.insert(id, past.attempts);
+            self.brain.on_event(self.now, Event::Resume(m, past), &mut actions);
+        }
+        self.brain.decide(self.now, &mut actions);
+        self.carry_out(actions);
+    }
+    fn goes(&mut self, verdict: Verdict) -> u64 {
+        let id = self.out[0].id;
+        self.pass(ms(20));
+        self.answer(id, verdict);
+        id
+    }
+}
+
+/// Near the end of the room the least worth goes: newcomers, though what was resumed is late and worth less.
+#[test]
+fn the_room_that_is_used_up_costs_newcomers_only() {
+    let mut rig = Rig::new(one_slot(), vec![entry(1, 1, 0, 0)]);
+    rig.resume(1..20, None, Past::default());
+    rig.submit(50, SAFE, 1);
+    rig.submit(51, SAFE, 1);
+    assert_eq!(rig.refused, [], "what is owed a call takes no room from others, up to the bound itself");
+    let went: Vec<_> = (1..20).map(|_| rig.goes(Verdict::Delivered)).collect();
+    assert_eq!(went, (1..20).collect::<Vec<_>>());
+    rig.goes(Verdict::Delivered);
+    rig.goes(Verdict::Delivered);
+    assert_eq!((rig.refused.len(), rig.failed.len()), (0, 0));
+}
+
+/// Five at two refusals a second could not go in time by the pace; each of them has its call all the same.
+#[test]
+fn a_severe_pace_gives_none_of_them_up() {
+    let mut rig = Rig::new(one_slot(), vec![entry(1, 1, 0, 0)]);
+    rig.resume(1..12, None, Past::default());
+    for _ in 0..400 {
+        rig.pass(ms(10));
+        if let Some(id) = rig.out.first().map(|s| s.id) {
+            rig.answer(id, Verdict::Full(None));
+            let untried = (1..12).filter(|id| rig.sends_of(*id) == 0);
+            assert!(untried.clone().all(|id| rig.refused.iter().all(|r| r.0 != id)), "{:?}", rig.refused);
+        }
+    }
+    assert!((1..6).all(|id| rig.sends_of(id) > 0), "{:?}", rig.sent);
+}
+
+/// A tenant has paid for what it handed in before: its next messages are within its share.
+#[test]
+fn a_restart_charges_no_share_twice() {
+    let tenants = vec![TenantSettings { allowance_per_s: 1.0 }];
+    let mut rig = Rig::new(Settings { tenants, ..one_slot() }, vec![entry(1, 1, 0, 0)]);
+    rig.resume(1..6, Some(0), Past::default());
+    rig.event(Event::Submit(Rig::message(50, Some(0), ms(9000))));
+    rig.event(Event::Submit(Rig::message(51, None, ms(9000))));
+    let went: Vec<_> = (0..6).map(|_| rig.goes(Verdict::Delivered)).collect();
+    assert_eq!(went, [1, 2, 3, 4, 5, 50], "beyond its share it would be worth a tenth");
+}
+
+/// What never left, or never came there, was no call: the message is still the first to go.
+#[test]
+fn a_call_that_never_left_leaves_it_untried() {
+    let never_left = [Verdict::HeldBack, Verdict::Moot, Verdict::ConnectFailed].map(|v| (v, true));
+    for (verdict, first) in never_left.into_iter().chain([(Verdict::Full(None), false)]) {
+        let mut rig = Rig::new(one_slot(), vec![entry(1, 1, 0, 0)]);
+        rig.resume(1..2, None, Past::default());
+        // Both are within their aim, and it is past its own.
+        rig.submit(50, SAFE, 1);
+        rig.submit(51, SAFE, 1);
+        rig.goes(verdict);
+        rig.pass(ms(500));
+        if rig.out[0].id == 50 {
+            rig.goes(Verdict::Delivered);
+        }
+        assert_eq!(rig.out[0].id == 1, first, "{verdict:?}: {:?}", rig.sent);
+    }
+}
+
+/// What an earlier process has tried is one of many.
+#[test]
+fn what_has_had_its_call_waits_its_turn() {
+    let mut rig = Rig::new(one_slot(), vec![entry(1, 1, 0, 0)]);
+    rig.resume(1..4, None, Past { attempts: 1, maybe_ran: None });
+    rig.resume(4..7, None, Past::default());
+    let went: Vec<_> = (0..5).map(|_| rig.goes(Verdict::Delivered)).collect();
+    assert_eq!(went[1..4], [4, 5, 6], "the first had gone already");
+}
