--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 build:
 	cargo build --release --locked
 test:
-	cargo test --workspace --locked
+	.ci/known-red KNOWN-RED.txt cargo test --workspace --locked
 lint:
 	cargo fmt --all --check
 	cargo clippy --workspace --all-targets --locked -- -D warnings
