At the end each connection that stands in the row is accepted, and a new one is answered

Seen by reading and by two tests on real sockets that force the crossing: eight clients connected with their requests written when the door shuts get a reset, since listen() returned at once and dropped the listener with its row; and a connection accepted a moment before the end was told is closed without an answer, since next() looks at ending whether it was ever answered or not. Ruled out: a request that is read while ending is told (fill is polled first), and one behind an answer (the answer says Connection: close). Now what stands in the row is served first, as far as there is room, and ending closes only connections that were answered. Tests: who_stands_in_the_row_when_the_door_shuts_is_answered, a_new_connection_is_answered_though_the_process_ends; each fails without its line.

--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -54,10 +54,10 @@
         tracing::error!("listen: {e}");
     }
     loop {
-        // Who has said nothing makes room for who comes, the oldest first.
         if stop.is_closed() {
-            return;
+            break;
         }
+        // Who has said nothing makes room for who comes, the oldest first.
         if shared.counters.inbound_open.get() >= shared.inbound_most {
             if shared.crowd.make_room(shared.clock.now(), SPARE) {
                 shared.counters.inbound_sent_off.up();
@@ -73,19 +73,8 @@
             None
         };
         match future::or(stopped, accepted).await {
-            None => return,
-            Some(Ok((stream, _))) => {
-                shared.counters.inbound_opened.up();
-                shared.counters.inbound_open.up();
-                let shared = shared.clone();
-                let executor = shared.executor.clone();
-                executor
-                    .spawn(async move {
-                        Inbound::new(&shared, stream).run().await;
-                        shared.counters.inbound_open.down();
-                    })
-                    .detach();
-            }
+            None => break,
+            Some(Ok((stream, _))) => serve(&shared, stream),
             Some(Err(e)) => {
                 // Out of descriptors: accept again when some have been closed, rather than spin.
                 tracing::warn!("accept: {e}");
@@ -93,6 +82,25 @@
             }
         }
     }
+    // Who stands in the row is connected already: dropped with the listener, its request would be lost without an answer.
+    while shared.counters.inbound_open.get() < shared.inbound_most
+        && let Ok((stream, _)) = listener.get_ref().accept()
+        && let Ok(stream) = Async::new(stream)
+    {
+        serve(&shared, stream);
+    }
+}
+
+/// Each connection has an actor of its own.
+fn serve(shared: &Rc<Shared>, stream: Async<TcpStream>) {
+    shared.counters.inbound_opened.up();
+    shared.counters.inbound_open.up();
+    let (shared, executor) = (shared.clone(), shared.executor.clone());
+    let actor = async move {
+        Inbound::new(&shared, stream).run().await;
+        shared.counters.inbound_open.down();
+    };
+    executor.spawn(actor).detach();
 }
 
 /// What a request asks for.
@@ -251,10 +259,11 @@
             let give_up = async {
                 let late = shared.clock.until(Some(until));
                 let go = async { self.go.1.recv().await.unwrap_or_default() };
+                // A new one has not said anything only because it has just come.
                 let ending = async {
                     match since {
-                        None => shared.ending.recv().await.unwrap_or_default(),
-                        Some(_) => future::pending().await,
+                        None if self.answered => shared.ending.recv().await.unwrap_or_default(),
+                        _ => future::pending().await,
                     }
                 };
                 future::or(late, future::or(go, ending)).await;
@@ -445,3 +454,67 @@
         body: bytes[body_at..].to_vec(),
     })))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+
+    fn door() -> (Async<TcpListener>, std::net::SocketAddr) {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+        let at = listener.get_ref().local_addr().unwrap();
+        (listener, at)
+    }
+
+    fn ask(stream: &mut TcpStream) {
+        stream.write_all(b"GET /ready HTTP/1.1\r\n\r\n").unwrap();
+    }
+
+    async fn answer(stream: TcpStream) -> String {
+        let mut all = String::new();
+        let (told, tells) = bounded(1);
+        std::thread::spawn(move || {
+            let mut stream = stream;
+            let _ = stream.read_to_string(&mut all);
+            told.try_send(all)
+        });
+        tells.recv().await.unwrap()
+    }
+
+    /// The door shuts while they stand in the row, their requests written: each of them is answered.
+    #[test]
+    fn who_stands_in_the_row_when_the_door_shuts_is_answered() {
+        let shared = Shared::alone(bounded(1).0);
+        shared.stopping.set(true);
+        let (listener, at) = door();
+        let mut clients: Vec<_> = (0..8).map(|_| TcpStream::connect(at).unwrap()).collect();
+        clients.iter_mut().for_each(ask);
+        let (_, shut) = bounded(1);
+        let all = async {
+            listen(shared.clone(), listener, shut).await;
+            for client in clients {
+                assert!(answer(client).await.starts_with("HTTP/1.1 503"));
+            }
+        };
+        async_io::block_on(shared.executor.run(all));
+        assert_eq!(shared.counters.inbound_opened.get(), 8);
+    }
+
+    /// One that came just before is waited for; one that was answered is closed at once.
+    #[test]
+    fn a_new_connection_is_answered_though_the_process_ends() {
+        let shared = Shared::alone(bounded(1).0);
+        let (listener, at) = door();
+        let mut client = TcpStream::connect(at).unwrap();
+        let (_open, shut) = bounded(1);
+        shared.executor.spawn(listen(shared.clone(), listener, shut)).detach();
+        let all = async {
+            // Its actor looks for a request, and the end has been told already.
+            async_io::Timer::after(std::time::Duration::from_millis(100)).await;
+            assert_eq!(shared.counters.inbound_open.get(), 1);
+            ask(&mut client);
+            assert!(answer(client).await.starts_with("HTTP/1.1 503"));
+        };
+        async_io::block_on(shared.executor.run(all));
+    }
+}
