A call is not written where its endpoint was, nor over a connection closed behind the yes

Seen by reading and by two tests that force the crossing. The module's yes takes a turn of it, and stale() was asked before it only: a close in between made a call that never left one that "may have run", which loses what must not be repeated. And the address was copied into the call when it was queued: an endpoint that moves while the connection comes up left the call with whoever is there now. Lines at fault: attempt() in net/http/endpoint.rs, between the gate and the first byte; ToModule::Writing, which named no address. Ruled out: a move told between two calls (the actor drops its idle ones); a close before the gate (stale() was asked). Now: the connection is looked at again behind the yes. A kept one is HeldBack (it says nothing of the endpoint, and takes none of the message's attempts), a new one ConnectFailed. The gate is asked with the address that the connection leads to, also half way. Counters held_back_closed, held_back_moved. Tests: a_close_that_crosses_the_yes_leaves_the_call_unsent, a_call_is_not_written_to_where_its_endpoint_was; each seen to fail without its line.

--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -15,6 +15,7 @@
 use onyxrock_roster::{Directory, Endpoint, Follows, Memory, Order, Refused, Standing, Whose};
 use onyxrock_sharing::{FromPeers, Probing, ToPeers};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Nothing may go out later than a second after the list told of a drain; a queued call stops well before.
@@ -55,6 +56,8 @@
         n: u64,
         attempt: u32,
         to: ReceiverId,
+        /// Where its connection leads.
+        at: SocketAddr,
         /// Some of it has been written; the rest waited.
         begun: bool,
         reply: Sender<Gate>,
@@ -252,8 +255,15 @@
                 let record = self.desk.withdraw(now, n);
                 self.keep(record.as_slice());
             }
-            ToModule::Writing { n, attempt, to, begun, reply } => {
-                let _ = reply.try_send(self.writing(now, n, attempt, to, begun));
+            ToModule::Writing { n, attempt, to, at, begun, reply } => {
+                // It was queued for the address of then. Another may be there by now.
+                let moved = self.directory.peer(to).is_some_and(|p| p.address != at);
+                let _ = reply.try_send(if moved {
+                    self.shared.counters.held_back_moved.up();
+                    Err(Verdict::HeldBack)
+                } else {
+                    self.writing(now, n, attempt, to, begun)
+                });
             }
             ToModule::Wait { to, until } => {
                 self.desk.wait(now, to, until);
@@ -810,6 +820,33 @@
         std::fs::remove_dir_all(&folder).unwrap();
     }
 
+    /// An endpoint moves while a connection to where it was comes up: whoever is there now is another.
+    #[test]
+    fn a_call_is_not_written_to_where_its_endpoint_was() {
+        let folder = std::env::temp_dir().join(format!("onyxrock-module-moved-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut m = module(&folder);
+        let now = m.shared.clock.now();
+        let before = list(Listing::Ready);
+        let at = before.entries[0].address;
+        m.list(now, before);
+        m.used(now, 1);
+        let deadline = now.after(Micros(5_000_000));
+        m.desk.take(now, Taken { n: 1, class: "a".into(), destination: 1, deadline, ..Taken::default() });
+        m.desk.decide(now, true, &mut Vec::new());
+        let mut moved = list(Listing::Ready);
+        moved.entries[0].address = "127.0.0.1:2".parse().unwrap();
+        let there = moved.entries[0].address;
+        m.list(now, moved);
+        let mut asks = |at| {
+            let (reply, says) = bounded(1);
+            m.take(ToModule::Writing { n: 1, attempt: 0, to: ReceiverId(1), at, begun: false, reply });
+            says.try_recv().unwrap()
+        };
+        assert_eq!((asks(at), asks(there)), (Err(Verdict::HeldBack), Ok(0)));
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
     /// The operators' case: one call is decided on and its connection is late; another is told a wait meanwhile. As soon
     /// as the head of that answer is read, the first must not leave, and it is none of its message's attempts.
     #[test]
--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -82,8 +82,7 @@
     /// The server has closed it or has said something unasked: no call may go over it, and what is there must
     /// not answer the next one. Looking costs one call of the system.
     pub fn stale(&self) -> bool {
-        let mut byte = [0];
-        let silent = matches!(self.stream.get_ref().peek(&mut byte),
+        let silent = matches!(self.stream.get_ref().peek(&mut [0]),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock);
         !silent || !self.buffer.is_empty()
     }
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -192,10 +192,19 @@
         }
     };
     // From here on the call may run: the module has it in the log first, or says that it must not go.
-    let epoch = match shared.gate(call, false).await {
+    let epoch = match shared.gate(call, address, false).await {
         Ok(epoch) => epoch,
         Err(verdict) => return (verdict, None, Some(conn)),
     };
+    // While the module was asked the other side may have closed it. Written now the call would be lost as one that may
+    // have run; unwritten it has not, and of a kept connection that says nothing of the endpoint.
+    if conn.stale() {
+        let kept = rested.is_some();
+        if kept {
+            counters.held_back_closed.up();
+        }
+        return (if kept { Verdict::HeldBack } else { Verdict::ConnectFailed }, None, None);
+    }
     let bytes = request(address, call, epoch, clock);
     // A process that was stood still since then may have lost the right to probe.
     if call.probe.is_some() && clock.now() >= until {
@@ -214,7 +223,7 @@
         if !matches!(clock.before(until, conn.room()).await, Some(Ok(()))) {
             return (Verdict::ConnectFailed, None, None);
         }
-        if let Err(verdict) = shared.gate(call, true).await {
+        if let Err(verdict) = shared.gate(call, address, true).await {
             return (verdict, None, None);
         }
     }
@@ -395,6 +404,33 @@
         assert_eq!(rig.shared.counters.outbound_opened.get(), 1);
     }
 
+    /// The other side closes between the module's yes and the first byte: nothing has run, and nothing is lost.
+    #[test]
+    fn a_close_that_crosses_the_yes_leaves_the_call_unsent() {
+        let rig = Rig::new();
+        let _first = rig.call("first", 0);
+        rig.gate(Ok(0));
+        let mut stream = rig.accept(&mut Vec::new(), "\r\n\r\n");
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        assert_eq!(rig.answered().verdict, Verdict::Delivered);
+        let _second = rig.call("second", 0);
+        let ToModule::Writing { reply, .. } = rig.letter() else { panic!("no question") };
+        assert_eq!(rig.shared.counters.outbound_reused.get(), 1);
+        drop(stream);
+        reply.try_send(Ok(0)).unwrap();
+        assert_eq!(rig.answered().verdict, Verdict::HeldBack, "a kept one");
+        assert_eq!(rig.shared.counters.held_back_closed.get(), 1);
+        let _third = rig.call("third", 0);
+        let ToModule::Writing { reply, .. } = rig.letter() else { panic!("no question") };
+        drop(rig.peer.accept().unwrap());
+        reply.try_send(Ok(0)).unwrap();
+        assert_eq!(rig.answered().verdict, Verdict::ConnectFailed, "a new one");
+        assert_eq!(
+            (rig.shared.counters.outbound_calls.get(), rig.shared.counters.outbound_open.get()),
+            (1, 0)
+        );
+    }
+
     /// More than the system takes at once: its rest asks again, and closed before its last byte it never ran.
     #[test]
     fn a_call_that_waits_for_room_asks_again_before_it_goes_on() {
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -15,6 +15,7 @@
 use onyxrock::interface::{Micros, ReceiverId, Verdict};
 use onyxrock_sharing::ToPeers;
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// What all actors of one forwarder share: nothing that decides.
@@ -35,7 +36,7 @@
     /// The list that is held.
     pub list: std::cell::RefCell<Held>,
     /// Where the list comes from and ends are told; the file that names it may be replaced.
-    pub discovery: Cell<std::net::SocketAddr>,
+    pub discovery: Cell<SocketAddr>,
     pub connect_timeout: Micros,
     /// When an idle connection is let go; none where the platform names no limit.
     pub idle_for: Option<Micros>,
@@ -82,11 +83,11 @@
             executor: Rc::new(LocalExecutor::new()),
         })
     }
-    /// Asks the module whether a call may leave, or go on where some of it has been written.
-    pub async fn gate(&self, call: &OutboundCall, begun: bool) -> Gate {
+    /// Asks the module whether a call may leave for this address, or go on where some of it has been written.
+    pub async fn gate(&self, call: &OutboundCall, at: SocketAddr, begun: bool) -> Gate {
         let (reply, allowed) = bounded(1);
         let (n, attempt, to) = (call.n, call.attempt, call.to);
-        let asked = self.module.send(ToModule::Writing { n, attempt, to, begun, reply }).await.is_ok();
+        let asked = self.module.send(ToModule::Writing { n, attempt, to, at, begun, reply }).await.is_ok();
         allowed.recv().await.ok().filter(|_| asked).unwrap_or(Err(Verdict::Moot))
     }
 
@@ -150,5 +151,5 @@
     /// Boxed: a mailbox holds room for many.
     Call(Box<OutboundCall>),
     CloseIdle,
-    Moved(Box<std::net::SocketAddr>),
+    Moved(Box<SocketAddr>),
 }
--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -241,7 +241,7 @@
                 end(self.shared, &call, Verdict::Moot).await;
                 continue;
             }
-            if let Err(verdict) = self.shared.gate(&call, false).await {
+            if let Err(verdict) = self.shared.gate(&call, self.gateway.address, false).await {
                 end(self.shared, &call, verdict).await;
                 continue;
             }
