What was taken over and is over is not taken over again where the other log stayed

Seen by reading and by a test: records of the other process appended, its log not cleared (full disk, a kill in between), what came out of it ended here meanwhile; at the next look, or by the next process, it was adopted and sent a second time. Lines at fault: take_over() in module.rs knew only what is still owed; serve.rs rewrote its own log, which then names nothing that is over, before it looked at the other one. Now a process remembers what it has taken over until the other log is cleared, a start what its own log names, and the new log is written after that look. Test: what_was_taken_over_and_has_ended_is_not_taken_over_again; it fails without either half. Not covered: a log rewritten and a kill while clearing goes on failing: two faults at once. Adopt that arrives after Hold: ruled out by reading, its records are in this process's log, which the next one reads.

--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -106,6 +106,13 @@
     pub end: End,
 }
 
+/// A message as another process of this forwarder knows it.
+type Name = (u8, String, Micros);
+
+pub fn whose(t: &Taken) -> Name {
+    (t.front, t.id.clone(), t.deadline)
+}
+
 pub struct Module {
     pub shared: Rc<Shared>,
     pub desk: Desk,
@@ -131,6 +138,8 @@
     /// Calls out that may be called off, each of which ends early when its sender here is dropped.
     out: BTreeMap<(u64, u32), Sender<()>>,
     hold: bool,
+    /// Messages that were taken on here while another's log is there that may name them, too; they may be over by now.
+    pub seen: BTreeSet<Name>,
     found: Found,
 }
 
@@ -156,10 +165,19 @@
             quiet: Vec::new(),
             out: BTreeMap::new(),
             hold: false,
+            seen: BTreeSet::new(),
             found: Found::default(),
         }
     }
 
+    /// Takes note of what this forwarder's own log says of messages, those too that are over.
+    pub fn knows(&mut self, records: &[Record]) {
+        self.seen = records
+            .iter()
+            .filter_map(|r| if let Record::Taken(t) = r { Some(whose(t)) } else { None })
+            .collect();
+    }
+
     /// Takes over what an earlier process owed.
     pub fn resume(&mut self, owed: impl IntoIterator<Item = Owed>) {
         for o in owed {
@@ -176,16 +194,15 @@
     }
 
     /// Takes over what another process of this forwarder owed, under numbers of its own. One that died between the two
-    /// logs has left it in both: who is owed already is known by its id.
-    fn take_over(&mut self, left: &Left) -> std::io::Result<()> {
+    /// logs has left it in both: who is owed already, or was taken over before and has ended since, is known by its id.
+    fn copy(&mut self, left: &Left) -> std::io::Result<()> {
         let scan = left.scan()?;
         if scan.damaged > 0 {
             tracing::warn!("log: {} bytes of another process belong to no whole record", scan.damaged);
         }
-        let whose = |t: &Taken| (t.front, t.id.clone(), t.deadline);
         let known: BTreeSet<_> = self.desk.owed().map(|o| whose(&o.taken)).collect();
         let mut owed: Vec<_> = recover(scan.records).into_values().collect();
-        owed.retain(|o| !known.contains(&whose(&o.taken)));
+        owed.retain(|o| !known.contains(&whose(&o.taken)) && !self.seen.contains(&whose(&o.taken)));
         owed.iter_mut().for_each(|o| o.taken.n = self.desk.number());
         let records: Vec<_> = owed.iter().flat_map(Owed::records).collect();
         if !records.is_empty() && !self.keep(&records) {
@@ -194,8 +211,16 @@
         if !owed.is_empty() {
             tracing::info!("log: {} messages of another process are taken over", owed.len());
         }
+        self.seen.extend(owed.iter().map(|o| whose(&o.taken)));
         self.resume(owed);
-        left.clear()
+        Ok(())
+    }
+
+    fn take_over(&mut self, left: &Left) -> std::io::Result<()> {
+        self.copy(left)?;
+        left.clear()?;
+        self.seen.clear();
+        Ok(())
     }
 
     /// The same; what fails is tried again at the next look.
@@ -887,6 +912,37 @@
         std::fs::remove_dir_all(&folder).unwrap();
     }
 
+    /// The other log could not be cleared, and what came out of it has ended here meanwhile: it is not sent again. Nor by
+    /// the process after this one.
+    #[test]
+    fn what_was_taken_over_and_has_ended_is_not_taken_over_again() {
+        let folder = std::env::temp_dir().join(format!("onyxrock-module-again-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let claim = crate::folder::Claim::take(&folder).unwrap();
+        let mut m = module(&folder);
+        let now = m.shared.clock.now();
+        let deadline = now.after(Micros(5_000_000));
+        let mut log = Vec::new();
+        let id = "id-1".to_owned();
+        Record::Taken(Taken { n: 1, id, class: "a".into(), destination: 1, deadline, ..Taken::default() })
+            .write(&mut log);
+        std::fs::write(&claim.beside()[0], &log).unwrap();
+        let Ok(crate::folder::Other::Free(left)) = claim.other() else { panic!("nobody is there") };
+        m.copy(&left).unwrap();
+        let n = m.desk.owed().next().expect("it is taken over").taken.n;
+        m.take(ToModule::Told(n));
+        m.copy(&left).unwrap();
+        assert_eq!(m.desk.owed().count(), 0, "its log is still there");
+        let scan = Wal::open(&folder, 1_000_000).unwrap().1;
+        let mut next = module(&folder);
+        next.knows(&scan.records);
+        next.copy(&left).unwrap();
+        assert_eq!(next.desk.owed().count(), 0, "killed before it could be cleared");
+        next.take_over(&left).unwrap();
+        assert!(!left.is_there() && next.seen.is_empty());
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
     /// Killed between the two logs, a process leaves a message in both; what may have run there is not forgotten.
     #[test]
     fn what_another_process_owed_is_taken_over_once() {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -188,17 +188,21 @@
             module.desk.fresh(now, &t.id);
         }
     }
+    module.knows(&scan.records);
     module.resume(recover(scan.records).into_values());
-    // The new log says what is owed as this process knows it, and nothing of the damage.
-    if let Err(e) = module.wal.compact(module.desk.owed()) {
-        tracing::error!("log: {e}");
-    }
     // A process that ended beside another one, both of which are gone.
     let other =
         claim.other().map_err(|e| format!("cannot lock the log in {}: {e}", claim.folder.display()))?;
     let beside = matches!(other, Other::Held);
     if let Other::Free(left) = other {
         module.adopt(&left);
+    } else {
+        module.seen.clear();
+    }
+    // The new log says what is owed as this process knows it, and nothing of the damage. Of what is over it says nothing
+    // either, so it comes after the look at the other log.
+    if let Err(e) = module.wal.compact(module.desk.owed()) {
+        tracing::error!("log: {e}");
     }
     let wait = if ask_every > Micros(0) { Micros(ask_every.0 / 2) } else { Micros(5_000_000) };
     let discovery = Discovery {
