A client that sends no more gets an answer that is true, not a close without one

From outside such a client cannot be told from one that has gone (a FIN either way). Lines at fault: hand_in() in net/http/inbound.rs: peek() = 0 was answered with a close, and Unheard withdraws whatever has begun. So the module is asked (TakeBack): if nothing of it has begun it is over, in the log first, and the answer is 503, true for both; after the yes to a call it stays owed and the answer is 202. A connection that is reset is gone, as before.

--- a/daemon/src/module.rs
+++ b/daemon/src/module.rs
@@ -51,6 +51,8 @@
     HandIn(HandIn),
     /// The answer that it was taken on did not reach its client.
     Unheard(u64),
+    /// A client that may be gone: it is owed no more if nothing of it has begun, as the answer says.
+    TakeBack(u64, Sender<bool>),
     /// A call is about to be written: may it go?
     Writing {
         n: u64,
@@ -284,6 +286,14 @@
                 let record = self.desk.withdraw(now, n);
                 self.keep(record.as_slice());
             }
+            ToModule::TakeBack(n, reply) => {
+                let untouched = self.desk.get(n).is_some_and(|o| o.attempts == 0 && o.given.is_none());
+                let back = untouched && self.keep(&[Record::Over(n)]);
+                if back {
+                    self.desk.withdraw(now, n);
+                }
+                let _ = reply.try_send(back);
+            }
             ToModule::Writing { n, attempt, to, at, begun, reply } => {
                 // It was queued for the address of then. Another may be there by now.
                 let moved = self.directory.peer(to).is_some_and(|p| p.address != at);
@@ -853,6 +863,35 @@
         std::fs::remove_dir_all(&folder).unwrap();
     }
 
+    /// Its client may be gone. Until the module's yes to a call it can be taken back; then it cannot, and says so.
+    #[rstest]
+    fn what_has_begun_is_not_taken_back(#[values(false, true)] begun: bool) {
+        let folder =
+            std::env::temp_dir().join(format!("onyxrock-module-back-{begun}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut m = module(&folder);
+        let now = m.shared.clock.now();
+        m.list(now, list(Listing::Ready));
+        m.used(now, 1);
+        let deadline = now.after(Micros(5_000_000));
+        let taken = Taken { n: 1, class: "a".into(), destination: 1, deadline, ..Taken::default() };
+        assert!(m.keep(&[Record::Taken(taken.clone())]));
+        m.desk.take(now, taken);
+        m.desk.decide(now, true, &mut Vec::new());
+        if begun {
+            assert_eq!(m.writing(now, 1, 0, ReceiverId(1), false), Ok(0));
+        }
+        let (reply, back) = bounded(1);
+        m.take(ToModule::TakeBack(1, reply));
+        assert_eq!((back.try_recv(), m.desk.get(1).is_some()), (Ok(!begun), begun));
+        let logged = recover(Wal::open(&folder, 1_000_000).unwrap().1.records);
+        assert_eq!(logged.contains_key(&1), begun, "the next process knows it, too");
+        if !begun {
+            assert_eq!(m.writing(now, 1, 0, ReceiverId(1), false), Err(Verdict::Moot), "its call was queued");
+        }
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
     /// Where lists are pushed, the list that a start has from before may be old: nothing goes out on it for a moment.
     #[rstest]
     #[case::it_drains(Some(Listing::Draining), 0)]
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -322,14 +322,10 @@
         };
         match reply {
             Reply::Taken(n) => {
-                // A client that has closed meanwhile may hand it in elsewhere: it must not be owed twice.
-                let gone = matches!(self.stream.get_ref().peek(&mut [0]), Ok(0))
-                    || matches!(self.stream.get_ref().peek(&mut [0]),
-                        Err(e) if e.kind() != std::io::ErrorKind::WouldBlock);
-                let heard = if gone {
-                    Err(std::io::ErrorKind::ConnectionReset.into())
-                } else {
-                    self.answer(202, None, "", close).await
+                let heard = match self.stream.get_ref().peek(&mut [0]) {
+                    Ok(0) if self.take_back(n).await => return self.answer(503, None, "", close).await,
+                    Err(e) if e.kind() != std::io::ErrorKind::WouldBlock => Err(e),
+                    _ => self.answer(202, None, "", close).await,
                 };
                 if heard.is_err() {
                     self.shared.counters.unheard.up();
@@ -345,6 +341,18 @@
         }
     }
 
+    /// Who sends no more may be gone, and hand it in elsewhere, or may wait for its answer: if nothing of it has begun, a
+    /// refusal is true for both. Else it is owed as it was taken on.
+    async fn take_back(&self, n: u64) -> bool {
+        let (reply, back) = bounded(1);
+        let asked = self.shared.module.send(ToModule::TakeBack(n, reply)).await.is_ok();
+        let back = asked && back.recv().await.unwrap_or_default();
+        if back {
+            self.shared.counters.unheard.up();
+        }
+        back
+    }
+
     async fn answer(
         &mut self, status: u16, wait: Option<Micros>, text: &str, close: bool,
     ) -> std::io::Result<()> {
@@ -517,4 +525,34 @@
         };
         async_io::block_on(shared.executor.run(all));
     }
+
+    /// It has closed its sending half, or has gone: nothing tells which.
+    #[rstest::rstest]
+    #[case::taken_back(true, "HTTP/1.1 503")]
+    #[case::has_begun(false, "HTTP/1.1 202")]
+    fn a_client_that_sends_no_more_gets_an_answer_that_is_true(#[case] back: bool, #[case] said: &str) {
+        let (module, letters) = bounded(4);
+        let shared = Shared::alone(module);
+        let (listener, at) = door();
+        let (_open, shut) = bounded(1);
+        shared.executor.spawn(listen(shared.clone(), listener, shut)).detach();
+        let mut client = TcpStream::connect(at).unwrap();
+        client
+            .write_all(
+                b"POST /a HTTP/1.1\r\nX-Request-Id: 1\r\nX-Deadline: 1\r\nX-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n",
+            )
+            .unwrap();
+        let all = async {
+            let Ok(ToModule::HandIn(h)) = letters.recv().await else { panic!("no hand-in") };
+            client.shutdown(std::net::Shutdown::Write).unwrap();
+            h.reply.try_send(Reply::Taken(7)).unwrap();
+            let Ok(ToModule::TakeBack(7, reply)) = letters.recv().await else { panic!("no question") };
+            reply.try_send(back).unwrap();
+            let heard = answer(client).await;
+            assert!(heard.starts_with(said), "{heard}");
+        };
+        async_io::block_on(shared.executor.run(all));
+        assert_eq!(shared.counters.unheard.get(), u64::from(back));
+        assert!(letters.try_recv().is_err());
+    }
 }
