Settings of another customer: names of any text, no end, times of 0, and none named twice

Seen by other_settings.scn on the untouched program: "expect c1 202, got: 400" for a class "a/b.~é?". By reading: a class without giveUpUs had the end 0, so each of its messages was turned away; connectTimeoutUs 0 (or a text) made every connection fail at once (or was passed over); two classes, tenants, kinds or zones of one name were read, the later standing for both. Ruled out by reading: no name, no order of classes and no count of them decides anything (settings.rs gives numbers, the rest uses those); zeros in rules (tests/random.rs plays them). Now class and tenant are any text without control characters, in the path also percent-encoded (the crate, which the lock had); absent or 0 ends and connection times do not apply; a name twice is one line with the key, and no start. Tests: other_settings.scn, settings_of_any_shape_are_read, what_is_wrong_is_named (five cases more), the_class_is_what_path_and_header_say.

--- a/config/src/settings.rs
+++ b/config/src/settings.rs
@@ -28,6 +28,10 @@
     ("worthBy", "worth is counted by message"),
 ];
 
+/// Where the settings give a class no end, its messages have that of their own.
+const NO_END: Micros = Micros(86_400_000_000);
+const CONNECT_TIMEOUT: Micros = Micros(1_000_000);
+
 /// One value, and how to complain about it. What is absent or null does not apply; what is there must be what it
 /// should be, since a limit that is misread is a rule that is broken.
 fn at<T>(
@@ -46,6 +50,16 @@
     Ok(Micros(number(v, path)? as u64))
 }
 
+/// A time that is absent or 0 does not apply.
+fn applies(time: Micros) -> Option<Micros> {
+    Some(time).filter(|t| *t > Micros(0))
+}
+
+/// How long a connection may take to come up.
+pub fn connect_timeout(v: &Value) -> Result<Micros, String> {
+    Ok(applies(micros(v, "/limits/connectTimeoutUs")?).unwrap_or(CONNECT_TIMEOUT))
+}
+
 fn count(v: &Value, path: &str) -> Result<Option<u32>, String> {
     at(v, path, "a number, zero or more", |n| n.as_f64().filter(|n| *n >= 0.0).map(|n| n as u32))
 }
@@ -64,9 +78,17 @@
     v.pointer(path).and_then(Value::as_array).map_or(&[], Vec::as_slice)
 }
 
-fn names(items: &[Value], pointer: &str) -> BTreeMap<String, usize> {
-    let name = |v: &Value| v.pointer(pointer).and_then(Value::as_str).map(str::to_owned);
-    items.iter().enumerate().filter_map(|(i, v)| Some((name(v)?, i))).collect()
+/// What is named, by its name: two of one name could not be told apart.
+fn names(v: &Value, path: &str, pointer: &str) -> Result<BTreeMap<String, usize>, String> {
+    let mut all = BTreeMap::new();
+    for (i, item) in list(v, path).iter().enumerate() {
+        if let Some(name) = item.pointer(pointer).and_then(Value::as_str)
+            && all.insert(name.to_owned(), i).is_some()
+        {
+            return Err(format!("settings: {} names {name:?} twice", &path[1..]));
+        }
+    }
+    Ok(all)
 }
 
 fn class(v: &Value) -> Result<ClassSettings, String> {
@@ -90,7 +112,7 @@
     };
     Ok(ClassSettings {
         aim: micros(v, "/targetUs")?,
-        give_up: micros(v, "/giveUpUs")?,
+        give_up: applies(micros(v, "/giveUpUs")?).unwrap_or(NO_END),
         effect,
         in_order: flag(v, "/oneAtATime")?,
         worth: number(v, "/worth")?,
@@ -166,10 +188,10 @@
         return Err(format!("settings: slotNo is {number}, but replicasOfMe is {senders}"));
     }
     let names = Names {
-        classes: names(list(v, "/classes"), "/name"),
-        tenants: names(list(v, "/tenants"), "/name"),
-        kinds: names(kinds, ""),
-        zones: names(list(v, "/azs"), ""),
+        classes: names(v, "/classes", "/name")?,
+        tenants: names(v, "/tenants", "/name")?,
+        kinds: names(v, "/hostTypes", "")?,
+        zones: names(v, "/azs", "")?,
     };
     Ok((settings, names))
 }
--- a/config/tests/settings.rs
+++ b/config/tests/settings.rs
@@ -50,10 +50,17 @@
 #[case("/classes/0/group", json!("friends"), "group is not all or zone: \"friends\" (class event)")]
 #[case("/feedback/how", json!(3), "feedback.how is not text")]
 #[case("/slotNo", json!(2), "slotNo is 2, but replicasOfMe is 2")]
+#[case("/classes/1/name", json!("event"), "classes names \"event\" twice")]
+#[case("/tenants", json!([{"name": "a"}, {"name": "a"}]), "tenants names \"a\" twice")]
+#[case("/azs", json!(["hall", "hall"]), "azs names \"hall\" twice")]
+#[case("/hostTypes", json!(["buyer", "buyer"]), "hostTypes names \"buyer\" twice")]
+#[case("/limits/connectTimeoutUs", json!("1s"), "limits.connectTimeoutUs is not a number")]
 fn what_is_wrong_is_named(#[case] path: &str, #[case] value: Value, #[case] says: &str) {
     let mut v = reported();
+    (v["tenants"], v["limits"]["connectTimeoutUs"]) = (json!([]), json!(1_000_000));
     *v.pointer_mut(path).unwrap() = value;
-    let error = settings::read(&v).unwrap_err();
+    let read = settings::read(&v).and_then(|_| settings::connect_timeout(&v));
+    let error = read.unwrap_err();
     assert!(error.contains(says) && !error.contains('\n'), "{error}");
 }
 
@@ -91,3 +98,27 @@
 fn a_report_that_cannot_be_is_none(#[case] limit: Option<f64>, #[case] left: Option<f64>, #[case] is: bool) {
     assert_eq!(report(limit, left), if is { (limit, left) } else { (None, None) });
 }
+
+/// Deployments differ in all of this: what is named, how many there are, which effects, how long, and what is 0 or absent.
+#[rstest]
+#[case::names_of_any_text(json!([{"name": "a/b %?", "effect": "once", "giveUpUs": 200_000}, {"name": "é", "giveUpUs": 1}]))]
+#[case::one_class(json!([{"name": "", "effect": "repeatable", "giveUpUs": 36_000_000_000_u64, "targetUs": 1}]))]
+#[case::nothing_is_said(json!([{"name": "a"}]))]
+#[case::all_is_nothing(json!([{"name": "a", "giveUpUs": 0, "targetUs": 0, "worth": 0, "lateShare": 0, "windowUs": 0}]))]
+#[case::another_order(json!([{"name": "z", "effect": "by_key", "windowUs": 1, "giveUpUs": 9}, {"name": "a", "effect": "once"}]))]
+fn settings_of_any_shape_are_read(#[case] classes: Value) {
+    let zeros = json!({"limits": {"maxRetryAfterUs": 0, "connIdleUs": 0, "connectTimeoutUs": 0}, "overShareWorth": 0,
+        "rules": {"askEveryUs": 0, "fallMultiple": 0, "fallUs": 0, "coldFrom": 0, "warmWithinUs": 0}, "prices": {}});
+    for mut v in [json!({}), zeros, listed(), reported()] {
+        v["classes"] = classes.clone();
+        let (set, names) = settings::read(&v).unwrap();
+        assert_eq!(settings::connect_timeout(&v), Ok(Micros(1_000_000)), "0 does not apply");
+        for (i, c) in classes.as_array().unwrap().iter().enumerate() {
+            assert_eq!(names.classes[c["name"].as_str().unwrap()], i);
+            let end = c["giveUpUs"].as_u64().filter(|end| *end > 0);
+            assert_eq!(set.classes[i].give_up, end.map_or(Micros(86_400_000_000), Micros), "no end is none");
+        }
+        assert!(set.slots > 0 && set.max_held > 0 && set.max_attempts > 0 && set.senders > 0);
+        assert!(settings::in_words(&set, &names).len() > set.classes.len());
+    }
+}
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -11,6 +11,7 @@
 use onyxrock::core::Taken;
 use onyxrock::interface::Micros;
 use onyxrock_sharing::ToPeers;
+use percent_encoding::percent_decode_str;
 use serde_json::Value;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -403,22 +404,41 @@
 /// A header that says one thing, or is not there. Twice, or with bytes that nobody prints, it could mean one thing
 /// here and another at the endpoint.
 fn only<'h>(headers: &'h [httparse::Header], name: &str) -> Result<Option<&'h str>, Bad> {
+    one(headers, name, |c| c == ' ' || c.is_ascii_graphic())
+}
+
+/// The same of a name that the settings give, which may be any text and goes to nobody.
+fn named<'h>(headers: &'h [httparse::Header], name: &str) -> Result<Option<&'h str>, Bad> {
+    one(headers, name, |c| !c.is_control())
+}
+
+fn one<'h>(
+    headers: &'h [httparse::Header], name: &str, fits: impl Fn(char) -> bool,
+) -> Result<Option<&'h str>, Bad> {
     let mut all = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
     let Some(h) = all.next() else { return Ok(None) };
     let text = std::str::from_utf8(h.value).ok().map(str::trim);
-    let printed = |t: &&str| t.len() <= NAME_MOST && t.bytes().all(|b| b == b' ' || b.is_ascii_graphic());
-    match (text.filter(printed), all.next()) {
+    match (text.filter(|t| t.len() <= NAME_MOST && t.chars().all(fits)), all.next()) {
         (Some(text), None) => Ok(Some(text)),
         _ => Err(Bad(400, "a header that cannot be used")),
     }
 }
 
+/// The first part of a path is this class, as it is or percent-encoded; it may hold what ends a part elsewhere.
+fn leads_to(target: &str, class: &str) -> bool {
+    let target = target.trim_start_matches('/');
+    let decoded = percent_decode_str(target).decode_utf8_lossy();
+    let is =
+        |t: &str| t.strip_prefix(class).is_some_and(|rest| rest.is_empty() || rest.starts_with(['/', '?']));
+    target.is_empty() || target.starts_with('?') || is(target) || is(&decoded)
+}
+
 fn parse(bytes: &[u8], body_at: usize, at: Micros) -> Result<Ask, Bad> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS];
     let mut request = httparse::Request::new(&mut headers);
     request.parse(bytes).map_err(|_| Bad(400, "not HTTP"))?;
-    let path = request.path.unwrap_or("");
-    let path = path.split('?').next().unwrap_or("");
+    let target = request.path.unwrap_or("");
+    let path = target.split('?').next().unwrap_or("");
     let h = &*request.headers;
     match (request.method.unwrap_or(""), path) {
         ("GET", "/ready") => return Ok(Ask::Ready),
@@ -429,8 +449,9 @@
         _ => return Err(Bad(404, "nothing here")),
     }
     let in_path = path.trim_start_matches('/').split('/').next().unwrap_or("");
-    let class = only(h, "x-class")?.unwrap_or(in_path);
-    if !in_path.is_empty() && class != in_path {
+    let in_path = percent_decode_str(in_path).decode_utf8_lossy();
+    let class = named(h, "x-class")?.unwrap_or(&in_path);
+    if !leads_to(target, class) {
         return Err(Bad(400, "class in path and header differ"));
     }
     let id = only(h, "x-request-id")?.filter(|i| !i.is_empty()).ok_or(Bad(400, "no X-Request-Id"))?;
@@ -453,7 +474,7 @@
         front: FRONT,
         id: id.to_owned(),
         class: class.to_owned(),
-        tenant: only(h, "x-tenant")?.unwrap_or("").to_owned(),
+        tenant: named(h, "x-tenant")?.unwrap_or("").to_owned(),
         destination,
         key: key.to_owned(),
         note,
@@ -555,4 +576,35 @@
         assert_eq!(shared.counters.unheard.get(), u64::from(back));
         assert!(letters.try_recv().is_err());
     }
+
+    /// The names of classes and tenants are any text; what goes on to an endpoint is printed.
+    #[rstest::rstest]
+    #[case("/status", "X-Class: status", Some("status"))]
+    #[case("/status/7?x=1", "X-Class: status", Some("status"))]
+    #[case("/status", "X-Tenant: b", Some("status"))]
+    #[case("/", "X-Class: status", Some("status"))]
+    #[case("/?x=1", "X-Class: status", Some("status"))]
+    #[case("/a/b.~1", "X-Class: a/b.~1", Some("a/b.~1"))]
+    #[case("/a%20b%2F%C3%A9", "X-Class: a b/é", Some("a b/é"))]
+    #[case("/a%20b", "X-Tenant: Åsa", Some("a b"))]
+    #[case("/what?", "X-Class: what?", Some("what?"))]
+    #[case("/50%", "X-Class: 50%", Some("50%"))]
+    #[case("/statu", "X-Class: status", None)]
+    #[case("/statuses", "X-Class: status", None)]
+    #[case("/booking", "X-Class: status", None)]
+    #[case("/status", "X-Class: sta\u{7f}tus", None)]
+    #[case("/status", "Idempotency-Key: é", None)]
+    fn the_class_is_what_path_and_header_say(
+        #[case] path: &str, #[case] header: &str, #[case] class: Option<&str>,
+    ) {
+        let request = format!(
+            "POST {path} HTTP/1.1\r\n{header}\r\nX-Request-Id: 1\r\nX-Deadline: 1\r\nX-Envelope: dest=1\r\n\r\n"
+        );
+        let got = match parse(request.as_bytes(), request.len(), Micros(0)) {
+            Ok(Ask::HandIn(taken)) => Some(taken.class),
+            Ok(other) => panic!("{other:?}"),
+            Err(_) => None,
+        };
+        assert_eq!(got.as_deref(), class);
+    }
 }
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -124,6 +124,8 @@
     sections: String,
     /// The file names no list.
     unknown: bool,
+    /// There is no SMPP: its section names classes and a tenant.
+    http_alone: bool,
     /// Settings that differ from the file.
     settings: Vec<(String, Value)>,
     dns_at: Option<SocketAddr>,
@@ -157,6 +159,7 @@
             duties: String::new(),
             sections: String::new(),
             unknown: false,
+            http_alone: false,
             settings: Vec::new(),
             dns_at,
             listing,
@@ -235,6 +238,10 @@
                 self.unknown = true;
                 Ok(())
             }
+            ["given", "http", "alone"] => {
+                self.http_alone = true;
+                Ok(())
+            }
             ["given", "dns"] => {
                 self.dns = true;
                 Ok(())
@@ -425,6 +432,9 @@
             [[smpp.class]]\nservice_type = \"PAY\"\nclass = \"payment\"\n\
             [[smpp.route]]\nprefix = \"97\"\ndestination = 90\n[[smpp.route]]\nprefix = \"1\"\ndestination = 1\n"
             .to_owned();
+        if self.http_alone {
+            toml.clear();
+        }
         for (name, address, words) in &self.gateways {
             toml += &format!(
                 "[[smpp.gateway]]\nname = \"{name}\"\naddress = \"{address}\"\ndestination = 90\nkind = \"club\"\n\
@@ -470,7 +480,10 @@
         self.child = Some(child);
         (self.http, self.smpp) = (None, None);
         self.dns_at = None;
-        while self.http.is_none() || self.smpp.is_none() || self.dns && self.dns_at.is_none() {
+        while self.http.is_none()
+            || self.smpp.is_none() && !self.http_alone
+            || self.dns && self.dns_at.is_none()
+        {
             let line = lines.recv_timeout(BOUND).map_err(|_| "it does not start")?;
             if let Some(at) = line.split_once("listens on ").map(|l| l.1) {
                 let (at, of) = at.split_once(" for ").unwrap_or((at, "HTTP"));
