A 503 that ends a new connection is a full table: given back, paced, and no outage

A line for each outcome (30 forwarders): not one ConnectFailed; of the kind with small tables 446 "Full" beside 867 deliveries, all of them "reused=false Answer { status: 503, load: None, framing: { length: 0, close: true } }". A line for each message that ended (63,436): 59,821 by the forecast of the pace, most of them with no call. At fault: daemon/src/net/http/endpoint.rs verdict(): 503 is Full whatever becomes of the connection; books.rs release_connection(): gives back only where this sender was refused; brain.rs learn(): three refused connects are an outage; give_up(): one message at the floor of 1/279 a second is forecast 140 s. Change: a 503 on a new connection that ends with it is "could not connect". A share of refused connects is kept for each kind; above the target of one in twenty, connections that the next decision does not use are given back, at the first sight of it all of the kind. Runs up to what comes by chance at that share hold the receiver back for about a call's time, doubled each time; longer ones are an outage as before. The forecast follows the pace's own law of growth.

--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -43,7 +43,7 @@
     // of what a start found taken on and untried: what became of it
     resumed_untried, resumed_over, resumed_tried, resumed_late, resumed_early,
     // the endpoints' side
-    outbound_open, outbound_opened, outbound_reused, outbound_passed_over, outbound_calls,
+    outbound_open, outbound_opened, outbound_reused, outbound_passed_over, outbound_calls, outbound_no_place,
     delivered, spoilt, error, full, timed_out, connect_failed, reset, stale, moot, cancelled, held_back, late_decisions,
     // the gate before a call's first byte, and the waits that it heeds
     held_back_wait, held_back_drain, held_back_late, held_back_ending, held_back_moved, held_back_closed, waits_told, waits_unread,
--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -58,6 +58,13 @@
     Spoilt(String),
 }
 
+impl Answer {
+    /// The server ends the connection with it.
+    pub fn closes(&self) -> bool {
+        self.framing.is_ok_and(|f| f.close)
+    }
+}
+
 fn bad(text: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, text)
 }
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -265,6 +265,11 @@
             None => return spoilt(shared, address, "a body without end"),
         }
     }
+    // Turned away on a new connection, which ends with that: it has no place there, as if it had been refused.
+    if rested.is_none() && answer.status == 503 && !answer.no_slot && answer.closes() {
+        counters.outbound_no_place.up();
+        return (Verdict::ConnectFailed, None, None);
+    }
     let verdict = verdict(&answer, told.get().since(clock.now()));
     (verdict, Some(answer), Some(conn))
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -93,7 +93,8 @@
 const SHARE_LEAST: f64 = 2.0; // ... and so many messages
 const FEE_SECONDS: f64 = 20.0; // a route's fee of one worth, as waiting time
 const FAST_CONNECT: Micros = Micros(500_000); // a refused connect takes less
-const REACH: f64 = 2.0; // the pace may rise meanwhile
+const TABLE_LEAST: u32 = 8; // so few senders leave even a small table room
+const TABLE_STEP: f64 = 0.1; // of each outcome, in the share of connects that a kind refuses
 const LOOK_AGAIN: Micros = Micros(100_000); // at gates that open by degrees
 
 impl Scale {
@@ -106,7 +107,6 @@
             burst_span: Micros::from_secs(stretch(BURST_SPAN_S, span_most)),
             served_memory: Memory { secs: stretch(SERVED_MEMORY_S, MEMORY_MOST_S), young: YOUNG_S },
             rate_memory: Memory { secs: stretch(RATE_MEMORY_S, MEMORY_MOST_S), young: YOUNG_S },
-            connection_life: Memory { secs: set.connection_idle.secs(), young: YOUNG_S },
             refused_pause: stretch(REFUSED_PAUSE_S, REFUSED_PAUSE_MOST_S),
             shut_refusals: SHUT_REFUSALS - if fleet { 0.0 } else { (senders / FEW_SENDERS).max(1.0).log2() },
             shut_span: if fleet { FLEET_SHUT_SPAN } else { SHUT_SPAN },
@@ -121,6 +121,15 @@
     }
 }
 
+impl Control {
+    /// Seconds until the pace lets so many calls go, if each update raises it by the largest step: within t seconds it
+    /// lets rate * (e^(growth * t) - 1) / growth of them go, beside the tokens at hand.
+    fn soonest(&self, calls: f64) -> f64 {
+        let growth = (1.0 + STEP_UP).ln() / UPDATE_EVERY.secs();
+        ((calls - self.tokens).max(0.0) * growth / self.rate).ln_1p() / growth
+    }
+}
+
 impl Pace {
     /// Detect: count a refusal; a burst of them starts control, severe. `told` is this sender's part of a
     /// limit that is told. True if it looks shut: refusals alone over a while are an outage like others.
@@ -210,6 +219,10 @@
     fn used_up(&self) -> bool {
         self.left().is_some_and(|x| x <= ALLOWANCE_LEFT)
     }
+    /// A full table says so at once; a connect that takes its time meets silence or a slow handshake.
+    fn refused_connect(&self) -> bool {
+        self.verdict == Verdict::ConnectFailed && self.elapsed < FAST_CONNECT
+    }
     /// A wait longer than limits ask for tells of an outage; what opens then is cold.
     fn long_wait(&self) -> bool {
         self.wait() >= LONG_WAIT && !self.used_up()
@@ -241,7 +254,7 @@
     }
     /// Most of the last calls failed, or the last few all did. Where fewer fail it pays to go on.
     fn mostly_fails(&self, broad: f64) -> bool {
-        let run = (CHANCE.ln() / broad.clamp(0.01, 0.9).ln()).ceil().clamp(SICK_RUN, SICK_RUN_MOST);
+        let run = run_by_chance(broad).clamp(SICK_RUN, SICK_RUN_MOST);
         let fails = (SICK_FAILS + run - SICK_RUN).min(7.0);
         f64::from(self.failed_lately.trailing_ones()) >= run
             || f64::from(self.failed_lately.count_ones()) >= fails
@@ -261,6 +274,17 @@
             _ => self.health = Health::Suspect { since: now },
         }
     }
+    /// The table of connections is a limit like others while no more connects are refused in a row than come by chance
+    /// among receivers of its kind: the next one waits about as long as a call holds a place, and longer each time.
+    fn on_full_table(&mut self, now: Micros, sent: Micros, share: f64, roll: f64) {
+        let run = self.failed_lately.trailing_ones() + 1;
+        if self.sick() || f64::from(run) >= run_by_chance(share).min(f64::from(u8::BITS)) {
+            return self.on_failure(now, sent, share);
+        }
+        self.failed_lately = self.failed_lately << 1 | 1;
+        let pause = self.norm * f64::from(1u32 << (run - 1)) * (0.5 + roll);
+        self.pace.breath = self.pace.breath.max(now.after(Micros::from_secs(pause)));
+    }
     fn on_refusal(&mut self, now: Micros, sent: Micros, o: &Outcome, shut: bool, odd: bool) {
         match self.health {
             _ if o.long_wait() || self.sick() && o.wait() > Micros(0) => self.sicken(now, o.wait()),
@@ -306,6 +330,9 @@
         due.iter().for_each(|id| self.refresh(now, *id));
         let looks = self.send_best(now, &due, actions);
         self.give_way(now, actions);
+        let unused = |id: &ReceiverId| self.receivers.get(id).is_some_and(|r| r.calls.is_empty());
+        let unused = std::mem::take(&mut self.giving_back).into_iter().filter(unused);
+        actions.extend(unused.map(Action::CloseIdle));
         for (id, at) in looks {
             self.agenda.look(id, at.min(self.silence_due(id)));
         }
@@ -364,45 +391,17 @@
         }
     }
 
-    fn on_submit(&mut self, now: Micros, m: Message) {
-        let known = self.held.contains_key(&m.id);
-        let Some(class) = self.set.classes.get(m.class.0).filter(|_| !known) else { return };
-        let deadline = now.after(m.left);
-        let key = m.key.filter(|_| class.in_order);
-        let aim_at = now.after(class.aim.since(class.give_up.since(m.left)));
-        key.iter().for_each(|k| self.turns.join(k, m.id));
-        let over_share = m.tenant.is_some_and(|t| self.over_share(now, t));
-        let d = self.destinations.entry(m.destination).or_default();
-        d.offered.add(now, self.scale.rate_memory);
-        d.waiting.insert(m.id);
-        self.agenda.look(m.destination, now);
-        let (class, destination) = (m.class, m.destination);
-        let held = Held { class, key, destination, over_share, deadline, aim_at, ..Held::default() };
-        self.held.insert(m.id, held);
-    }
-
-    /// A message of an earlier process: what it may have done there binds as if it were done here.
-    fn on_resume(&mut self, now: Micros, m: Message, past: Past, actions: &mut Vec<Action>) {
-        let id = m.id;
-        self.on_submit(now, Message { tenant: None, ..m }); // its share was charged when it came
-        let Some(held) = self.held.get_mut(&id) else { return };
-        (held.attempts, held.number, held.maybe_ran) = (past.attempts, past.attempts, past.maybe_ran);
-        held.untried = past.attempts == 0;
-        let lost = past.maybe_ran.is_some() && self.set.classes[held.class.0].effect == Effect::Unsafe;
-        if lost || past.attempts >= self.set.max_attempts {
-            self.end(now, id, None, actions);
-        }
-    }
-
     /// Beyond its tenant's share at this sender: a bucket of two seconds' worth.
-    fn over_share(&mut self, now: Micros, tenant: TenantId) -> bool {
+    pub(super) fn over_share(&mut self, now: Micros, tenant: TenantId) -> bool {
         let Some(t) = self.set.tenants.get(tenant.0) else { return false };
         let rate = t.allowance_per_s / self.scale.senders;
         rate > 0.0 && !self.shares[tenant.0].take(now, rate, (rate * SHARE_SPAN_S).max(SHARE_LEAST))
     }
 
     /// The single place that ends a message undelivered: refused where a repeat is harmless, else failed.
-    fn end(&mut self, now: Micros, id: MessageId, wait: Option<Micros>, actions: &mut Vec<Action>) {
+    pub(super) fn end(
+        &mut self, now: Micros, id: MessageId, wait: Option<Micros>, actions: &mut Vec<Action>,
+    ) {
         let Some(m) = self.held.get(&id).filter(|m| !m.ended && m.out.is_empty()) else { return };
         actions.push(if m.may_refuse(&self.set, now) {
             let retry_after = wait.filter(|_| self.set.retry_after).map(|w| w.min(self.set.max_retry_after));
@@ -432,13 +431,15 @@
         if matches!(o.verdict, Verdict::Full(_) | Verdict::ConnectFailed) {
             let doubled = f64::from(1u32 << (m.attempts.clamp(1, 6) - 1));
             let leads = m.key.as_ref().is_some_and(|k| self.turns.length(k) > 1);
-            let pause = if leads || o.odd() { LEADER_PAUSE_S } else { self.scale.refused_pause };
+            let soon = leads || o.odd() || o.refused_connect(); // its receiver waits, others need not
+            let pause = if soon { LEADER_PAUSE_S } else { self.scale.refused_pause };
             m.not_before = now.after(Micros::from_secs(pause * doubled));
         }
         let lost = may_have_run && self.set.classes[m.class.0].effect == Effect::Unsafe;
         let spent = m.attempts >= self.set.max_attempts;
         let over = m.ended || o.finished || o.verdict == Verdict::Delivered;
         let alone = m.out.is_empty();
+        let full_before = self.table_full(o.receiver);
         self.learn(now, o, &attempt, actions);
         if over {
             self.close(o.id);
@@ -450,10 +451,28 @@
         if let Some(to) = self.receivers.get(&o.receiver).map(|r| r.destination) {
             self.agenda.look(to, now);
         }
-        self.release_connection(now, o.receiver, actions);
+        self.give_back(o.receiver, full_before);
         std::mem::take(&mut self.starved).into_iter().for_each(|id| self.agenda.look(id, now));
     }
 
+    /// More connects are refused at receivers of this kind than the target allows.
+    fn table_full(&self, id: ReceiverId) -> bool {
+        let table = self.receivers.get(&id).and_then(|r| self.tables.get(&r.kind));
+        table.is_some_and(|t| t.refused_share > TARGET_SHARE)
+    }
+
+    /// Where tables are full, a connection that the next decision has no use for is given back: all idle ones of the
+    /// kind once that is seen, since who holds a place is never refused there, and then each after its call.
+    fn give_back(&mut self, id: ReceiverId, full_before: bool) {
+        let kept = self.set.connection_idle > Micros(0) && self.set.senders > TABLE_LEAST;
+        if !kept || !self.table_full(id) {
+            return;
+        }
+        let kind = self.receivers.get(&id).map(|r| r.kind);
+        let all = self.receivers.iter().filter(|(_, r)| !full_before && Some(r.kind) == kind);
+        self.giving_back.extend(all.map(|(to, _)| *to).chain([id]));
+    }
+
     /// What an outcome says of its receiver.
     fn learn(&mut self, now: Micros, o: &Outcome, attempt: &Attempt, actions: &mut Vec<Action>) {
         let last = self.calls.answered(attempt.call);
@@ -479,9 +498,11 @@
             }
         }
         let mut tell = None;
-        // A full table says so at once; a connect that takes its time meets silence or a slow handshake.
-        if o.verdict == Verdict::ConnectFailed && o.elapsed < FAST_CONNECT {
-            self.scarce.insert(r.kind, now);
+        let table = self.tables.entry(r.kind).or_default();
+        let usually_full = table.refused_share;
+        // A run at one receiver, which may be gone, says nothing of the tables of the others.
+        if o.verdict == Verdict::Delivered || o.refused_connect() && r.failed_lately & 1 == 0 {
+            table.refused_share += TABLE_STEP * (f64::from(u8::from(o.refused_connect())) - usually_full);
         }
         let (well, failed) = (o.verdict == Verdict::Delivered, o.verdict == Verdict::Reset);
         if (well || failed) && last && !was_sick {
@@ -506,6 +527,10 @@
                 tell = Some(wait.map_or(News::Refused, News::Wait));
                 r.on_refusal(now, attempt.sent, o, shut, o.odd() && unseen);
             }
+            Verdict::ConnectFailed if o.refused_connect() && run_by_chance(usually_full) > SICK_RUN => {
+                let roll = Dice(self.dice.0 ^ now.0).roll();
+                r.on_full_table(now, attempt.sent, usually_full, roll);
+            }
             Verdict::Error | Verdict::TimedOut | Verdict::Reset | Verdict::ConnectFailed => {
                 r.on_failure(now, attempt.sent, self.broad);
             }
@@ -593,7 +618,7 @@
         let Some(m) = self.held.get(&id).filter(|m| m.out.is_empty()) else { return NEVER };
         let Some(d) = self.destinations.get(&m.destination) else { return NEVER };
         *ahead += if m.untried { 0.0 } else { 1.0 }; // which goes first, and has its call to come
-        let paced = d.pace.control.as_ref().map_or(0.0, |c| *ahead / c.rate / REACH);
+        let paced = d.pace.control.as_ref().map_or(0.0, |c| c.soonest(*ahead));
         let hopeless = m.sends_end(&self.set, None).since(MARGIN);
         let listed = d.receivers.iter().filter_map(|r| self.receivers.get(r));
         let told = listed.filter(|r| r.listing == Listing::Ready).map(|r| r.told_until(d)).min();
@@ -789,32 +814,11 @@
         let late = if now < m.sends_end(&self.set, Some(attempt)) { Leave::Go } else { Leave::Late };
         if now < r.told_until(d) { Leave::Wait } else { late }
     }
+}
 
-    fn commit(&mut self, now: Micros, id: MessageId, target: ReceiverId, joins: bool) {
-        let life = self.scale.connection_life;
-        let (Some(m), Some(r)) = (self.held.get_mut(&id), self.receivers.get_mut(&target)) else { return };
-        let call = self.calls.add(target, r.batch, joins);
-        let copy = !m.out.is_empty();
-        m.out.push(Attempt::new(m.number, target, r.zone, now, call));
-        (m.attempts, m.number) = (m.attempts + 1, m.number + 1);
-        // A copy may follow, once this one is late.
-        let may = self.set.second_copies && self.set.classes[m.class.0].effect != Effect::Unsafe;
-        if copy || !may {
-            self.destinations.entry(m.destination).or_default().waiting.remove(&id);
-        } else {
-            self.agenda.look(m.destination, now.after(Micros::from_secs(COPY_AFTER * r.slow_bar())));
-        }
-        self.copies = (self.copies + if copy { -1.0 } else { COPY_SHARE }).min(3.0); // so many at once
-        if joins {
-            return r.sends.back_mut().into_iter().for_each(|s| s.1 += EXTRA_WEIGHT);
-        }
-        r.note_send(now, call, life, self.set.fall_window);
-        if r.apart {
-            r.pace.on_send(now);
-        } else if let Some(d) = self.destinations.get_mut(&r.destination) {
-            d.pace.on_send(now);
-        }
-    }
+/// Where so large a share of calls fails anyway, a run of failures this long comes by chance as seldom as `CHANCE`.
+fn run_by_chance(share: f64) -> f64 {
+    (CHANCE.ln() / share.clamp(0.01, 0.9).ln()).ceil()
 }
 
 /// This sender's even part of the limit that answers or the list tell; zero if none is told.
--- a/src/brain/books.rs
+++ b/src/brain/books.rs
@@ -5,9 +5,6 @@
 /// What nobody has used for so long is forgotten.
 const FORGET: Micros = Micros(60_000_000);
 const TIDY_EVERY: Micros = Micros(10_000_000);
-const KEEP_USES: f64 = 6.0; // calls in the life of an idle connection that are worth keeping it
-const TABLE_LEAST: u32 = 8; // so few senders leave even a small table room
-const SCARCE: Micros = Micros(60_000_000); // after a refused connect few are kept idle for so long
 const NOTES_PER_S: f64 = 25.0; // from all senders together
 const NOTE_GAP_S: f64 = 0.5; // from one sender
 /// Latency norm of a receiver never heard from.
@@ -30,8 +27,10 @@
     pub(super) broad: f64,
     /// Destinations with messages that only wait for a slot.
     pub(super) starved: BTreeSet<DestinationId>,
-    /// When a receiver of a kind last refused a connection: their tables are small.
-    pub(super) scarce: BTreeMap<KindId, Micros>,
+    /// What is seen of the connection tables of each kind.
+    pub(super) tables: BTreeMap<KindId, ConnectionTable>,
+    /// Receivers of which idle connections are given back, unless the next decision uses them.
+    pub(super) giving_back: BTreeSet<ReceiverId>,
     pub(super) tidy_at: Micros,
     pub(super) tell_at: Micros,
     pub(super) shares: Vec<Bucket>,
@@ -57,7 +56,8 @@
             agenda: Agenda::default(),
             broad: 0.0,
             starved: BTreeSet::new(),
-            scarce: BTreeMap::new(),
+            tables: BTreeMap::new(),
+            giving_back: BTreeSet::new(),
             tidy_at: Micros(0),
             tell_at: Micros(0),
             shares: vec![Bucket::default(); settings.tenants.len()],
@@ -145,6 +145,62 @@
         }
     }
 
+    pub(super) fn on_submit(&mut self, now: Micros, m: Message) {
+        let known = self.held.contains_key(&m.id);
+        let Some(class) = self.set.classes.get(m.class.0).filter(|_| !known) else { return };
+        let deadline = now.after(m.left);
+        let key = m.key.filter(|_| class.in_order);
+        let aim_at = now.after(class.aim.since(class.give_up.since(m.left)));
+        key.iter().for_each(|k| self.turns.join(k, m.id));
+        let over_share = m.tenant.is_some_and(|t| self.over_share(now, t));
+        let d = self.destinations.entry(m.destination).or_default();
+        d.offered.add(now, self.scale.rate_memory);
+        d.waiting.insert(m.id);
+        self.agenda.look(m.destination, now);
+        let (class, destination) = (m.class, m.destination);
+        let held = Held { class, key, destination, over_share, deadline, aim_at, ..Held::default() };
+        self.held.insert(m.id, held);
+    }
+
+    /// A message of an earlier process: what it may have done there binds as if it were done here.
+    pub(super) fn on_resume(&mut self, now: Micros, m: Message, past: Past, actions: &mut Vec<Action>) {
+        let id = m.id;
+        self.on_submit(now, Message { tenant: None, ..m }); // its share was charged when it came
+        let Some(held) = self.held.get_mut(&id) else { return };
+        (held.attempts, held.number, held.maybe_ran) = (past.attempts, past.attempts, past.maybe_ran);
+        held.untried = past.attempts == 0;
+        let lost = past.maybe_ran.is_some() && self.set.classes[held.class.0].effect == Effect::Unsafe;
+        if lost || past.attempts >= self.set.max_attempts {
+            self.end(now, id, None, actions);
+        }
+    }
+
+    /// A call was chosen: what it takes of slots, pace and budgets.
+    pub(super) fn commit(&mut self, now: Micros, id: MessageId, target: ReceiverId, joins: bool) {
+        let (Some(m), Some(r)) = (self.held.get_mut(&id), self.receivers.get_mut(&target)) else { return };
+        let call = self.calls.add(target, r.batch, joins);
+        let copy = !m.out.is_empty();
+        m.out.push(Attempt::new(m.number, target, r.zone, now, call));
+        (m.attempts, m.number) = (m.attempts + 1, m.number + 1);
+        // A copy may follow, once this one is late.
+        let may = self.set.second_copies && self.set.classes[m.class.0].effect != Effect::Unsafe;
+        if copy || !may {
+            self.destinations.entry(m.destination).or_default().waiting.remove(&id);
+        } else {
+            self.agenda.look(m.destination, now.after(Micros::from_secs(COPY_AFTER * r.slow_bar())));
+        }
+        self.copies = (self.copies + if copy { -1.0 } else { COPY_SHARE }).min(3.0); // so many at once
+        if joins {
+            return r.sends.back_mut().into_iter().for_each(|s| s.1 += EXTRA_WEIGHT);
+        }
+        r.note_send(now, call, self.set.fall_window);
+        if r.apart {
+            r.pace.on_send(now);
+        } else if let Some(d) = self.destinations.get_mut(&r.destination) {
+            d.pace.on_send(now);
+        }
+    }
+
     /// Forgets a message, or marks it ended while an attempt is out, so that its key keeps waiting.
     pub(super) fn close(&mut self, id: MessageId) {
         let Some(m) = self.held.get_mut(&id) else { return };
@@ -220,17 +276,6 @@
             .retain(|_, d| !d.receivers.is_empty() || !d.waiting.is_empty() || d.pace.wait_until > now);
     }
 
-    /// Many senders that each keep an idle connection for a rare call leave none for the next one.
-    pub(super) fn release_connection(&mut self, now: Micros, id: ReceiverId, actions: &mut Vec<Action>) {
-        let life = self.scale.connection_life;
-        let Some(r) = self.receivers.get(&id).filter(|r| r.calls.is_empty()) else { return };
-        let many = self.set.senders > TABLE_LEAST;
-        let scarce = many && self.scarce.get(&r.kind).is_some_and(|t| now.since(*t) < SCARCE);
-        if life.secs > 0.0 && scarce && r.uses.count(now, life) < KEEP_USES {
-            actions.push(Action::CloseIdle(id));
-        }
-    }
-
     /// Tells the other senders, so that a burst of them all counts as one; what is lost only makes it longer.
     pub(super) fn tell(&mut self, now: Micros, receiver: ReceiverId, news: News, actions: &mut Vec<Action>) {
         if news == News::Refused && now < self.tell_at {
--- a/src/state.rs
+++ b/src/state.rs
@@ -44,10 +44,6 @@
         let age = self.since.map_or(0.0, |t| now.since(t).secs()).max(memory.young);
         self.level * self.faded(now, memory) / (1.0 - (-age / memory.secs).exp())
     }
-    /// About how many events lie within the memory.
-    pub fn count(&self, now: Micros, memory: Memory) -> f64 {
-        self.level * self.faded(now, memory) * memory.secs
-    }
     fn faded(&self, now: Micros, memory: Memory) -> f64 {
         (-now.since(self.at).secs() / memory.secs).exp()
     }
@@ -215,7 +211,6 @@
     pub burst_span: Micros,
     pub served_memory: Memory,
     pub rate_memory: Memory,
-    pub connection_life: Memory,
     pub refused_pause: f64,
     pub shut_refusals: f64,
     pub shut_span: Micros,
@@ -282,6 +277,13 @@
     pub proven: Micros, // the last proof before
 }
 
+/// What one sender has seen of the connection tables of a kind of receivers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ConnectionTable {
+    /// The share of calls whose connect is refused at once, runs at one receiver counted once.
+    pub refused_share: f64,
+}
+
 /// What is believed of a receiver's health.
 #[derive(Clone, Copy, PartialEq, Debug, Default)]
 pub(crate) enum Health {
@@ -315,8 +317,6 @@
     pub norm: f64,
     pub latency: f64,
     pub calls: BTreeMap<u64, Micros>,
-    /// Calls, over the life of an idle connection.
-    pub uses: Rate,
     pub last_delivered: Micros,
     /// When the last delivered call was sent.
     pub last_proof: Micros,
@@ -337,9 +337,8 @@
             ..Receiver::default()
         }
     }
-    pub fn note_send(&mut self, now: Micros, call: u64, life: Memory, window: Micros) {
+    pub fn note_send(&mut self, now: Micros, call: u64, window: Micros) {
         self.calls.insert(call, now);
-        self.uses.add(now, life);
         self.sends.push_back((now, 1.0));
         while self.sends.len() > 1 && self.sends.front().is_some_and(|s| now.since(s.0) > window) {
             self.sends.pop_front();
--- a/tests/many_senders.rs
+++ b/tests/many_senders.rs
@@ -37,6 +37,77 @@
     assert!(rig.closed.is_empty(), "a handshake that takes its time is no full table");
 }
 
+/// Who holds a place in a table is never refused there: it learns of its kind elsewhere, and gives back what it keeps.
+#[test]
+fn a_held_place_is_given_back_once_another_receiver_of_the_kind_is_full() {
+    let of_another_kind = entry(3, 3, 2, 0);
+    let mut rig = Rig::new(many(), vec![entry(1, 1, 0, 0), entry(2, 2, 0, 0), of_another_kind]);
+    rig.warm(100, 2, 1);
+    rig.warm(200, 2, 3);
+    assert!(rig.closed.is_empty(), "before the first refused connect all are kept: {:?}", rig.closed);
+    rig.submit(1, SAFE, 2);
+    rig.answer(1, Verdict::ConnectFailed);
+    assert!(rig.closed.contains(&1), "nobody refuses it at 1");
+    assert!(!rig.closed.contains(&3), "another kind has other tables");
+}
+
+/// Beside deliveries a refused connect now and then is no more than the target allows.
+#[test]
+fn connections_are_kept_again_once_few_connects_are_refused() {
+    let mut rig = Rig::new(many(), vec![entry(1, 1, 0, 0), entry(2, 2, 0, 0)]);
+    rig.submit(1, SAFE, 2);
+    rig.answer(1, Verdict::ConnectFailed);
+    rig.warm(100, 20, 1);
+    rig.closed.clear();
+    rig.warm(200, 5, 1);
+    assert!(rig.closed.is_empty(), "{:?}", rig.closed);
+}
+
+/// Connects that are refused as often as others of the kind tell of a full table: the receiver stays in use, new
+/// connections to it keep apart, and one that refuses for longer than that is found out.
+#[test]
+fn a_full_table_is_no_outage_until_more_are_refused_than_by_chance() {
+    let mut rig = Rig::new(many(), (1..=9).map(|d| entry(d, d, 0, 0)).collect());
+    for d in 1..=8 {
+        rig.submit(d, SAFE, d);
+        rig.answer(d, Verdict::ConnectFailed);
+    }
+    rig.submit(50, SAFE, 9);
+    let mut refused = Vec::new();
+    for _ in 0..4_000 {
+        rig.pass(ms(10));
+        if rig.out.iter().any(|c| c.id == 50) {
+            rig.answer(50, Verdict::ConnectFailed);
+            refused.push(rig.now);
+        }
+    }
+    let apart: Vec<_> = refused.windows(2).map(|w| w[1].since(w[0]).secs()).collect();
+    assert!(refused.len() >= 4, "it stays in use: {apart:?}");
+    assert!(apart.iter().all(|s| *s >= 0.1), "not at once: {apart:?}");
+    rig.submit(51, SAFE, 9);
+    let before = rig.sent.len();
+    rig.pass(ms(300));
+    assert_eq!(rig.sent.len(), before, "by now it passes for gone");
+}
+
+/// At the floor of a fleet's pace a message that waits alone was forecast to wait for minutes, and ended at once, though
+/// the pace rises within seconds.
+#[test]
+fn what_the_pace_may_yet_reach_is_not_ended() {
+    let set = Settings { senders: 300, notes: false, reports: false, ..many() };
+    let mut rig = Rig::new(set, vec![Entry { weight: 0.0, ..entry(1, 1, 0, 0) }]);
+    rig.submit(1, SAFE, 1);
+    for _ in 0..2 {
+        while rig.out.is_empty() {
+            rig.pass(ms(100));
+        }
+        rig.answer(1, Verdict::Full(None));
+    }
+    rig.submit(9, SAFE, 1);
+    rig.pass(ms(100));
+    assert!(!rig.refused.iter().any(|r| r.0 == 9), "it has 20 s left: {:?}", rig.refused);
+}
+
 /// Messages sent in the two seconds after one refusal of its own and so many told ones.
 fn sent_after_notes(notes: usize, own: bool) -> usize {
     let mut rig = Rig::new(many(), vec![entry(1, 1, 0, 0)]);
