Lab: slopes of one role at rising sizes, and the table of what each role costs

The design is to fit 11,000 forwarders and 1.3 million destinations; nothing measured how any cost grows. `onyxrock-lab run slopes` runs the real crates (roster, the engine, the log, membership, duties, the list's reader) at four to seven sizes up to the two-year size where one machine allows it, and fits a line by relative least squares (nalgebra). Memory is what the allocator was asked for (stats_alloc), processor time is the thread's with the kernel's part; datagrams go through a loopback socket. A cost whose line misses a point by over a quarter, or whose halves have slopes over 1.5 times apart, is reported as bent. `onyxrock-lab capacity` works out the rows by role from reports of this version, refuses others in one line, and compares a page's table with its own.

--- a/lab/src/experiments/mod.rs
+++ b/lab/src/experiments/mod.rs
@@ -6,6 +6,7 @@
 mod idle;
 mod lease;
 mod sizes;
+pub mod slopes;
 
 use crate::report::Report;
 use crate::world::World;
@@ -52,6 +53,7 @@
     "lease-stall", "leases of 22 duties under stalls, cuts, loss, delay, and voters killed and wiped", lease::stall;
     "idle-50k", "50,000 destinations of which few are in use: memory, processor, list, waking, rest", idle::run;
     "list-size", "30, 300 and 1,024 endpoints listed, then all used: memory and threads", sizes::run;
+    "slopes", "bytes and processor time of one role at rising sizes, and the line through them", slopes::run;
     "fleet-limit", "2 to 100 modules at a limit that refused calls use up, and their calls for the list", fleet::limit;
 }
 
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -8,10 +8,12 @@
 //! - [`senders`] has many modules on a virtual clock, without a daemon.
 //! - [`daemon`] starts real daemons, and kills, stops and starts them again.
 //! - [`report`] is what an experiment ends in: claims, each with a figure and a bound, as a table and JSON.
+//! - [`capacity`] works out from slopes what the design costs at a given size.
 //! - [`experiments`] are the scripts, by name.
 //!
 //! Everything of one experiment runs on one thread; the daemons are processes of their own.
 
+pub mod capacity;
 pub mod daemon;
 pub mod experiments;
 mod http;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -2,17 +2,20 @@
 
 use lexopt::prelude::*;
 use onyxrock_lab::experiments::{ALL, Setup, run};
-use onyxrock_lab::{daemon, world::World};
+use onyxrock_lab::{capacity, daemon, world::World};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 const USAGE: &str = "\
 usage: onyxrock-lab run NAME --out DIR [--short] [--daemon FILE] [--seed N]
        onyxrock-lab list
+       onyxrock-lab capacity --reports DIR [--check PAGE | --write PAGE] [--owners N]
 `run` plays an experiment against real daemons on loopback, writes DIR/report.json, prints its claims and
 ends with 1 if one does not hold, with 2 if it could not be run. --daemon names the daemon's program; else it
 is the one beside this program. --short plays a shorter form. --seed is of what
-is drawn, 7 if it is not given.";
+is drawn, 7 if it is not given.
+`capacity` works out from the reports of DIR what each role costs at the two-year size. --check ends with 1 if
+the table of PAGE is another one, --write puts it there. --owners is of senders of a destination, 3 by default.";
 
 struct Line {
     words: Vec<String>,
@@ -20,10 +23,12 @@
     daemon: Option<PathBuf>,
     short: bool,
     seed: u64,
+    capacity: capacity::Request,
 }
 
 fn line(mut args: lexopt::Parser) -> Result<Line, String> {
-    let mut line = Line { words: Vec::new(), out: None, daemon: None, short: false, seed: 7 };
+    let capacity = capacity::Request::default();
+    let mut line = Line { words: Vec::new(), out: None, daemon: None, short: false, seed: 7, capacity };
     while let Some(arg) = args.next().map_err(|e| e.to_string())? {
         match arg {
             Long("out") => line.out = Some(args.value().map_err(|e| e.to_string())?.into()),
@@ -34,6 +39,14 @@
                 let parsed = text.to_string_lossy().parse();
                 line.seed = parsed.map_err(|_| format!("--seed is no number: {text:?}"))?;
             }
+            Long("reports") => line.capacity.reports = args.value().map_err(|e| e.to_string())?.into(),
+            Long("check") => line.capacity.check = Some(args.value().map_err(|e| e.to_string())?.into()),
+            Long("write") => line.capacity.write = Some(args.value().map_err(|e| e.to_string())?.into()),
+            Long("owners") => {
+                let text = args.value().map_err(|e| e.to_string())?;
+                let parsed = text.to_string_lossy().parse();
+                line.capacity.owners = Some(parsed.map_err(|_| format!("--owners is no number: {text:?}"))?);
+            }
             Long("help") | Short('h') => line.words = vec!["help".into()],
             Value(v) => line.words.push(v.to_string_lossy().into_owned()),
             other => return Err(other.unexpected().to_string()),
@@ -58,6 +71,10 @@
             ALL.iter().for_each(|e| println!("{:<16} {}", e.name, e.about));
             Ok(true)
         }
+        ["capacity"] if line.capacity.reports.as_os_str().is_empty() => {
+            Err("capacity: --reports DIR is missing".into())
+        }
+        ["capacity"] => capacity::run(&line.capacity),
         ["help"] => {
             println!("{USAGE}");
             Ok(true)
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -4,6 +4,9 @@
 use serde_json::Value;
 use std::path::Path;
 
+/// Longer figures are not shown beside the claims.
+const SHOWN_MOST: usize = 4_000;
+
 /// One claim.
 #[derive(Clone, Debug, Serialize)]
 pub struct Claim {
@@ -57,7 +60,9 @@
         }
         if let Value::Object(figures) = &self.figures {
             for (name, v) in figures {
-                out += &format!("  {name}: {v}\n");
+                let text = v.to_string();
+                let text = if text.len() > SHOWN_MOST { "see report.json" } else { &text };
+                out += &format!("  {name}: {text}\n");
             }
         }
         out
