--- a/lab/src/capacity/cost.rs
+++ b/lab/src/capacity/cost.rs
@@ -131,7 +131,7 @@
                 format!("BENT ({why}); {:.4} {unit} at the largest size", self.fit.each_at_largest())
             }
         };
-        format!("{name:<20} {shape} a {per}; {points} points, residual {residual:.3}")
+        format!("{name:<20} {shape} for each {per}; {points} points, residual {residual:.3}")
     }
 }
 
--- a/lab/src/capacity/table.rs
+++ b/lab/src/capacity/table.rs
@@ -94,7 +94,7 @@
             (fit.each_at_largest(), "-".to_owned(), format!("bent: {why}; at the largest size"))
         }
     };
-    let each = format!("{} {unit} a {per}", digits(each));
+    let each = format!("{} {unit} for each {per}", digits(each));
     format!(
         "| `{}` | {report} | {sizes} | {each} | {constant} | {:.3} | {shape} |",
         cost.name(),
--- a/lab/src/experiments/slopes/wire.rs
+++ b/lab/src/experiments/slopes/wire.rs
@@ -8,10 +8,14 @@
 use onyxrock_membership::{Body, Key, Keys, Refused, Seal};
 use onyxrock_roster::Endpoint;
 use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
 
 /// Headers of IP and UDP, which count as bytes sent.
 pub const HEADERS: usize = 28;
 
+/// A datagram that has not come by then is lost.
+const LOST: Duration = Duration::from_secs(1);
+
 /// A socket that is its own other end: what is sent comes back, and costs one call to send and one to receive.
 pub struct Loop {
     socket: UdpSocket,
@@ -26,6 +30,7 @@
         let socket = UdpSocket::bind(("127.0.0.1", 0)).map_err(|e| e.to_string())?;
         let own = socket.local_addr().map_err(|e| e.to_string())?;
         socket.connect(own).map_err(|e| e.to_string())?;
+        socket.set_read_timeout(Some(LOST)).map_err(|e| e.to_string())?;
         Ok(Loop { socket, bytes: vec![0; 2048], datagrams: 0, carried: 0 })
     }
 
