--- a/lab/src/capacity/figure.rs
+++ b/lab/src/capacity/figure.rs
@@ -14,6 +14,8 @@
     Traffic,
     /// Bytes on disk.
     Disk,
+    /// Messages or datagrams a second, sent and received.
+    Messages,
     /// Seconds.
     Delay,
 }
@@ -25,6 +27,7 @@
             Quantity::Memory | Quantity::Disk => bytes(amount),
             Quantity::Processor => format!("{} % of a core", digits(amount / 1e4)),
             Quantity::Traffic => format!("{}/s", bytes(amount)),
+            Quantity::Messages => format!("{} messages/s", digits(amount)),
             Quantity::Delay => format!("{} s", digits(amount)),
         }
     }
@@ -43,7 +46,7 @@
 #[must_use]
 pub fn digits(amount: f64) -> String {
     match amount.abs() {
-        a if a >= 100.0 || a == 0.0 => format!("{amount:.0}"),
+        a if a >= 100.0 || amount.fract() == 0.0 => format!("{amount:.0}"),
         a if a >= 10.0 => format!("{amount:.1}"),
         a if a >= 1.0 => format!("{amount:.2}"),
         a if a >= 0.01 => format!("{amount:.3}"),
--- a/lab/src/capacity/mod.rs
+++ b/lab/src/capacity/mod.rs
@@ -48,7 +48,9 @@
         std::fs::write(page, text).map_err(|e| format!("{}: {e}", page.display()))?;
     }
     let Some(page) = &request.check else {
-        print!("{table}");
+        if request.write.is_none() {
+            print!("{table}");
+        }
         return Ok(true);
     };
     let difference = difference(&read(page)?, &table).map_err(|why| format!("{}: {why}", page.display()))?;
--- a/lab/src/capacity/roles.rs
+++ b/lab/src/capacity/roles.rs
@@ -11,6 +11,8 @@
 const FORGET_S: f64 = 14_400.0;
 /// A lease is renewed, and life is told, this often; a quarter of the default of `[duties] lease_s`.
 const RENEW_S: f64 = 0.75;
+/// The default of `[duties] voters`.
+pub const VOTERS: f64 = 5.0;
 /// An outage lasts so long: an estimate.
 const OUTAGE_S: f64 = 3_600.0;
 /// `WANTED_MOST` in `duties/src/book.rs`.
@@ -81,6 +83,19 @@
     fn leases(&self) -> f64 {
         self.size.destinations_down() / self.size.forwarders
     }
+    /// Members that hold leases.
+    fn holders(&self) -> f64 {
+        self.size.forwarders.min(self.size.destinations_down())
+    }
+    /// Datagrams a second about leases, duties wanted and signs of life, at one forwarder.
+    fn control_messages(&self) -> f64 {
+        // Duties of one member go in one message.
+        let members_told = self.members() * -(-self.wanted() / self.members()).exp_m1();
+        let wants = 2.0 * members_told;
+        let leases = 2.0 * VOTERS;
+        let signs = 2.0;
+        (wants + leases + signs) / RENEW_S
+    }
     fn members(&self) -> f64 {
         self.size.forwarders
     }
@@ -145,7 +160,7 @@
         Quantity::Processor => Some(BUDGET.cpu_us_per_s),
         Quantity::Traffic => Some(BUDGET.bytes_per_s),
         Quantity::Delay => Some(BUDGET.in_force_s),
-        Quantity::Disk => None,
+        Quantity::Disk | Quantity::Messages => None,
     }
 }
 
@@ -194,6 +209,11 @@
         self.rows.push(Row { role, what, quantity, count, figure, budget, slope, mechanism });
     }
 
+    /// Messages a second, which nothing bounds by itself.
+    fn messages(&mut self, role: Role, what: &'static str, per_s: f64, mechanism: &'static str) {
+        self.estimate(role, what, Quantity::Messages, per_s, (per_s, None), mechanism);
+    }
+
     /// The sum of a role's rows of a quantity, which is as good as the worst of them.
     fn sum(&mut self, role: Role, what: &'static str, quantity: Quantity) {
         let parts = self.rows.iter().filter(|r| r.role == role && r.quantity == quantity);
@@ -232,6 +252,7 @@
         let signs = 2.0 / RENEW_S;
         self.add_each(role, "signs of life of coordinator and relay", Traffic, Cost::TellAllBytes, signs);
         self.sum(role, "bytes for control", Traffic);
+        self.messages(role, "for control, gossip left out", d.control_messages(), "sharing::Peers");
         let restart = (d.destinations, 1.0 / BUDGET.bytes_per_s);
         self.add(role, "a list in force after a restart, at 9 KB/s", Delay, Cost::WholeListBytes, restart);
         let meeting = (d.meeting_s(), Some(METER_MEMORY_S));
@@ -253,15 +274,18 @@
         self.add(role, "leases promised", Memory, Cost::VoterLeaseMemory, leases);
         self.add(role, "leases promised", Processor, Cost::VoterLeaseCpu, leases);
         self.add(role, "leases promised", Traffic, Cost::VoterLeaseBytes, leases);
+        self.messages(role, "questions and answers", d.holders() * 2.0 / RENEW_S, "duties::Message");
     }
 
     fn tellers(&mut self, d: &Deployment) {
-        use Quantity::{Processor, Traffic};
+        use Quantity::{Memory, Processor, Traffic};
         let signs = (d.members(), 1.0 / RENEW_S);
         let changes = (d.members(), d.size.changes_per_s());
         for role in [Role::ListRelay, Role::Coordinator] {
+            self.add(role, "members that it tells", Memory, Cost::MemberMemory, (d.members(), 1.0));
             self.add(role, "signs of life to all", Processor, Cost::TellAllCpu, signs);
             self.add(role, "signs of life to all", Traffic, Cost::TellAllBytes, signs);
+            self.messages(role, "signs of life to all", d.members() / RENEW_S, "sharing::Peers");
         }
         let role = Role::ListRelay;
         self.add(role, "each list change to all", Processor, Cost::TellAllCpu, changes);
@@ -275,6 +299,7 @@
         let answers = d.size.changes_per_s() * d.members() * d.destinations / d.size.destinations;
         let what = "answers to watches, where each asks for itself";
         self.add_each(role, what, Traffic, Cost::WatchAnswerBytes, answers);
+        self.messages(role, "answers to watches", answers, "config::list::Reader");
         let restarts = (d.destinations, d.size.restarts_per_day / SECONDS_PER_DAY);
         self.add(role, "whole lists after restarts, over a day", Traffic, Cost::WholeListBytes, restarts);
         // The source is no forwarder: it has no budget that was named.
@@ -286,6 +311,8 @@
         let role = Role::BacklogHolder;
         let messages = d.size.backlog_per_forwarder();
         self.add(role, "messages owed", Quantity::Memory, Cost::BacklogMemory, (messages, 1.0));
+        let events = d.size.events_per_forwarder();
+        self.messages(role, "events taken on", events, "core::Desk");
         self.add(role, "messages owed", Quantity::Disk, Cost::BacklogDisk, (messages, 1.0));
         let read_back = (messages, 1e-6);
         self.add(role, "reading them back at a start", Quantity::Delay, Cost::BacklogRestartCpu, read_back);
--- a/lab/src/capacity/table.rs
+++ b/lab/src/capacity/table.rs
@@ -4,13 +4,11 @@
 use super::figure::{Quantity, digits};
 use super::fit::Shape;
 use super::reports::{Measured, Reports};
-use super::roles::{Deployment, Role, Row, rows};
+use super::roles::{Deployment, Role, Row, VOTERS, rows};
 use std::fmt::Write;
 
 /// Microseconds of a whole core in a second.
 const CORE_US_PER_S: f64 = 1e6;
-/// The default of `[duties] voters`.
-const VOTERS: f64 = 5.0;
 
 /// The roles at the two-year size, the slopes behind them, and what the scale runs say.
 #[must_use]
@@ -89,6 +87,10 @@
     let [first, .., last] = fit.points.as_slice() else { return String::new() };
     let sizes = format!("{} to {}, {} points", first.x, last.x, fit.points.len());
     let (each, constant, shape) = match &fit.shape {
+        // What the solver leaves of a constant that is none.
+        Shape::Straight { slope, intercept } if intercept.abs() < 1e-6 => {
+            (*slope, "0".to_owned(), "straight".to_owned())
+        }
         Shape::Straight { slope, intercept } => (*slope, digits(*intercept), "straight".to_owned()),
         Shape::Bent { why } => {
             (fit.each_at_largest(), "-".to_owned(), format!("bent: {why}; at the largest size"))
--- a/lab/src/experiments/slopes/members.rs
+++ b/lab/src/experiments/slopes/members.rs
@@ -20,8 +20,9 @@
 const DELAY: Micros = Micros(1_000);
 /// Until all must have seen each other.
 const JOIN_MOST: Micros = Micros(120_000_000);
-/// After that, until gossip has settled.
-const SETTLE: Micros = Micros(20_000_000);
+/// After that, until the news of all who joined has been told on as often as it is: some tens of times by each, a
+/// datagram full at a time.
+const SETTLE: Micros = Micros(120_000_000);
 /// What is measured.
 const MEASURED: Micros = Micros(10_000_000);
 /// Encoded as the daemon tells that it leads: a tag and an epoch.
--- a/lab/src/experiments/slopes/mod.rs
+++ b/lab/src/experiments/slopes/mod.rs
@@ -94,6 +94,7 @@
     let mut slopes = BTreeMap::new();
     let mut unfit = Vec::new();
     let parts: [(&str, &dyn Fn() -> Found); 11] = [
+        ("members", &|| members::watched(&plan)),
         ("told", &|| members::told(&plan)),
         ("list held", &|| Ok(listing::listed_memory(&plan))),
         ("remembered", &|| Ok(listing::resting_memory(&plan))),
@@ -107,7 +108,6 @@
             let found = [leases::holder(&plan)?, leases::voter(&plan)?, leases::wanted(&plan)?];
             Ok(found.into_iter().flatten().collect())
         }),
-        ("members", &|| members::watched(&plan)),
     ];
     for (what, part) in parts {
         for (cost, points) in part().map_err(|why| format!("slopes: {what}: {why}"))? {
