lab: hollow forwarders on a virtual clock, and the experiment "scale"

The size in two years cannot be run as processes on one machine. A hollow forwarder runs the daemon's own crates (membership, duties, sharing's Probing, the directory, the list's parser, the core with its discovery refresh) on a virtual clock over in-memory links, in shards on a few threads; what is rewritten (the list actor, the encoding of the peers' actor) is named in the report. Faults of the links: a zone lost, a region cut off and back, a twentieth restarted.

`scale` first compares real daemons with as many hollow ones, then plays rising sizes; its claims are on the worst forwarder of the worst size, and claims_by_size has each. What would need more than half of the memory or 300 processes ends with one line and status 2 before it starts.

--- a/lab/src/experiments/mod.rs
+++ b/lab/src/experiments/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod idle;
 mod lease;
+mod scale;
 mod sizes;
 
 use crate::report::Report;
@@ -52,6 +53,7 @@
     "lease-stall", "leases of 22 duties under stalls, cuts, loss, delay, and voters killed and wiped", lease::stall;
     "idle-50k", "50,000 destinations of which few are in use: memory, processor, list, waking, rest", idle::run;
     "list-size", "30, 300 and 1,024 endpoints listed, then all used: memory and threads", sizes::run;
+    "scale", "hollow forwarders by the thousand beside real daemons: control, list changes and faults", scale::run;
     "fleet-limit", "2 to 100 modules at a limit that refused calls use up, and their calls for the list", fleet::limit;
 }
 
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod experiments;
 mod http;
 pub mod report;
+pub mod scale;
 pub mod senders;
 pub mod world;
