--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -5,6 +5,7 @@
 //!   - [`world::discovery`]: the endpoint list, and the platform's end of notices.
 //!   - [`world::net`]: the network between daemons, which can be cut one way or both.
 //!   - [`world::clients`]: load that does not wait for answers.
+//! - [`scale`] has hollow forwarders by the thousand on a virtual clock.
 //! - [`senders`] has many modules on a virtual clock, without a daemon.
 //! - [`daemon`] starts real daemons, and kills, stops and starts them again.
 //! - [`report`] is what an experiment ends in: claims, each with a figure and a bound, as a table and JSON.
--- a/lab/src/scale/meter.rs
+++ b/lab/src/scale/meter.rs
@@ -100,7 +100,8 @@
 const IDLE_WAKES_PER_S: f64 = 50.0;
 /// A busy one, as a voter among a thousand is.
 const BUSY_WAKES_PER_S: f64 = 1_300.0;
-const PAUSE_LEAST_S: f64 = 1e-4;
+/// An answer on loopback that has not come by then is lost.
+const ANSWER: Duration = Duration::from_secs(5);
 /// Of the intervals.
 const SEED: u64 = 1;
 /// A timer that never fires while a datagram is waited for: a member always has one.
@@ -166,19 +167,17 @@
 fn round_s(rounds: u32, wakes_per_s: f64) -> Result<f64, String> {
     let (driver, actor) = (open()?, open()?);
     let (from, to) = (address(&driver)?, address(&actor)?);
+    driver.set_read_timeout(Some(ANSWER)).map_err(|e| e.to_string())?;
     let mut rng = StdRng::seed_from_u64(SEED);
     let actor = std::thread::spawn(move || async_io::block_on(answer(actor, from, rounds)));
     let (process, own) = (process_cpu_s(), thread_cpu_s());
     let mut bytes = [0; BYTES];
     for _ in 0..rounds {
         let pause = -rng.random_range(f64::MIN_POSITIVE..1.0).ln() / wakes_per_s;
-        let pause = Duration::from_secs_f64(pause.max(PAUSE_LEAST_S));
-        driver.set_read_timeout(Some(pause)).map_err(|e| e.to_string())?;
+        // Finer than the timeout of a socket, which is in ticks of the system.
+        std::thread::sleep(Duration::from_secs_f64(pause));
         driver.send_to(&bytes, to).map_err(|e| e.to_string())?;
-        // An answer that is late on a busy machine comes instead of the pause.
-        let _ = driver.recv_from(&mut bytes);
-        // Nothing comes: this is the pause.
-        let _ = driver.recv_from(&mut bytes);
+        driver.recv_from(&mut bytes).map_err(|e| format!("no answer on loopback: {e}"))?;
     }
     let used = (process_cpu_s() - process) - (thread_cpu_s() - own);
     actor.join().map_err(|_| "the actor has ended".to_owned())??;
