--- /dev/null
+++ b/tests/common/fleet/mod.rs
@@ -0,0 +1,271 @@
+//! An emulator of a fleet of senders that share one destination, on a virtual clock and without a network.
+//!
+//! Each sender is a [`Brain`] of its own. They meet only in the connection tables of the destination's endpoints: a
+//! connection that one sender keeps idle is one that no other sender can open. A run is the same every time.
+#![allow(dead_code)] // each test file uses its part
+
+mod endpoint;
+mod report;
+mod scenario;
+
+pub use report::Report;
+pub use scenario::{Outage, Scenario};
+
+use endpoint::{Connection, Endpoint};
+use onyxrock::Brain;
+use onyxrock::interface::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use scenario::{CALL, CLASS_SHARES, CONNECT_REFUSED, HANDSHAKE, IDLE_LIMIT, START};
+use std::collections::BTreeMap;
+
+/// Something that is due at a time.
+enum Due {
+    /// The next message of the traffic arrives.
+    Arrival,
+    /// A sender asked to be woken.
+    Wake(usize),
+    /// A call ends.
+    End(CallId),
+    /// A connection that was kept at this time may have been idle for too long.
+    IdleLimit(usize, ReceiverId, Micros),
+    /// The endpoints stop.
+    Down,
+    /// The endpoints run again.
+    Up,
+}
+
+/// A message and the number of the attempt.
+type CallId = (MessageId, u32);
+
+/// A call that is out.
+struct Call {
+    sender: usize,
+    to: ReceiverId,
+    sent: Micros,
+    verdict: Verdict,
+    connection: Option<Connection>,
+}
+
+/// One process of the fleet.
+struct Sender {
+    brain: Brain,
+    /// Connections kept open without a call, the longest idle first.
+    idle: BTreeMap<ReceiverId, Vec<Connection>>,
+}
+
+/// A message that is under way.
+struct Pending {
+    class: usize,
+    arrived: Micros,
+    attempts: u32,
+}
+
+/// The senders, the endpoints and the clock.
+pub struct Fleet {
+    scenario: Scenario,
+    now: Micros,
+    queue: BTreeMap<(Micros, u64), Due>,
+    queued: u64,
+    rng: StdRng,
+    senders: Vec<Sender>,
+    endpoints: BTreeMap<ReceiverId, Endpoint>,
+    pending: BTreeMap<MessageId, Pending>,
+    calls: BTreeMap<CallId, Call>,
+    report: Report,
+}
+
+impl Fleet {
+    /// Plays a scenario to its end: the traffic, and then the longest time that a message may take.
+    pub fn run(scenario: Scenario) -> Report {
+        let mut fleet = Fleet::new(scenario);
+        while let Some(((at, _), due)) = fleet.queue.pop_first() {
+            fleet.now = at;
+            if at > fleet.scenario.end() {
+                break;
+            }
+            fleet.handle(due);
+        }
+        fleet.report
+    }
+
+    fn new(scenario: Scenario) -> Fleet {
+        let senders = (0..scenario.senders).map(|number| Sender {
+            brain: Brain::new(scenario.settings(number), scenario.seed * 1000 + u64::from(number)),
+            idle: BTreeMap::new(),
+        });
+        let endpoints = scenario.receivers().map(|id| (id, Endpoint::new(&scenario)));
+        let mut fleet = Fleet {
+            now: START,
+            queue: BTreeMap::new(),
+            queued: 0,
+            rng: StdRng::seed_from_u64(scenario.seed),
+            senders: senders.collect(),
+            endpoints: endpoints.collect(),
+            pending: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            report: Report::new(&scenario),
+            scenario,
+        };
+        for number in 0..fleet.senders.len() {
+            fleet.hand_in(number, Event::DiskList(fleet.scenario.list()));
+        }
+        fleet.schedule(START, Due::Arrival);
+        if let Some(outage) = fleet.scenario.outage {
+            fleet.schedule(START.after(outage.from), Due::Down);
+            outage.until.iter().for_each(|until| fleet.schedule(START.after(*until), Due::Up));
+        }
+        fleet
+    }
+
+    fn schedule(&mut self, at: Micros, due: Due) {
+        self.queued += 1;
+        self.queue.insert((at, self.queued), due);
+    }
+
+    fn handle(&mut self, due: Due) {
+        match due {
+            Due::Arrival => self.arrive(),
+            Due::Wake(number) => self.hand_in(number, Event::Wake),
+            Due::End(id) => self.end_call(id),
+            Due::IdleLimit(number, to, kept) => self.close_idle(number, to, |c| c.used == kept),
+            Due::Down => self.endpoints.values_mut().for_each(Endpoint::stop),
+            Due::Up => self.endpoints.values_mut().for_each(Endpoint::start),
+        }
+    }
+
+    /// Hands one event to a sender and carries out what it decides.
+    fn hand_in(&mut self, number: usize, event: Event) {
+        let mut actions = Vec::new();
+        let brain = &mut self.senders[number].brain;
+        brain.on_event(self.now, event, &mut actions);
+        brain.decide(self.now, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, receiver, patience } => self.call(number, id, receiver, patience),
+                Action::CloseIdle(to) => self.close_idle(number, to, |_| true),
+                Action::CallOff { id, attempt } => self.call_off((id, attempt)),
+                Action::WakeAfter(span) => self.schedule(self.now.after(span), Due::Wake(number)),
+                Action::Refuse { id, .. } | Action::Fail(id) => self.give_up(id),
+                Action::Tell(_) | Action::Follow | Action::Log(_) => {}
+            }
+        }
+    }
+
+    /// A message arrives at any sender, and the next one is due after an exponential gap.
+    fn arrive(&mut self) {
+        if self.now >= self.scenario.traffic_end() {
+            return;
+        }
+        let number = self.rng.random_range(0..self.senders.len());
+        let class = self.draw_class();
+        let id = MessageId(self.report.offered + 1);
+        self.report.arrived(number, self.scenario.worth(class, Micros(0)));
+        self.pending.insert(id, Pending { class, arrived: self.now, attempts: 0 });
+        self.hand_in(number, Event::Submit(self.scenario.message(id, class)));
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.scenario.offered_per_s();
+        self.schedule(self.now.after(Micros::from_secs(gap)), Due::Arrival);
+    }
+
+    fn draw_class(&mut self) -> usize {
+        let mut roll = self.rng.random::<f64>();
+        let drawn = CLASS_SHARES.iter().position(|share| {
+            roll -= share;
+            roll < 0.0
+        });
+        drawn.unwrap_or(0)
+    }
+
+    fn draw(&mut self, span: (Micros, Micros)) -> Micros {
+        Micros(self.rng.random_range(span.0.0..=span.1.0))
+    }
+
+    /// Makes a call: over a kept connection if there is one, else over a new one if the table has room for it.
+    fn call(&mut self, number: usize, id: MessageId, to: ReceiverId, patience: Micros) {
+        self.report.called(self.now);
+        let kept = self.senders[number].idle.get_mut(&to).and_then(Vec::pop);
+        let (work, handshake) = (self.draw(CALL), self.draw(HANDSHAKE));
+        let endpoint = self.endpoints.get_mut(&to).expect("the list names it");
+        let (connection, ready) = match kept {
+            Some(kept) => (Some(kept), Micros(0)),
+            None => (endpoint.connect(self.now), handshake),
+        };
+        let (verdict, takes) = match connection {
+            None => (Verdict::ConnectFailed, CONNECT_REFUSED),
+            Some(_) => endpoint.serve(self.now.after(ready), work),
+        };
+        if connection.is_none() {
+            self.report.connect_refused(self.now);
+        } else if kept.is_none() {
+            self.report.connected();
+        }
+        let takes = ready.after(takes);
+        let (verdict, takes) =
+            if takes > patience { (Verdict::TimedOut, patience) } else { (verdict, takes) };
+        let pending = self.pending.get_mut(&id).expect("only what is owed is sent");
+        let attempt = pending.attempts;
+        pending.attempts += 1;
+        self.calls.insert((id, attempt), Call { sender: number, to, sent: self.now, verdict, connection });
+        self.schedule(self.now.after(takes), Due::End((id, attempt)));
+    }
+
+    fn call_off(&mut self, id: CallId) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.verdict = Verdict::Cancelled;
+            self.schedule(self.now, Due::End(id));
+        }
+    }
+
+    /// The connection of a call that was answered is kept; the sender then hears of the outcome.
+    fn end_call(&mut self, id: CallId) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        let endpoint = self.endpoints.get_mut(&call.to).expect("the list names it");
+        let lost = call.connection.is_some_and(|c| !endpoint.holds(c));
+        let verdict = if lost { Verdict::Reset } else { call.verdict };
+        if let Some(connection) = call.connection.filter(|_| !lost) {
+            if matches!(verdict, Verdict::Delivered | Verdict::Full(_)) {
+                self.keep(call.sender, call.to, Connection { used: self.now, ..connection });
+            } else {
+                endpoint.close(connection);
+            }
+        }
+        let delivered = verdict == Verdict::Delivered;
+        if delivered {
+            self.deliver(id.0, call.sender);
+        }
+        let outcome = Outcome {
+            id: id.0,
+            attempt: id.1,
+            receiver: call.to,
+            verdict,
+            elapsed: self.now.since(call.sent),
+            finished: delivered,
+            limit: None,
+            left: None,
+        };
+        self.hand_in(call.sender, Event::Outcome(outcome));
+    }
+
+    fn keep(&mut self, number: usize, to: ReceiverId, connection: Connection) {
+        self.senders[number].idle.entry(to).or_default().push(connection);
+        self.schedule(self.now.after(IDLE_LIMIT), Due::IdleLimit(number, to, connection.used));
+    }
+
+    fn close_idle(&mut self, number: usize, to: ReceiverId, which: impl Fn(&Connection) -> bool) {
+        let Some(idle) = self.senders[number].idle.get_mut(&to) else { return };
+        let endpoint = self.endpoints.get_mut(&to).expect("the list names it");
+        idle.extract_if(.., |c| which(c)).for_each(|c| endpoint.close(c));
+    }
+
+    fn deliver(&mut self, id: MessageId, number: usize) {
+        let Some(pending) = self.pending.remove(&id) else { return };
+        let took = self.now.since(pending.arrived);
+        self.report.delivered(self.now, number, self.scenario.worth(pending.class, took));
+    }
+
+    fn give_up(&mut self, id: MessageId) {
+        let Some(pending) = self.pending.remove(&id) else { return };
+        let used = self.now.since(pending.arrived).secs() / self.scenario.deadline(pending.class).secs();
+        self.report.undelivered(used, pending.attempts);
+    }
+}
--- /dev/null
+++ b/tests/common/fleet/report.rs
@@ -0,0 +1,124 @@
+//! What a run of the fleet came to.
+
+use super::scenario::{START, Scenario};
+use onyxrock::interface::Micros;
+use std::collections::BTreeSet;
+
+/// Ended undelivered before this share of its time a message counts as given up early.
+const EARLY: f64 = 0.7;
+
+/// Counts of one second, over all senders.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Second {
+    /// Attempts, those whose connect was refused among them.
+    pub calls: u64,
+    pub connects_refused: u64,
+    pub delivered: u64,
+}
+
+/// Counts of a whole run, over all senders.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    pub offered: u64,
+    pub delivered: u64,
+    /// Worth of what was delivered, as the settings state it, and of all that was offered.
+    pub worth: f64,
+    pub worth_offered: f64,
+    pub connections: u64,
+    pub connects_refused: u64,
+    /// Ended undelivered before seven tenths of their time; of those, without a call.
+    pub early: u64,
+    pub early_untried: u64,
+    pub undelivered: u64,
+    pub seconds: Vec<Second>,
+    senders: BTreeSet<usize>,
+    senders_served: BTreeSet<usize>,
+}
+
+impl Report {
+    pub fn new(scenario: &Scenario) -> Report {
+        let seconds = scenario.end().since(START).secs().ceil() as usize + 1;
+        Report { seconds: vec![Second::default(); seconds], ..Report::default() }
+    }
+
+    fn second(&mut self, now: Micros) -> &mut Second {
+        &mut self.seconds[now.since(START).secs() as usize]
+    }
+
+    pub fn arrived(&mut self, number: usize, worth: f64) {
+        self.offered += 1;
+        self.worth_offered += worth;
+        self.senders.insert(number);
+    }
+
+    pub fn called(&mut self, now: Micros) {
+        self.second(now).calls += 1;
+    }
+
+    pub fn connected(&mut self) {
+        self.connections += 1;
+    }
+
+    pub fn connect_refused(&mut self, now: Micros) {
+        self.connects_refused += 1;
+        self.second(now).connects_refused += 1;
+    }
+
+    pub fn delivered(&mut self, now: Micros, number: usize, worth: f64) {
+        self.delivered += 1;
+        self.worth += worth;
+        self.senders_served.insert(number);
+        self.second(now).delivered += 1;
+    }
+
+    /// A message ended undelivered when this share of its time was used.
+    pub fn undelivered(&mut self, used: f64, attempts: u32) {
+        self.undelivered += 1;
+        if used < EARLY {
+            self.early += 1;
+            self.early_untried += u64::from(attempts == 0);
+        }
+    }
+
+    /// Share of the offered messages that was delivered.
+    pub fn share_delivered(&self) -> f64 {
+        self.delivered as f64 / self.offered as f64
+    }
+
+    /// Share of the offered worth that was delivered, lateness counted.
+    pub fn share_of_worth(&self) -> f64 {
+        self.worth / self.worth_offered
+    }
+
+    /// Share of the senders with traffic that delivered anything.
+    pub fn share_of_senders(&self) -> f64 {
+        self.senders_served.len() as f64 / self.senders.len() as f64
+    }
+
+    /// New connections for each delivery.
+    pub fn connections_each(&self) -> f64 {
+        self.connections as f64 / self.delivered.max(1) as f64
+    }
+
+    /// Refused connects for each offered message.
+    pub fn refused_each(&self) -> f64 {
+        self.connects_refused as f64 / self.offered as f64
+    }
+
+    /// Share of the offered messages that ended undelivered before seven tenths of their time.
+    pub fn share_early(&self) -> f64 {
+        self.early as f64 / self.offered as f64
+    }
+
+    /// Calls a second in these seconds.
+    pub fn calls_per_s(&self, seconds: std::ops::Range<usize>) -> f64 {
+        let count = seconds.len() as f64;
+        self.seconds[seconds].iter().map(|s| s.calls as f64).sum::<f64>() / count
+    }
+
+    /// Deliveries a second in these seconds.
+    pub fn delivered_per_s(&self, seconds: std::ops::Range<usize>) -> f64 {
+        let count = seconds.len() as f64;
+        self.seconds[seconds].iter().map(|s| s.delivered as f64).sum::<f64>() / count
+    }
+}
--- /dev/null
+++ b/tests/common/fleet/scenario.rs
@@ -0,0 +1,179 @@
+//! What a run consists of: the deployment's settings, the destination, the traffic and its troubles.
+
+use onyxrock::interface::*;
+
+/// When a run starts.
+pub const START: Micros = Micros(5_000_000_000);
+/// What a call takes once its connection is up.
+pub const CALL: (Micros, Micros) = (Micros(100_000), Micros(150_000));
+/// What a new connection takes.
+pub const HANDSHAKE: (Micros, Micros) = (Micros(30_000), Micros(60_000));
+/// When a refused connect is known.
+pub const CONNECT_REFUSED: Micros = Micros(30_000);
+/// When the refusal of a used-up limit is known.
+pub const REFUSED_BY_LIMIT: Micros = Micros(20_000);
+/// A connection is closed after so long without a call.
+pub const IDLE_LIMIT: Micros = Micros(10_000_000);
+/// Share of the traffic by class.
+pub const CLASS_SHARES: [f64; 3] = [0.66, 0.18, 0.16];
+
+/// The destination is this part of a sender's traffic: slots and holding room are for all of it.
+const PART_OF_TRAFFIC: f64 = 0.25;
+/// Slots are this multiple of the calls that a sender has out on average ...
+const SLOTS_ROOM: f64 = 2.2;
+/// ... and at least so many.
+const SLOTS_LEAST: f64 = 2.0;
+/// Messages held: the traffic of so many seconds ...
+const HELD_S: f64 = 8.0;
+/// ... and at least so many.
+const HELD_LEAST: f64 = 12.0;
+/// An endpoint that takes any number of connections is offered what one with this table is.
+const TABLE_OF_UNBOUNDED: usize = 14;
+
+const DESTINATION: DestinationId = DestinationId(1);
+
+/// The endpoints refuse every connect, and all that is open to them breaks.
+#[derive(Clone, Copy, Debug)]
+pub struct Outage {
+    /// Counted from the start.
+    pub from: Micros,
+    /// None: for good.
+    pub until: Option<Micros>,
+}
+
+/// One run.
+#[derive(Clone, Debug)]
+pub struct Scenario {
+    pub senders: u32,
+    /// Endpoints of the destination.
+    pub endpoints: u64,
+    /// Connections that each endpoint takes from all senders together, idle ones counted.
+    pub table: usize,
+    /// Calls a second that each endpoint takes, if it has a limit.
+    pub limit_per_s: Option<f64>,
+    /// What is offered, as a share of the capacity.
+    pub load: f64,
+    /// How long messages arrive.
+    pub traffic: Micros,
+    pub outage: Option<Outage>,
+    pub seed: u64,
+}
+
+impl Scenario {
+    /// Forty seconds of messages for one endpoint.
+    pub fn new(senders: u32, table: usize, load: f64) -> Scenario {
+        let traffic = Micros(40_000_000);
+        Scenario { senders, endpoints: 1, table, limit_per_s: None, load, traffic, outage: None, seed: 1 }
+    }
+
+    pub fn receivers(&self) -> impl Iterator<Item = ReceiverId> + use<> {
+        (1..=self.endpoints).map(ReceiverId)
+    }
+
+    /// Calls a second that the destination serves even if every one needs a connection of its own.
+    pub fn capacity_per_s(&self) -> f64 {
+        let table = if self.table == usize::MAX { TABLE_OF_UNBOUNDED } else { self.table };
+        let by_table = table as f64 / (mean_secs(CALL) + mean_secs(HANDSHAKE));
+        self.endpoints as f64 * by_table.min(self.limit_per_s.unwrap_or(f64::INFINITY))
+    }
+
+    /// Messages a second for the destination, over all senders.
+    pub fn offered_per_s(&self) -> f64 {
+        self.load * self.capacity_per_s()
+    }
+
+    pub fn traffic_end(&self) -> Micros {
+        START.after(self.traffic)
+    }
+
+    /// When the last message must have ended.
+    pub fn end(&self) -> Micros {
+        let longest = classes().iter().map(|c| c.give_up).max();
+        self.traffic_end().after(longest.unwrap_or_default()).after(Micros(1_000_000))
+    }
+
+    pub fn deadline(&self, class: usize) -> Micros {
+        classes()[class].give_up
+    }
+
+    /// What a message is worth when it is delivered after so long.
+    pub fn worth(&self, class: usize, took: Micros) -> f64 {
+        let c = &classes()[class];
+        let late = took.since(c.aim).secs() / c.give_up.since(c.aim).secs();
+        c.worth * (1.0 - (1.0 - c.late_share) * late.min(1.0))
+    }
+
+    pub fn message(&self, id: MessageId, class: usize) -> Message {
+        Message {
+            id,
+            class: ClassId(class),
+            tenant: None,
+            key: None,
+            destination: DESTINATION,
+            left: self.deadline(class),
+        }
+    }
+
+    pub fn list(&self) -> Vec<Entry> {
+        let entry = |receiver| Entry {
+            receiver,
+            listing: Listing::Ready,
+            destination: DESTINATION,
+            kind: KindId(0),
+            zone: ZoneId(0),
+            weight: self.capacity_per_s() / self.endpoints as f64,
+        };
+        self.receivers().map(entry).collect()
+    }
+
+    /// The settings of one sender of a deployment like `tema-depot`, where many small senders share small partners.
+    pub fn settings(&self, number: u32) -> Settings {
+        let traffic = self.offered_per_s() / f64::from(self.senders) / PART_OF_TRAFFIC;
+        let out = traffic * mean_secs(CALL);
+        Settings {
+            classes: classes(),
+            kinds: vec![KindSettings { apart: false, batch: 1 }],
+            zone_fees: vec![0.0],
+            fade: Fade::Line,
+            over_share_worth: 1.0,
+            slots: (out * SLOTS_ROOM).ceil().max(SLOTS_LEAST) as u32,
+            max_held: (traffic * HELD_S).ceil().max(HELD_LEAST) as u32,
+            max_attempts: 6,
+            cancel: true,
+            reports: true,
+            senders: self.senders,
+            number,
+            max_retry_after: Micros(2_000_000),
+            weights: Weights::Nominal,
+            fall_multiple: 2.0,
+            fall_window: Micros(3_000_000),
+            cold_from: 0.18,
+            warm_within: Micros(10_000_000),
+            connection_idle: IDLE_LIMIT,
+            ask_every: Micros(10_000_000),
+            ..Settings::default()
+        }
+    }
+}
+
+fn mean_secs(span: (Micros, Micros)) -> f64 {
+    (span.0.secs() + span.1.secs()) / 2.0
+}
+
+/// One keyed class of long life, one safe class of short life, and one that must not be repeated.
+fn classes() -> Vec<ClassSettings> {
+    let keyed = Effect::Keyed { group: Group::Zone, window: Micros(12_000_000) };
+    let class = |effect, aim: u64, give_up: u64, worth, late_share| ClassSettings {
+        aim: Micros(aim * 1000),
+        give_up: Micros(give_up * 1000),
+        effect,
+        in_order: false,
+        worth,
+        late_share,
+    };
+    vec![
+        class(keyed, 2500, 28_000, 1.0, 0.3),
+        class(Effect::Safe, 1000, 8000, 2.0, 0.1),
+        class(Effect::Unsafe, 2000, 28_000, 5.0, 0.5),
+    ]
+}
