--- a/tests/common/fleet/endpoint.rs
+++ b/tests/common/fleet/endpoint.rs
@@ -3,8 +3,8 @@
 use super::scenario::{REFUSED_BY_LIMIT, Scenario};
 use onyxrock::interface::{Micros, Verdict};
 
-/// Seconds of the rate limit that may be used at once.
-const LIMIT_DEPTH_S: f64 = 0.6;
+/// The rate limit counts calls in windows of this length.
+const WINDOW: Micros = Micros(2_000_000);
 
 /// An open connection of one sender.
 #[derive(Clone, Copy, Debug)]
@@ -15,20 +15,25 @@
     pub used: Micros,
 }
 
-/// A token bucket of which every call takes part.
+/// So many calls in each window of a fixed length; refused ones do not count.
 struct RateLimit {
-    per_s: f64,
-    tokens: f64,
-    refilled: Micros,
+    most: f64,
+    window: u64,
+    taken: f64,
 }
 
 impl RateLimit {
+    fn new(per_s: f64) -> RateLimit {
+        RateLimit { most: per_s * WINDOW.secs(), window: 0, taken: 0.0 }
+    }
+
     fn take(&mut self, now: Micros) -> bool {
-        let gained = now.since(self.refilled).secs() * self.per_s;
-        self.tokens = (self.tokens + gained).min((self.per_s * LIMIT_DEPTH_S).max(1.0));
-        self.refilled = self.refilled.max(now);
-        let free = self.tokens >= 1.0;
-        self.tokens -= f64::from(u8::from(free));
+        let window = now.0 / WINDOW.0;
+        if window > self.window {
+            (self.window, self.taken) = (window, 0.0);
+        }
+        let free = self.taken + 1.0 <= self.most;
+        self.taken += f64::from(u8::from(free));
         free
     }
 }
@@ -44,8 +49,13 @@
 
 impl Endpoint {
     pub fn new(scenario: &Scenario) -> Endpoint {
-        let limit = |per_s| RateLimit { per_s, tokens: 1.0, refilled: Micros(0) };
-        Endpoint { table: scenario.table, open: 0, up: true, run: 0, limit: scenario.limit_per_s.map(limit) }
+        Endpoint {
+            table: scenario.table,
+            open: 0,
+            up: true,
+            run: 0,
+            limit: scenario.limit_per_s.map(RateLimit::new),
+        }
     }
 
     /// Accepts a connection if it runs and its table has room.
--- a/tests/common/fleet/mod.rs
+++ b/tests/common/fleet/mod.rs
@@ -67,7 +67,10 @@
     now: Micros,
     queue: BTreeMap<(Micros, u64), Due>,
     queued: u64,
-    rng: StdRng,
+    /// Chance of the traffic: the same messages come whatever the senders do.
+    traffic: StdRng,
+    /// Chance of the calls.
+    network: StdRng,
     senders: Vec<Sender>,
     endpoints: BTreeMap<ReceiverId, Endpoint>,
     pending: BTreeMap<MessageId, Pending>,
@@ -89,6 +92,12 @@
         fleet.report
     }
 
+    /// The counts of a scenario together, played with each of these seeds.
+    pub fn run_all(scenario: &Scenario, seeds: std::ops::RangeInclusive<u64>) -> Report {
+        let runs = seeds.map(|seed| Fleet::run(Scenario { seed, ..scenario.clone() }));
+        runs.reduce(Report::merge).expect("at least one seed")
+    }
+
     fn new(scenario: Scenario) -> Fleet {
         let senders = (0..scenario.senders).map(|number| Sender {
             brain: Brain::new(scenario.settings(number), scenario.seed * 1000 + u64::from(number)),
@@ -99,7 +108,8 @@
             now: START,
             queue: BTreeMap::new(),
             queued: 0,
-            rng: StdRng::seed_from_u64(scenario.seed),
+            traffic: StdRng::seed_from_u64(scenario.seed),
+            network: StdRng::seed_from_u64(!scenario.seed),
             senders: senders.collect(),
             endpoints: endpoints.collect(),
             pending: BTreeMap::new(),
@@ -157,18 +167,18 @@
         if self.now >= self.scenario.traffic_end() {
             return;
         }
-        let number = self.rng.random_range(0..self.senders.len());
+        let number = self.traffic.random_range(0..self.senders.len());
         let class = self.draw_class();
         let id = MessageId(self.report.offered + 1);
         self.report.arrived(number, self.scenario.worth(class, Micros(0)));
         self.pending.insert(id, Pending { class, arrived: self.now, attempts: 0 });
         self.hand_in(number, Event::Submit(self.scenario.message(id, class)));
-        let gap = -(1.0 - self.rng.random::<f64>()).ln() / self.scenario.offered_per_s();
+        let gap = -(1.0 - self.traffic.random::<f64>()).ln() / self.scenario.offered_per_s();
         self.schedule(self.now.after(Micros::from_secs(gap)), Due::Arrival);
     }
 
     fn draw_class(&mut self) -> usize {
-        let mut roll = self.rng.random::<f64>();
+        let mut roll = self.traffic.random::<f64>();
         let drawn = CLASS_SHARES.iter().position(|share| {
             roll -= share;
             roll < 0.0
@@ -177,7 +187,7 @@
     }
 
     fn draw(&mut self, span: (Micros, Micros)) -> Micros {
-        Micros(self.rng.random_range(span.0.0..=span.1.0))
+        Micros(self.network.random_range(span.0.0..=span.1.0))
     }
 
     /// Makes a call: over a kept connection if there is one, else over a new one if the table has room for it.
--- a/tests/common/fleet/report.rs
+++ b/tests/common/fleet/report.rs
@@ -31,14 +31,37 @@
     pub early_untried: u64,
     pub undelivered: u64,
     pub seconds: Vec<Second>,
-    senders: BTreeSet<usize>,
-    senders_served: BTreeSet<usize>,
+    /// Senders with traffic, and those of them that delivered any, by run and number.
+    senders: BTreeSet<(u64, usize)>,
+    senders_served: BTreeSet<(u64, usize)>,
+    run: u64,
 }
 
 impl Report {
     pub fn new(scenario: &Scenario) -> Report {
         let seconds = scenario.end().since(START).secs().ceil() as usize + 1;
-        Report { seconds: vec![Second::default(); seconds], ..Report::default() }
+        Report { seconds: vec![Second::default(); seconds], run: scenario.seed, ..Report::default() }
+    }
+
+    /// The counts of two runs of one scenario together.
+    pub fn merge(mut self, other: Report) -> Report {
+        self.offered += other.offered;
+        self.delivered += other.delivered;
+        self.worth += other.worth;
+        self.worth_offered += other.worth_offered;
+        self.connections += other.connections;
+        self.connects_refused += other.connects_refused;
+        self.early += other.early;
+        self.early_untried += other.early_untried;
+        self.undelivered += other.undelivered;
+        for (mine, theirs) in self.seconds.iter_mut().zip(other.seconds) {
+            mine.calls += theirs.calls;
+            mine.connects_refused += theirs.connects_refused;
+            mine.delivered += theirs.delivered;
+        }
+        self.senders.extend(other.senders);
+        self.senders_served.extend(other.senders_served);
+        self
     }
 
     fn second(&mut self, now: Micros) -> &mut Second {
@@ -48,7 +71,7 @@
     pub fn arrived(&mut self, number: usize, worth: f64) {
         self.offered += 1;
         self.worth_offered += worth;
-        self.senders.insert(number);
+        self.senders.insert((self.run, number));
     }
 
     pub fn called(&mut self, now: Micros) {
@@ -67,7 +90,7 @@
     pub fn delivered(&mut self, now: Micros, number: usize, worth: f64) {
         self.delivered += 1;
         self.worth += worth;
-        self.senders_served.insert(number);
+        self.senders_served.insert((self.run, number));
         self.second(now).delivered += 1;
     }
 
