Repeats within a window of one second: on a virtual clock and over restarts

Seen to fail with a guard taken away: the wait of 0.6 of a window, the end of sends with it, the question before the first byte, the first attempt as its beginning, and what a restart hands over.

--- a/tests/fleet_restart.rs
+++ b/tests/fleet_restart.rs
@@ -66,6 +66,18 @@
     Fixture { settings, names, mix, limit: (10, 2000) }
 }
 
+impl Fixture {
+    /// The same with another window for repeats.
+    fn with_window(mut self, span: u64) -> Fixture {
+        for class in &mut self.settings.classes {
+            if let Effect::Keyed { window, .. } = &mut class.effect {
+                *window = ms(span);
+            }
+        }
+        self
+    }
+}
+
 struct Sender {
     desk: Option<Desk>,
     log: Vec<Record>,
@@ -316,7 +328,17 @@
 
 #[test]
 fn all_senders_restart_at_full_load_then_a_burst_and_each_message_ends_once() {
-    for (name, fix) in [("first", first()), ("second", second())] {
+    each_message_ends_once([("first", first()), ("second", second())]);
+}
+
+/// Such a window passes while a sender is down.
+#[test]
+fn all_senders_restart_where_repeats_are_dropped_for_a_second_alone() {
+    each_message_ends_once([("first", first().with_window(1000)), ("second", second().with_window(1000))]);
+}
+
+fn each_message_ends_once(fixtures: [(&str, Fixture); 2]) {
+    for (name, fix) in fixtures {
         let fleet = play(fix);
         assert!(
             fleet.world.twice.is_empty(),
--- /dev/null
+++ b/tests/short_window.rs
@@ -0,0 +1,123 @@
+//! A window for repeats of one second: what is repeated goes within it, and what can't go within it never goes again.
+
+mod common;
+use common::*;
+use onyxrock::interface::*;
+
+const WINDOW: Micros = Micros(1_000_000);
+/// Endpoints of one destination; those of odd number are in the first zone, the others in the second.
+const ENDPOINTS: [u64; 4] = [1, 2, 3, 4];
+const SECOND_ZONE: [u64; 2] = [2, 4];
+
+/// Keyed messages whose repeats are dropped for a second.
+fn settings_of_restart_days() -> Settings {
+    let mut set = settings();
+    for class in &mut set.classes {
+        if let Effect::Keyed { window, .. } = &mut class.effect {
+            *window = WINDOW;
+        }
+    }
+    set
+}
+
+/// One destination that has been used lately.
+fn rig() -> Rig {
+    let listed = ENDPOINTS.map(|r| entry(r, 1, 0, (r as usize - 1) % 2)).to_vec();
+    let mut rig = Rig::new(settings_of_restart_days(), listed);
+    rig.warm(1000, 8, 1);
+    rig.sent.clear();
+    rig
+}
+
+/// Attempts of the message that left after its window, counted from the first one.
+fn late(rig: &Rig, id: u64) -> usize {
+    let sent: Vec<_> = rig.sent.iter().filter(|s| s.id == id).collect();
+    sent.iter().filter(|s| s.at.since(sent[0].at) >= WINDOW).count()
+}
+
+#[test]
+fn an_answer_is_waited_for_so_shortly_that_a_repeat_fits_into_the_window() {
+    for class in [ORDERED, ZONED] {
+        let mut rig = rig();
+        rig.submit(1, class, 1);
+        let patience = rig.sent[0].patience;
+        rig.pass(patience);
+        rig.answer(1, Verdict::TimedOut);
+        rig.pass(ms(3000));
+        assert_eq!((rig.sends_of(1), late(&rig, 1)), (2, 0), "class {class}, waited for {patience:?}");
+    }
+}
+
+#[test]
+fn what_fails_behind_the_window_never_goes_again() {
+    for class in [ORDERED, ZONED] {
+        for verdict in [Verdict::TimedOut, Verdict::Reset, Verdict::Error] {
+            let mut rig = rig();
+            rig.submit(1, class, 1);
+            rig.pass(ms(1010));
+            rig.answer(1, verdict);
+            rig.pass(ms(25_000));
+            assert_eq!(rig.sends_of(1), 1, "class {class}, {verdict:?}");
+            assert_eq!(rig.failed, [1], "class {class}, {verdict:?}: nothing else is promised");
+        }
+    }
+}
+
+/// A repeat that fails within its own second, but behind that of the first attempt, is the last.
+#[test]
+fn the_window_runs_from_the_first_attempt_that_may_have_run() {
+    for class in [ORDERED, ZONED] {
+        let mut rig = rig();
+        rig.submit(1, class, 1);
+        rig.pass(ms(500));
+        rig.answer(1, Verdict::Reset);
+        assert_eq!(rig.sends_of(1), 2, "class {class}: the window is used");
+        rig.pass(ms(700));
+        rig.answer(1, Verdict::Reset);
+        rig.pass(ms(3000));
+        assert_eq!((rig.sends_of(1), late(&rig, 1)), (2, 0), "class {class}");
+    }
+}
+
+/// Decided on within the window, a repeat may wait for its connection: it is asked again before its first byte.
+#[test]
+fn a_repeat_whose_connection_comes_up_behind_the_window_does_not_leave() {
+    let mut rig = rig();
+    rig.submit(1, ZONED, 1);
+    rig.pass(ms(300));
+    rig.answer(1, Verdict::Reset);
+    rig.pass(ms(300));
+    let repeat = rig.out.first().cloned().expect("the repeat is decided on");
+    let leave = |rig: &Rig, after: u64| {
+        let at = rig.sent[0].at.after(ms(after));
+        rig.brain.leave(at, MessageId(1), repeat.attempt, ReceiverId(repeat.receiver))
+    };
+    assert_eq!(leave(&rig, 990), Leave::Go);
+    assert_eq!(leave(&rig, 1000), Leave::Late);
+}
+
+/// What a restart finds with an attempt out: so long ago it was sent, and so often it goes.
+#[test]
+fn after_a_restart_the_window_of_before_binds() {
+    for (ago, sends) in [(300, 1), (990, 0), (1500, 0)] {
+        for class in [ORDERED, ZONED] {
+            let mut rig = rig();
+            let first = Micros(rig.now.0 - ago * 1000);
+            let message = Message {
+                id: MessageId(1),
+                class: ClassId(class),
+                tenant: None,
+                key: None,
+                destination: DestinationId(1),
+                left: ms(18_000),
+            };
+            let past = Past { attempts: 1, maybe_ran: Some((first, ZoneId(1))) };
+            rig.event(Event::Resume(message, past));
+            rig.pass(ms(2000));
+            assert_eq!(rig.sends_of(1), sends, "class {class}, sent {ago} ms ago");
+            let elsewhere =
+                rig.sent.iter().filter(|s| class == ZONED && !SECOND_ZONE.contains(&s.receiver)).count();
+            assert_eq!(elsewhere, 0, "the other zone drops nothing");
+        }
+    }
+}
