--- /dev/null
+++ b/tests/list_refresh.rs
@@ -0,0 +1,80 @@
+//! After a call for the list that failed: when the next one goes, in fleets of any size, on a virtual clock.
+
+mod common;
+use common::*;
+use onyxrock::Brain;
+use onyxrock::interface::*;
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+/// A change counts as known so long after discovery had it and could be reached.
+const KNOWN_WITHIN: Micros = Micros(6_000_000);
+/// What a call takes that opens its connection and is answered at once, also by a discovery that has much to do.
+const CALL: Micros = Micros(500_000);
+/// More failures in a row than any pause takes to grow to its longest.
+const FAILURES: usize = 12;
+
+fn fleet(senders: u32, number: u32, ask_every: Micros) -> Settings {
+    Settings { senders, number, subscribe: true, ask_every, ..settings() }
+}
+
+/// The pause before each call for the list that follows a failed one, with a list held from before or without.
+fn pauses(set: Settings, seed: u64, held: bool) -> Vec<Micros> {
+    let mut rig = Rig::new(set.clone(), vec![]);
+    rig.brain = Brain::new(set, seed);
+    rig.follows = 0;
+    let first = if held { Event::DiskList(vec![entry(1, 1, 0, 0)]) } else { Event::Wake };
+    rig.event(first);
+    let mut pauses = Vec::new();
+    let mut asked = 0;
+    while pauses.len() <= FAILURES {
+        let waits = rig.now;
+        while rig.follows == asked {
+            rig.pass(ms(10));
+            assert!(rig.now.since(waits) < ms(600_000), "it asks again");
+        }
+        asked = rig.follows;
+        pauses.push(rig.now.since(waits));
+        rig.event(Event::ListFailed);
+    }
+    // The first call is the one of the start.
+    pauses.split_off(1)
+}
+
+/// The longest pause after a failed call that any of a fleet makes.
+fn longest_pause(senders: u32, ask_every: Micros, held: bool) -> Micros {
+    let numbers = [0, senders / 2, senders - 1];
+    let all = numbers.into_iter().flat_map(|n| pauses(fleet(senders, n, ask_every), u64::from(n), held));
+    all.max().expect("some calls failed")
+}
+
+/// Discovery may have had a change, and be there again, from the moment in which a call failed.
+#[test]
+fn after_any_failed_call_the_next_one_is_in_time_for_a_change() {
+    let mut late = Vec::new();
+    for senders in [1, 8, 9, 30, 100, 300, 1024] {
+        for ask_every in [0, 1000, 10_000, 60_000].map(ms) {
+            for held in [true, false] {
+                let pause = longest_pause(senders, ask_every, held);
+                if pause.after(CALL) > KNOWN_WITHIN {
+                    late.push(format!("{senders} senders that ask every {ask_every:?}: {pause:?}"));
+                }
+            }
+        }
+    }
+    assert!(late.is_empty(), "asked again so long after a failure:\n{}", late.join("\n"));
+}
+
+/// What all of a fleet ask again must not come at once: discovery could answer none of it in time.
+#[rstest]
+fn calls_after_a_failure_of_all_are_spread(#[values(30, 100, 300)] senders: u32) {
+    let first = |number| pauses(fleet(senders, number, ms(10_000)), u64::from(number), false)[0];
+    let mut tenths: BTreeMap<u64, u32> = BTreeMap::new();
+    (0..senders).for_each(|number| *tenths.entry(first(number).0 / 100_000).or_default() += 1);
+    let most = tenths.values().copied().max().expect("there are senders");
+    // Evenly over three seconds a tenth of a second gets one in thirty.
+    assert!(
+        f64::from(most) <= f64::from(senders) / 30.0 * 2.0 + 3.0,
+        "{most} of {senders} in 0.1 s: {tenths:?}"
+    );
+}
