Scenario: idle clients fill the descriptors while discovery is down

A hundred silent clients come again whenever they are sent off, at a process that is let have 64 descriptors. A request is served meanwhile, and what discovery tells when it is back is known.

--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -45,6 +46,20 @@
     address
 }
 
+/// Keeps so many silent connections open to an address until it is over.
+pub fn besiege(to: SocketAddr, count: usize, over: Arc<AtomicBool>) {
+    for _ in 0..count {
+        let over = over.clone();
+        std::thread::spawn(move || {
+            while !over.load(Ordering::Relaxed) {
+                let Ok(mut stream) = TcpStream::connect(to) else { return };
+                // Until it is closed by the other side.
+                let _ = stream.read(&mut [0]);
+            }
+        });
+    }
+}
+
 /// Tells of each call as `ID key=KEY body=BODY`, and keeps its connection for the answer.
 pub fn endpoint(post: Post) -> SocketAddr {
     serve(move |stream| {
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -10,7 +10,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -134,6 +134,10 @@
     /// The process that was there before the one beside it.
     old: Option<Child>,
     limits: Value,
+    /// Crowds that come again whenever they are sent off, until this is set.
+    over: Arc<AtomicBool>,
+    /// Descriptors that the system lets the program have.
+    descriptors: Option<u32>,
     http: Option<SocketAddr>,
     smpp: Option<SocketAddr>,
     seen: Arc<Mutex<String>>,
@@ -166,6 +170,8 @@
             child,
             old: None,
             limits,
+            over: Arc::default(),
+            descriptors: None,
             http,
             smpp,
             seen,
@@ -175,6 +181,7 @@
 
 impl Drop for Stage {
     fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
         for child in self.child.iter_mut().chain(&mut self.old) {
             let _ = child.kill();
             let _ = child.wait();
@@ -220,6 +227,10 @@
                 self.limits[key] = json!(n.parse::<f64>().map_err(|e| e.to_string())?);
                 Ok(())
             }
+            ["given", "descriptors", n] => {
+                self.descriptors = Some(n.parse().map_err(|_| "how many?")?);
+                Ok(())
+            }
             ["given", "setting", setting] => {
                 let (key, value) = setting.split_once('=').ok_or("setting=value")?;
                 let value = serde_json::from_str(value).map_err(|e| e.to_string())?;
@@ -256,6 +267,12 @@
                 }
                 Ok(())
             }
+            // Silent clients that come again whenever they are sent off.
+            ["given", "siege", n] => {
+                let count = n.parse().map_err(|_| "how many?")?;
+                http::besiege(self.http.ok_or("no daemon")?, count, self.over.clone());
+                Ok(())
+            }
             ["given", "clients", n] => {
                 let until = std::time::Instant::now() + BOUND;
                 for i in 0..n.parse().map_err(|_| "how many?")? {
@@ -424,6 +441,15 @@
         file
     }
 
+    /// The program; behind a shell that bounds its descriptors, where they are bounded.
+    fn command(&self) -> Command {
+        let program = env!("CARGO_BIN_EXE_onyxrock");
+        let Some(most) = self.descriptors else { return Command::new(program) };
+        let mut shell = Command::new("sh");
+        shell.args(["-c", &format!("ulimit -n {most} && exec \"$0\" \"$@\""), program]);
+        shell
+    }
+
     fn start(&mut self, listen: &str) -> Done {
         let file = self.configure();
         let mut toml = "[smpp]\nlisten = \"127.0.0.1:0\"\nsystem_id = \"onyxrock\"\nenquire_link_s = 1\nwindow = 4\n\
@@ -459,7 +485,8 @@
         toml += &self.sections;
         let product = self.folder.join("product.toml");
         std::fs::write(&product, toml).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_onyxrock"))
+        let mut child = self
+            .command()
             .args(["serve", "--config", file.to_str().unwrap()])
             .args(["--product", product.to_str().unwrap()])
             .env("GW_LISTEN", listen)
