Full tables also where each sender meets eight destinations of a kind

What one sender learns of the tables of a kind it learns at several destinations, as on the deployments measured.

--- a/tests/common/fleet/mod.rs
+++ b/tests/common/fleet/mod.rs
@@ -1,6 +1,6 @@
-//! An emulator of a fleet of senders that share one destination, on a virtual clock and without a network.
+//! An emulator of a fleet of senders that share destinations, on a virtual clock and without a network.
 //!
-//! Each sender is a [`Brain`] of its own. They meet only in the connection tables of the destination's endpoints: a
+//! Each sender is a [`Brain`] of its own. They meet only in the connection tables of the endpoints: a
 //! connection that one sender keeps idle is one that no other sender can open. A run is the same every time.
 #![allow(dead_code, unused_imports)] // each test file uses its part
 
@@ -16,7 +16,7 @@
 use onyxrock::interface::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use scenario::{CALL, CLASS_SHARES, CONNECT_REFUSED, HANDSHAKE, IDLE_LIMIT, START};
+use scenario::{CALL, CLASS_SHARES, CONNECT_REFUSED, FIRST, HANDSHAKE, IDLE_LIMIT, START};
 use std::collections::BTreeMap;
 
 /// Something that is due at a time.
@@ -139,11 +139,20 @@
             Due::Wake(number) => self.hand_in(number, Event::Wake),
             Due::End(id) => self.end_call(id),
             Due::IdleLimit(number, to, kept) => self.close_idle(number, to, |c| c.used == kept),
-            Due::Down => self.endpoints.values_mut().for_each(Endpoint::stop),
-            Due::Up => self.endpoints.values_mut().for_each(|e| e.start(self.now)),
+            Due::Down => self.first_endpoints().for_each(Endpoint::stop),
+            Due::Up => {
+                let now = self.now;
+                self.first_endpoints().for_each(|e| e.start(now));
+            }
         }
     }
 
+    fn first_endpoints(&mut self) -> impl Iterator<Item = &mut Endpoint> {
+        let scenario = &self.scenario;
+        let first = self.endpoints.iter_mut().filter(|(id, _)| scenario.destination(**id) == FIRST);
+        first.map(|(_, endpoint)| endpoint)
+    }
+
     /// Hands one event to a sender and carries out what it decides.
     fn hand_in(&mut self, number: usize, event: Event) {
         let mut actions = Vec::new();
@@ -169,14 +178,23 @@
         }
         let number = self.traffic.random_range(0..self.senders.len());
         let class = self.draw_class();
+        let destination = self.draw_destination();
         let id = MessageId(self.report.offered + 1);
         self.report.arrived(number, self.scenario.worth(class, Micros(0)));
         self.pending.insert(id, Pending { class, arrived: self.now, attempts: 0 });
-        self.hand_in(number, Event::Submit(self.scenario.message(id, class)));
-        let gap = -(1.0 - self.traffic.random::<f64>()).ln() / self.scenario.offered_per_s();
+        self.hand_in(number, Event::Submit(self.scenario.message(id, class, destination)));
+        let gap = -(1.0 - self.traffic.random::<f64>()).ln()
+            / (self.scenario.offered_per_s() * self.scenario.destinations as f64);
         self.schedule(self.now.after(Micros::from_secs(gap)), Due::Arrival);
     }
 
+    fn draw_destination(&mut self) -> DestinationId {
+        match self.scenario.destinations {
+            1 => FIRST,
+            many => DestinationId(self.traffic.random_range(1..=many)),
+        }
+    }
+
     fn draw_class(&mut self) -> usize {
         let mut roll = self.traffic.random::<f64>();
         let drawn = CLASS_SHARES.iter().position(|share| {
@@ -192,7 +210,10 @@
 
     /// Makes a call: over a kept connection if there is one, else over a new one if the table has room for it.
     fn call(&mut self, number: usize, id: MessageId, to: ReceiverId, patience: Micros) {
-        self.report.called(self.now, number);
+        let first = self.scenario.destination(to) == FIRST;
+        if first {
+            self.report.called_first(self.now, number);
+        }
         let kept = self.senders[number].idle.get_mut(&to).and_then(Vec::pop);
         let (work, handshake) = (self.draw(CALL), self.draw(HANDSHAKE));
         let endpoint = self.endpoints.get_mut(&to).expect("the list names it");
@@ -205,7 +226,7 @@
             Some(_) => endpoint.serve(self.now.after(ready), work),
         };
         if connection.is_none() {
-            self.report.connect_refused(self.now);
+            self.report.connect_refused();
         } else if kept.is_none() {
             self.report.connected();
         }
@@ -241,7 +262,7 @@
         }
         let delivered = verdict == Verdict::Delivered;
         if delivered {
-            self.deliver(id.0, call.sender);
+            self.deliver(id.0, &call);
         }
         if matches!(verdict, Verdict::ConnectFailed | Verdict::Reset | Verdict::TimedOut) {
             self.report.failed(call.sender);
@@ -270,10 +291,11 @@
         idle.extract_if(.., |c| which(c)).for_each(|c| endpoint.close(c));
     }
 
-    fn deliver(&mut self, id: MessageId, number: usize) {
+    fn deliver(&mut self, id: MessageId, call: &Call) {
         let Some(pending) = self.pending.remove(&id) else { return };
         let took = self.now.since(pending.arrived);
-        self.report.delivered(self.now, number, self.scenario.worth(pending.class, took));
+        let first = self.scenario.destination(call.to) == FIRST;
+        self.report.delivered(self.now, call.sender, self.scenario.worth(pending.class, took), first);
     }
 
     fn give_up(&mut self, id: MessageId) {
--- a/tests/common/fleet/report.rs
+++ b/tests/common/fleet/report.rs
@@ -7,16 +7,15 @@
 /// Ended undelivered before this share of its time a message counts as given up early.
 const EARLY: f64 = 0.7;
 
-/// Counts of one second, over all senders.
+/// Counts of one second at the first destination, over all senders.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Second {
     /// Attempts, those whose connect was refused among them.
     pub calls: u64,
-    pub connects_refused: u64,
     pub delivered: u64,
 }
 
-/// A call: when it was made, counted from the start, and by whom.
+/// A call to the first destination: when it was made, counted from the start, and by whom.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Made {
     pub at: Micros,
@@ -40,7 +39,7 @@
     pub early_untried: u64,
     pub undelivered: u64,
     pub seconds: Vec<Second>,
-    /// Each call of the run.
+    /// Each call to the first destination.
     pub calls: Vec<Made>,
     /// Senders with traffic, and those of them that delivered any, by run and number.
     senders: BTreeSet<(u64, usize)>,
@@ -69,7 +68,6 @@
         self.undelivered += other.undelivered;
         for (mine, theirs) in self.seconds.iter_mut().zip(other.seconds) {
             mine.calls += theirs.calls;
-            mine.connects_refused += theirs.connects_refused;
             mine.delivered += theirs.delivered;
         }
         self.calls.extend(other.calls);
@@ -88,7 +86,8 @@
         self.senders.insert((self.run, number));
     }
 
-    pub fn called(&mut self, now: Micros, sender: usize) {
+    /// A call to the first destination was made.
+    pub fn called_first(&mut self, now: Micros, sender: usize) {
         self.second(now).calls += 1;
         let warned = self.warned.contains(&sender);
         self.calls.push(Made { at: now.since(START), sender, warned });
@@ -103,16 +102,15 @@
         self.connections += 1;
     }
 
-    pub fn connect_refused(&mut self, now: Micros) {
+    pub fn connect_refused(&mut self) {
         self.connects_refused += 1;
-        self.second(now).connects_refused += 1;
     }
 
-    pub fn delivered(&mut self, now: Micros, number: usize, worth: f64) {
+    pub fn delivered(&mut self, now: Micros, number: usize, worth: f64, first: bool) {
         self.delivered += 1;
         self.worth += worth;
         self.senders_served.insert((self.run, number));
-        self.second(now).delivered += 1;
+        self.second(now).delivered += u64::from(first);
     }
 
     /// A message ended undelivered when this share of its time was used.
--- a/tests/common/fleet/scenario.rs
+++ b/tests/common/fleet/scenario.rs
@@ -17,7 +17,7 @@
 /// Share of the traffic by class.
 pub const CLASS_SHARES: [f64; 3] = [0.66, 0.18, 0.16];
 
-/// The destination is this part of a sender's traffic: slots and holding room are for all of it.
+/// A destination is this part of a sender's traffic, as long as there are few: slots and holding room are for all of it.
 const PART_OF_TRAFFIC: f64 = 0.25;
 /// Slots are this multiple of the calls that a sender has out on average ...
 const SLOTS_ROOM: f64 = 2.2;
@@ -39,7 +39,8 @@
 /// An endpoint that takes any number of connections is offered what one with this table is.
 const TABLE_OF_UNBOUNDED: usize = 14;
 
-const DESTINATION: DestinationId = DestinationId(1);
+/// The destination that has outages, and of which the seconds tell.
+pub const FIRST: DestinationId = DestinationId(1);
 
 /// The endpoints refuse every connect, and all that is open to them breaks.
 #[derive(Clone, Copy, Debug)]
@@ -54,7 +55,9 @@
 #[derive(Clone, Debug)]
 pub struct Scenario {
     pub senders: u32,
-    /// Endpoints of the destination.
+    /// Destinations of one kind, among which the messages are spread evenly.
+    pub destinations: u64,
+    /// Endpoints of each destination.
     pub endpoints: u64,
     /// Connections that each endpoint takes from all senders together, idle ones counted.
     pub table: usize,
@@ -77,6 +80,7 @@
         let weights = Weights::Nominal;
         Scenario {
             senders,
+            destinations: 1,
             endpoints: 1,
             table,
             limit_per_s: None,
@@ -89,17 +93,22 @@
     }
 
     pub fn receivers(&self) -> impl Iterator<Item = ReceiverId> + use<> {
-        (1..=self.endpoints).map(ReceiverId)
+        (1..=self.destinations * self.endpoints).map(ReceiverId)
     }
 
-    /// Calls a second that the destination serves even if every one needs a connection of its own.
+    /// The destination of an endpoint.
+    pub fn destination(&self, receiver: ReceiverId) -> DestinationId {
+        DestinationId((receiver.0 - 1) / self.endpoints + 1)
+    }
+
+    /// Calls a second that each destination serves even if every one needs a connection of its own.
     pub fn capacity_per_s(&self) -> f64 {
         let table = if self.table == usize::MAX { TABLE_OF_UNBOUNDED } else { self.table };
         let by_table = table as f64 / (mean_secs(CALL) + mean_secs(HANDSHAKE));
         self.endpoints as f64 * by_table.min(self.limit_per_s.unwrap_or(f64::INFINITY))
     }
 
-    /// Messages a second for the destination, over all senders.
+    /// Messages a second for each destination, over all senders.
     pub fn offered_per_s(&self) -> f64 {
         self.load * self.capacity_per_s()
     }
@@ -125,13 +134,13 @@
         c.worth * (1.0 - (1.0 - c.late_share) * late.min(1.0))
     }
 
-    pub fn message(&self, id: MessageId, class: usize) -> Message {
+    pub fn message(&self, id: MessageId, class: usize, destination: DestinationId) -> Message {
         Message {
             id,
             class: ClassId(class),
             tenant: None,
             key: None,
-            destination: DESTINATION,
+            destination,
             left: self.deadline(class),
         }
     }
@@ -140,7 +149,7 @@
         let entry = |receiver| Entry {
             receiver,
             listing: Listing::Ready,
-            destination: DESTINATION,
+            destination: self.destination(receiver),
             kind: KindId(0),
             zone: ZoneId(0),
             weight: self.capacity_per_s() / self.endpoints as f64,
@@ -150,7 +159,8 @@
 
     /// The settings of one sender of a deployment like `tema-depot`, where many small senders share small partners.
     pub fn settings(&self, number: u32) -> Settings {
-        let traffic = self.offered_per_s() / f64::from(self.senders) / PART_OF_TRAFFIC;
+        let each = self.offered_per_s() / f64::from(self.senders);
+        let traffic = each * (self.destinations as f64).max(1.0 / PART_OF_TRAFFIC);
         let out = traffic * mean_secs(CALL);
         Settings {
             classes: classes(),
--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -69,7 +69,10 @@
 fn name(s: &Scenario) -> String {
     let table = if s.table == usize::MAX { "any".to_owned() } else { s.table.to_string() };
     let limit = s.limit_per_s.map_or("none".to_owned(), |l| l.to_string());
-    format!("senders {:3} table {table:>3} limit {limit:>4} load {:.2}", s.senders, s.load)
+    format!(
+        "senders {:3} destinations {} table {table:>3} limit {limit:>4} load {:.2}",
+        s.senders, s.destinations, s.load
+    )
 }
 
 /// Plays a case and prints its line of the table of figures.
@@ -97,8 +100,9 @@
 #[rstest]
 fn full_table_is_shared(
     #[values(4, 16, 60, 300)] senders: u32, #[values(6, 14)] table: usize, #[values(0.35, 0.7)] load: f64,
+    #[values(1, 8)] destinations: u64,
 ) {
-    let scenario = Scenario::new(senders, table, load);
+    let scenario = Scenario { destinations, ..Scenario::new(senders, table, load) };
     let seen = play(&scenario);
     let served = 1.0 - erlang_c(table, load).powi(TRIES) - LEARNING;
     let mut bounds = Bounds::default();
