--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -46,23 +46,30 @@
     full / (free + full)
 }
 
-/// The bounds of one case: all are looked at before it fails.
+/// The bounds of a test's cases: all are looked at before it fails.
 #[derive(Default)]
-struct Bounds(Vec<String>);
+struct Bounds {
+    case: String,
+    broken: Vec<String>,
+}
 
 impl Bounds {
+    /// What follows is about this case.
+    fn of(&mut self, scenario: &Scenario) {
+        self.case = name(scenario);
+    }
     fn at_least(&mut self, what: &str, seen: f64, bound: f64) {
         if seen < bound {
-            self.0.push(format!("{what} {seen:.3} < {bound:.3}"));
+            self.broken.push(format!("{}: {what} {seen:.3} < {bound:.3}", self.case));
         }
     }
     fn at_most(&mut self, what: &str, seen: f64, bound: f64) {
         if seen > bound {
-            self.0.push(format!("{what} {seen:.3} > {bound:.3}"));
+            self.broken.push(format!("{}: {what} {seen:.3} > {bound:.3}", self.case));
         }
     }
-    fn hold(self, of: &str) {
-        assert!(self.0.is_empty(), "{of}: {}", self.0.join(", "));
+    fn hold(self) {
+        assert!(self.broken.is_empty(), "\n{}", self.broken.join("\n"));
     }
 }
 
@@ -99,19 +106,23 @@
 /// A sender that holds a connection for its calls alone leaves the table as a queue would, and tries three times at
 /// least. That is the least to be expected, also of the share of senders: none is worse off than a message.
 #[rstest]
-fn full_table_is_shared(
-    #[values(4, 16, 60, 300)] senders: u32, #[values(6, 14)] table: usize, #[values(0.35, 0.7)] load: f64,
-    #[values(1, 8)] destinations: u64,
-) {
-    let scenario = Scenario { destinations, ..Scenario::new(senders, table, load) };
-    let seen = play(&scenario);
-    let served = 1.0 - erlang_c(table, load).powi(TRIES) - LEARNING;
+#[case::few_senders(&[4])]
+#[case::many_senders(&[16, 60, 300])]
+fn full_table_is_shared(#[case] fleets: &[u32], #[values(1, 8)] destinations: u64) {
     let mut bounds = Bounds::default();
-    bounds.at_least("share delivered", seen.share_delivered(), served);
-    bounds.at_least("share of senders", seen.share_of_senders(), served);
-    bounds.at_most("connections", seen.connections_each(), 1.0 + CONNECTIONS_SLACK);
-    bounds.at_most("ended early", seen.share_early(), SPENT);
-    bounds.hold(&name(&scenario));
+    for senders in fleets {
+        for (table, load) in [(6, 0.35), (6, 0.7), (14, 0.35), (14, 0.7)] {
+            let scenario = Scenario { destinations, ..Scenario::new(*senders, table, load) };
+            let seen = play(&scenario);
+            let served = 1.0 - erlang_c(table, load).powi(TRIES) - LEARNING;
+            bounds.of(&scenario);
+            bounds.at_least("share delivered", seen.share_delivered(), served);
+            bounds.at_least("share of senders", seen.share_of_senders(), served);
+            bounds.at_most("connections", seen.connections_each(), 1.0 + CONNECTIONS_SLACK);
+            bounds.at_most("ended early", seen.share_early(), SPENT);
+        }
+    }
+    bounds.hold();
 }
 
 /// Where any number of connections is taken all goes, with no more handshakes than before small tables were thought of:
@@ -129,27 +140,33 @@
     let scenario = Scenario::new(senders, usize::MAX, load);
     let seen = play(&scenario);
     let mut bounds = Bounds::default();
+    bounds.of(&scenario);
     bounds.at_least("share delivered", seen.share_delivered(), 0.999);
     bounds.at_most("connections", seen.connections_each(), connections * 1.05 + 0.005);
     bounds.at_most("ended early", seen.share_early(), 0.0);
-    bounds.hold(&name(&scenario));
+    bounds.hold();
 }
 
+/// Loads and limits of the cases of a little-used limit, in all combinations.
+const LOADS_AND_LIMITS: [(f64, f64); 4] = [(0.7, 2.5), (0.7, 10.0), (1.1, 2.5), (1.1, 10.0)];
+
 /// At seven tenths of a limit there is time for all; what is offered beyond a limit is the most that may be ended early.
 #[rstest]
-fn little_used_limit_ends_few_early(
-    #[values(4, 16, 60, 300)] senders: u32, #[values(6, usize::MAX)] table: usize,
-    #[values(0.7, 1.1)] load: f64, #[values(2.5, 10.0)] limit: f64,
-) {
-    let scenario = Scenario { limit_per_s: Some(limit), ..Scenario::new(senders, table, load) };
-    let seen = play(&scenario);
-    let surplus = (1.0 - 1.0 / load).max(0.0);
+fn little_used_limit_ends_few_early(#[values(6, usize::MAX)] table: usize) {
     let mut bounds = Bounds::default();
-    if surplus == 0.0 {
-        bounds.at_least("share delivered", seen.share_delivered(), 1.0 - LEARNING);
+    for senders in [4, 16, 60, 300] {
+        for (load, limit) in LOADS_AND_LIMITS {
+            let scenario = Scenario { limit_per_s: Some(limit), ..Scenario::new(senders, table, load) };
+            let seen = play(&scenario);
+            let surplus = (1.0 - 1.0 / load).max(0.0);
+            bounds.of(&scenario);
+            if surplus == 0.0 {
+                bounds.at_least("share delivered", seen.share_delivered(), 1.0 - LEARNING);
+            }
+            bounds.at_most("ended early", seen.share_early(), surplus.max(SPENT));
+        }
     }
-    bounds.at_most("ended early", seen.share_early(), surplus.max(SPENT));
-    bounds.hold(&name(&scenario));
+    bounds.hold();
 }
 
 /// Seconds from the return of the endpoint until two seconds deliver seven tenths of what is offered.
@@ -157,33 +174,49 @@
     (0..20).find(|t| r.delivered_per_s(RETURNS + t..RETURNS + t + 2) >= 0.7 * s.offered_per_s())
 }
 
+/// What a fleet did at an endpoint that took any number of connections, before small tables were thought of.
+struct Before {
+    senders: u32,
+    /// Calls a second in each phase of an outage.
+    calls: [f64; 4],
+    /// Seconds until it was used again.
+    back: f64,
+}
+
+const BEFORE: [Before; 4] = [
+    Before { senders: 4, calls: [4.0, 4.0, 2.4, 2.6], back: 1.0 },
+    Before { senders: 16, calls: [21.5, 11.3, 10.8, 9.8], back: 3.0 },
+    Before { senders: 60, calls: [62.3, 19.6, 16.0, 17.9], back: 3.0 },
+    Before { senders: 300, calls: [65.7, 37.8, 26.1, 19.2], back: 1.0 },
+];
+
 /// An endpoint that is gone refuses connects as a full table does. It is found out as soon, tried as seldom and used
-/// again as soon as before small tables were thought of, at an endpoint that took any number of connections.
+/// again as soon as one that takes any number of connections was before.
 #[rstest]
-#[case(4, [4.0, 4.0, 2.4, 2.6], 1)]
-#[case(16, [21.5, 11.3, 10.8, 9.8], 3)]
-#[case(60, [62.3, 19.6, 16.0, 17.9], 3)]
-#[case(300, [65.7, 37.8, 26.1, 19.2], 1)]
+#[case::small_table(1, 14)]
+#[case::unbounded_table(1, usize::MAX)]
+#[case::small_table_of_eight(8, 14)]
 fn endpoint_that_stops_is_found_out(
-    #[case] senders: u32, #[case] calls_before: [f64; 4], #[case] back_before: usize,
-    #[values((1, 14), (1, usize::MAX), (8, 14))] (destinations, table): (u64, usize),
-    #[values(None, Some(RETURNS))] until: Option<usize>,
+    #[case] destinations: u64, #[case] table: usize, #[values(None, Some(RETURNS))] until: Option<usize>,
 ) {
-    let outage = Some(Outage { from: seconds(STOPS), until: until.map(seconds) });
-    let scenario =
-        Scenario { destinations, outage, traffic: seconds(60), ..Scenario::new(senders, table, 0.7) };
-    let seen = play(&scenario);
-    let calls = PHASES.map(|p| seen.calls_per_s(p));
-    let back = back_after(&scenario, &seen);
-    println!("  until {until:?}: calls a second {calls:.1?}, back after {back:?}");
-    let down = PHASES.iter().filter(|p| until.is_none_or(|t| p.end <= t)).count();
     let mut bounds = Bounds::default();
-    for ((phase, calls), before) in PHASES.iter().zip(calls).zip(calls_before).take(down) {
-        bounds.at_most(&format!("calls a second in {phase:?}"), calls, before * 1.15 + 1.0);
-    }
-    if until.is_some() {
-        let back = back.map_or(f64::INFINITY, |t| t as f64);
-        bounds.at_most("seconds until it is used again", back, back_before as f64 + 1.0);
+    for before in BEFORE {
+        let outage = Some(Outage { from: seconds(STOPS), until: until.map(seconds) });
+        let case = Scenario::new(before.senders, table, 0.7);
+        let scenario = Scenario { destinations, outage, traffic: seconds(60), ..case };
+        let seen = play(&scenario);
+        let calls = PHASES.map(|p| seen.calls_per_s(p));
+        let back = back_after(&scenario, &seen);
+        println!("  until {until:?}: calls a second {calls:.1?}, back after {back:?}");
+        bounds.of(&scenario);
+        let down = PHASES.iter().filter(|p| until.is_none_or(|t| p.end <= t)).count();
+        for ((phase, calls), before) in PHASES.iter().zip(calls).zip(before.calls).take(down) {
+            bounds.at_most(&format!("calls a second in {phase:?}"), calls, before * 1.15 + 1.0);
+        }
+        if until.is_some() {
+            let back = back.map_or(f64::INFINITY, |t| t as f64);
+            bounds.at_most("seconds until it is used again", back, before.back + 1.0);
+        }
     }
-    bounds.hold(&name(&scenario));
+    bounds.hold();
 }
