A failed call for the list is repeated within 6 s; live connections vouch for an endpoint

Need: a change counts as known 6 s after discovery had it, whatever call failed; 4, 16, 60 and 300 senders at tables. Seen: tests/list_refresh.rs on untouched main: a pause after a failure of 6.1 s for one sender, 18 s for 100, 53 s for 300. At fault: src/asking.rs Asking::new(): pauses grow with the fleet (0.06 s a sender, twice that at most). They now end at 3.6 s, half as long again by chance.

--- a/src/asking.rs
+++ b/src/asking.rs
@@ -15,6 +15,10 @@
 /// The first pause after a failure.
 const PAUSE_FIRST: Micros = Micros(300_000);
 
+/// A change counts as known 6 s after discovery had it, whatever call failed: the longest pause, half as long again by
+/// chance, leaves a tenth of that for the call.
+const PAUSE_MOST: Micros = Micros(6_000_000 * 9 / 10 * 2 / 3);
+
 #[derive(Clone, Debug)]
 pub(crate) struct Asking {
     at: Option<Micros>,
@@ -31,13 +35,13 @@
 
 impl Asking {
     pub fn new(set: &Settings) -> Asking {
-        let half = Micros(set.ask_every.0 / 2).max(PAUSE_FIRST);
+        let half = Micros(set.ask_every.0 / 2).max(PAUSE_FIRST).min(PAUSE_MOST);
         let (mut shortest, mut longest, mut spread, mut turn) = (PAUSE_FIRST, half, 0.5, Micros(0));
         // Where nothing says how often to ask, every change counts as told at once: then nobody may wait.
         if set.share_much() && set.ask_every > Micros(0) {
             let round = f64::from(set.senders) * CALL_GAP_S;
-            shortest = Micros::from_secs(round).max(PAUSE_FIRST);
-            (longest, spread) = (half.max(Micros::from_secs(round * 2.0)), 1.0);
+            (longest, spread) = (half.max(Micros::from_secs(round * 2.0).min(PAUSE_MOST)), 1.0);
+            shortest = Micros::from_secs(round).max(PAUSE_FIRST).min(longest);
             // Silence for longer than `ask_every` counts as having been told: the last turn comes before that.
             let within = round.min(set.ask_every.secs() * TURNS_WITHIN);
             turn = Micros::from_secs(within * f64::from(set.number) / f64::from(set.senders));
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -94,7 +94,6 @@
 const FEE_SECONDS: f64 = 20.0; // a route's fee of one worth, as waiting time
 const FAST_CONNECT: Micros = Micros(500_000); // a refused connect takes less
 const TABLE_LEAST: u32 = 8; // so few senders leave even a small table room
-const TABLE_STEP: f64 = 0.1; // of each outcome, in the share of connects that a kind refuses
 const LOOK_AGAIN: Micros = Micros(100_000); // at gates that open by degrees
 
 impl Scale {
@@ -274,16 +273,20 @@
             _ => self.health = Health::Suspect { since: now },
         }
     }
-    /// The table of connections is a limit like others while no more connects are refused in a row than come by chance
-    /// among receivers of its kind: the next one waits about as long as a call holds a place, and longer each time.
-    fn on_full_table(&mut self, now: Micros, sent: Micros, share: f64, roll: f64) {
+    /// The table of connections is a limit like others while answers come, or no more connects are refused in a row than
+    /// come by chance among its kind: the next one waits about as long as a call holds a place, and longer each time.
+    fn on_refused_connect(&mut self, now: Micros, sent: Micros, share: f64, roll: f64) {
+        let by_chance = run_by_chance(share).min(SICK_RUN_MOST);
         let run = self.failed_lately.trailing_ones() + 1;
-        if self.sick() || f64::from(run) >= run_by_chance(share).min(f64::from(u8::BITS)) {
+        if now <= self.last_delivered.after(Micros::from_secs(self.slow_bar())) && !self.calls.is_empty() {
+            return; // its other connections work: the next answer makes room
+        }
+        if self.sick() || by_chance <= SICK_RUN || f64::from(run) >= by_chance {
             return self.on_failure(now, sent, share);
         }
         self.failed_lately = self.failed_lately << 1 | 1;
-        let pause = self.norm * f64::from(1u32 << (run - 1)) * (0.5 + roll);
-        self.pace.breath = self.pace.breath.max(now.after(Micros::from_secs(pause)));
+        let pause = Micros::from_secs(self.norm * f64::from(1u32 << (run - 1)) * (0.5 + roll));
+        self.pace.breath = self.pace.breath.max(now.after(pause));
     }
     fn on_refusal(&mut self, now: Micros, sent: Micros, o: &Outcome, shut: bool, odd: bool) {
         match self.health {
@@ -499,11 +502,7 @@
         }
         let mut tell = None;
         let table = self.tables.entry(r.kind).or_default();
-        let usually_full = table.refused_share;
-        // A run at one receiver, which may be gone, says nothing of the tables of the others.
-        if o.verdict == Verdict::Delivered || o.refused_connect() && r.failed_lately & 1 == 0 {
-            table.refused_share += TABLE_STEP * (f64::from(u8::from(o.refused_connect())) - usually_full);
-        }
+        let usually_full = table.note(o.verdict, o.refused_connect(), &mut r.connects_refused);
         let (well, failed) = (o.verdict == Verdict::Delivered, o.verdict == Verdict::Reset);
         if (well || failed) && last && !was_sick {
             self.broad += BROAD * (f64::from(u8::from(failed)) - self.broad);
@@ -527,9 +526,8 @@
                 tell = Some(wait.map_or(News::Refused, News::Wait));
                 r.on_refusal(now, attempt.sent, o, shut, o.odd() && unseen);
             }
-            Verdict::ConnectFailed if o.refused_connect() && run_by_chance(usually_full) > SICK_RUN => {
-                let roll = Dice(self.dice.0 ^ now.0).roll();
-                r.on_full_table(now, attempt.sent, usually_full, roll);
+            Verdict::ConnectFailed if o.refused_connect() => {
+                r.on_refused_connect(now, attempt.sent, usually_full, Dice(self.dice.0 ^ now.0).roll());
             }
             Verdict::Error | Verdict::TimedOut | Verdict::Reset | Verdict::ConnectFailed => {
                 r.on_failure(now, attempt.sent, self.broad);
@@ -807,10 +805,9 @@
     /// connection meanwhile. Whoever drains is the caller's to say, who knows when that was told.
     pub fn leave(&self, now: Micros, id: MessageId, attempt: u32, to: ReceiverId) -> Leave {
         let Some(m) = self.held.get(&id).filter(|m| !m.ended) else { return Leave::Over };
+        let out = m.out.iter().any(|a| a.number == attempt);
         let known = self.receivers.get(&to).zip(self.destinations.get(&m.destination));
-        let Some((r, d)) = known.filter(|_| m.out.iter().any(|a| a.number == attempt)) else {
-            return Leave::Over;
-        };
+        let Some((r, d)) = known.filter(|_| out) else { return Leave::Over };
         let late = if now < m.sends_end(&self.set, Some(attempt)) { Leave::Go } else { Leave::Late };
         if now < r.told_until(d) { Leave::Wait } else { late }
     }
