--- a/lab/src/experiments/slopes/limits.rs
+++ b/lab/src/experiments/slopes/limits.rs
@@ -1,5 +1,7 @@
 //! What an experiment may use of the machine.
 
+use crate::scale::meter::machine_bytes;
+
 /// Processes that one experiment may have.
 const PROCESSES_MOST: usize = 300;
 
@@ -23,11 +25,8 @@
     /// # Errors
     /// The size of the memory cannot be read.
     pub fn of_machine() -> Result<Limits, String> {
-        let info = std::fs::read_to_string("/proc/meminfo").map_err(|e| format!("/proc/meminfo: {e}"))?;
-        let total = info.lines().find_map(|l| l.strip_prefix("MemTotal:"));
-        let kb = total.and_then(|t| t.split_whitespace().next()?.parse::<u64>().ok());
-        let kb = kb.ok_or("/proc/meminfo: it has no MemTotal")?;
-        Ok(Limits { memory_bytes: kb * 1024 / 2, processes: PROCESSES_MOST })
+        let machine = machine_bytes().ok_or("/proc/meminfo: MemTotal cannot be read")?;
+        Ok(Limits { memory_bytes: machine / 2, processes: PROCESSES_MOST })
     }
 
     /// Whether an experiment fits.
