--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -40,6 +40,12 @@
 counters! {
     // the clients' side
     inbound_open, inbound_opened, inbound_turned_away, inbound_sent_off, inbound_given_back, inbound_silent, taken, fail_fast, bad_requests, ids_again, unheard, resumed,
+    // requests that were read whole, and those of them that were answered or whose client had gone
+    requests_read, requests_answered, requests_abandoned,
+    // why a connection of a client was closed
+    closed_by_client, closed_quiet, closed_ending, closed_by_error,
+    // why a request was refused at once
+    refused_full, refused_ending, refused_late, refused_no_list, refused_unlisted, refused_log,
     // of what a start found taken on and untried: what became of it
     resumed_untried, resumed_over, resumed_tried, resumed_late, resumed_early,
     // the endpoints' side
@@ -47,10 +53,12 @@
     delivered, spoilt, error, full, timed_out, connect_failed, reset, stale, moot, cancelled, held_back, late_decisions,
     // the gate before a call's first byte, and the waits that it heeds
     held_back_wait, held_back_drain, held_back_late, held_back_ending, held_back_moved, held_back_closed, waits_told, waits_unread,
-    // ends
-    failed, returned, notices_sent, notices_retried,
+    // attempts after the first, and ends
+    retried, failed, returned, notices_sent, notices_retried,
     // the list
     reloads, reloads_refused, list_answers, list_failures, list_refused, list_told, list_old, dns_messages,
+    // how often its source moved, milliseconds since the last answer, and the longest such time while calls failed
+    list_moves, list_age_ms, list_unanswered_most_ms,
     // destinations at rest and in use
     listed, awake, wakes, rests, remembered, idle_kept,
     // the log
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -164,6 +164,7 @@
             let (bytes, body_at, f, at) = match next {
                 Next::Closed => return,
                 Next::Broken(Bad(status, why)) => {
+                    counters.closed_by_error.up();
                     counters.bad_requests.up();
                     let _ = self.answer(status, None, why, true).await;
                     return self.sink().await;
@@ -172,11 +173,12 @@
             };
             let close = f.close || self.shared.stopping.get() || self.wrong + 1 >= WRONG_MOST;
             let wrong = self.wrong;
+            counters.requests_read.up();
             let done = match parse(&bytes, body_at, at) {
                 Err(bad) => self.turn_away(bad, close).await,
                 Ok(Ask::Ready) => self.ready(close).await,
                 Ok(Ask::Counters) => {
-                    let text = counters.json().to_string();
+                    let text = self.shared.counters_now().to_string();
                     self.answer(200, None, &text, close).await
                 }
                 Ok(Ask::Members) => self.show(close, Self::members).await,
@@ -185,8 +187,10 @@
             };
             drop(bytes);
             if done.is_err() {
+                counters.requests_abandoned.up();
                 return;
             }
+            counters.requests_answered.up();
             if close {
                 return self.sink().await;
             }
@@ -274,17 +278,29 @@
                 Some(Ok(n)) if n > 0 => {}
                 None if since.is_some() => return Next::Broken(Bad(408, "request took too long")),
                 None => {
-                    if !self.answered {
-                        shared.counters.inbound_silent.up();
+                    let reason = if !self.answered {
+                        &shared.counters.inbound_silent
+                    } else if shared.ending.is_closed() {
+                        &shared.counters.closed_ending
                     } else if many && shared.clock.now() >= until {
-                        shared.counters.inbound_given_back.up();
-                    }
+                        &shared.counters.inbound_given_back
+                    } else {
+                        &shared.counters.closed_quiet
+                    };
+                    reason.up();
                     return Next::Closed;
                 }
                 Some(Err(e)) if e.kind() == std::io::ErrorKind::OutOfMemory => {
                     return Next::Broken(Bad(431, "head too large"));
                 }
-                _ => return Next::Closed,
+                Some(Ok(_)) => {
+                    shared.counters.closed_by_client.up();
+                    return Next::Closed;
+                }
+                Some(Err(_)) => {
+                    shared.counters.closed_by_error.up();
+                    return Next::Closed;
+                }
             }
         }
     }
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -35,6 +35,8 @@
     pub stopping: Cell<bool>,
     /// The list that is held.
     pub list: std::cell::RefCell<Held>,
+    /// When discovery last answered, or the process began.
+    pub list_answered_at: Cell<Micros>,
     /// Where the list comes from and ends are told; the file that names it may be replaced.
     pub discovery: Cell<SocketAddr>,
     pub connect_timeout: Micros,
@@ -74,6 +76,7 @@
             reuse: Default::default(),
             stopping: Cell::new(false),
             list: Default::default(),
+            list_answered_at: Cell::default(),
             discovery: Cell::new(([127, 0, 0, 1], 1).into()),
             connect_timeout: Micros(1_000_000),
             idle_for: None,
@@ -91,6 +94,13 @@
         allowed.recv().await.ok().filter(|_| asked).unwrap_or(Err(Verdict::Moot))
     }
 
+    /// All counters, with those that tell of this moment brought up to date.
+    pub fn counters_now(&self) -> serde_json::Value {
+        let age = self.clock.now().since(self.list_answered_at.get());
+        self.counters.list_age_ms.set(age.0 as usize / 1000);
+        self.counters.json()
+    }
+
     /// A number that no other caller in this process gets.
     pub fn serial(&self) -> u64 {
         self.serials.set(self.serials.get() + 1);
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -102,6 +102,7 @@
         serials: Cell::new(0),
         stopping: Cell::new(false),
         list: Default::default(),
+        list_answered_at: Cell::default(),
         discovery: Cell::new(config.discovery),
         connect_timeout: config.connect_timeout,
         idle_for: (idle > Micros(0)).then_some(Micros(idle.0 * 4 / 5)),
@@ -110,6 +111,7 @@
         outbound_most: (config.sockets / 4).max(8) as u64,
         executor: executor.clone(),
     });
+    shared.list_answered_at.set(shared.clock.now());
     let (follow, wishes) = bounded(4);
     let (move_list, list_moves) = bounded(1);
     let (move_notices, notice_moves) = bounded(1);
@@ -288,7 +290,7 @@
     drop(closing);
     // Ends that came last are still on their way to the platform.
     Timer::after(Duration::from_millis(100)).await;
-    tracing::info!("counters {}", shared.counters.json());
+    tracing::info!("counters {}", shared.counters_now());
     Ok(())
 }
 
--- a/daemon/tests/scenarios.rs
+++ b/daemon/tests/scenarios.rs
@@ -4,6 +4,7 @@
 //! `given ...` that name who is there. `expect` waits for the event, however long it takes within a bound; only
 //! `expect WHO nothing MILLISECONDS` looks at the clock, and can pass wrongly but never fail wrongly.
 
+#[allow(dead_code)] // other tests use the rest
 mod stage;
 
 use rstest::rstest;
--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// First line, headers in small letters, body.
 type Message = (String, Vec<(String, String)>, Vec<u8>);
@@ -74,6 +74,31 @@
     })
 }
 
+/// Answers each call with 200 at once, and notes when it came.
+pub fn server(arrivals: Arc<Mutex<Vec<Instant>>>) -> SocketAddr {
+    serve(move |mut stream| {
+        let mut from = BufReader::new(stream.try_clone().unwrap());
+        while message(&mut from).is_some() {
+            arrivals.lock().unwrap().push(Instant::now());
+            if write(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// Hands messages in over a connection of its own for each, and does not care for the answer.
+pub struct Client(pub SocketAddr);
+
+impl Client {
+    pub fn hand_in(&self, id: &str) {
+        let (inbox, post) = super::inbox();
+        client(post, self.0, id);
+        let _ = send(&inbox, id, &["status", &format!("id={id}"), "dest=1"]);
+        let _ = inbox.expect(&["202"]);
+    }
+}
+
 /// `ID STATUS [Header=value ...]`, `ID reset`, or `ID raw TEXT`, which leaves the connection open.
 pub fn answer(to: &Inbox, words: &[&str]) -> Done {
     let [id, status, headers @ ..] = words else { return Err("ID STATUS".into()) };
@@ -111,6 +136,10 @@
                 let _ = write(&mut stream, b"HTTP/1.1 204 No Content\r\n\r\n");
                 continue;
             }
+            if listing.lock().unwrap().refuses() {
+                let _ = write(&mut stream, b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
             let number = |key: &str| {
                 let rest = first.split_once(key)?.1;
                 rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
@@ -125,7 +154,11 @@
             if listing.lock().unwrap().at != here {
                 return;
             }
-            let body = listing.lock().unwrap().json().to_string();
+            let body = {
+                let mut listing = listing.lock().unwrap();
+                listing.told = Some(listing.generation);
+                listing.json().to_string()
+            };
             let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
             if write(&mut stream, (head + &body).as_bytes()).is_err() {
                 return;
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Far more than anything here takes: it only bounds a test that fails.
 const BOUND: Duration = Duration::from_secs(20);
@@ -94,11 +94,24 @@
     pub generation: u64,
     /// The platform answers no notice and no question about the list.
     pub mute: bool,
+    /// So many calls for the list are still refused.
+    pub refused: u32,
+    /// The version that was last told to anybody.
+    pub told: Option<u64>,
     /// Where the platform is; the stand-in at another address closes all it has.
     pub at: Option<SocketAddr>,
 }
 
 impl Listing {
+    /// The next call for the list is refused.
+    pub fn refuses(&mut self) -> bool {
+        let refuses = self.refused > 0;
+        if self.refused < u32::MAX {
+            self.refused = self.refused.saturating_sub(1);
+        }
+        refuses
+    }
+
     pub fn json(&self) -> Value {
         let entry = |e: &Entry| {
             let words: Vec<&str> = e.words.split(' ').collect();
@@ -195,6 +208,29 @@
         self.seen.lock().unwrap().clone()
     }
 
+    /// An endpoint of destination 1 that answers at once and notes when calls come.
+    pub fn ready_server(&mut self, name: &str, arrivals: Arc<Mutex<Vec<Instant>>>) {
+        let address = http::server(arrivals);
+        let entry = Entry { name: name.to_owned(), address, words: "dest=1".into(), state: "Ready".into() };
+        self.listing.lock().unwrap().entries.push(entry);
+    }
+
+    /// A client of the daemon.
+    pub fn client(&self) -> http::Client {
+        http::Client(self.http.expect("a daemon"))
+    }
+
+    /// Discovery refuses so many calls for the list; all, if it is the largest number.
+    pub fn refuse_list_calls(&self, count: u32) {
+        self.listing.lock().unwrap().refused = count;
+    }
+
+    /// The list as it is now has been told.
+    pub fn list_was_told(&self) -> bool {
+        let listing = self.listing.lock().unwrap();
+        listing.told == Some(listing.generation)
+    }
+
     pub fn play(&mut self, words: &[&str]) -> Done {
         match words {
             [] => Ok(()),
@@ -324,7 +360,7 @@
                 let (mut platform, post) = inbox();
                 platform.address = Some(http::platform(post, self.listing.clone()));
                 let mut l = self.listing.lock().unwrap();
-                (l.at, l.generation) = (platform.address, 0);
+                (l.at, l.generation, l.told) = (platform.address, 0, None);
                 drop(l);
                 self.who.insert("platform".to_owned(), platform);
                 self.configure();
