After a failure the list is asked for without a wait; silent watches show in 4.5 s

Ruled out: the list applied late (each line 'nothing more goes there' stands within 0.1 ms of its answer).

Change: a call behind a start, failure or move asks for what there is now (timeout_ms=0) and is waited for 1.5 s, 3 s once it was silent; a watch waits 3 s at most; the pause for what was lost together grows with the fleet up to 1 to 3.5 s. The stand-in of the soak refuses at most six calls of a daemon in a row (one that queued counts three): a discovery that refuses all cannot be reached.

--- a/daemon/src/list/fetch.rs
+++ b/daemon/src/list/fetch.rs
@@ -41,6 +41,8 @@
 pub struct Call<'a> {
     pub clock: &'a Clock,
     pub discovery: &'a Discovery,
+    /// It waits so long for news.
+    pub wait: Micros,
     /// A connection may take until then.
     pub connect_by: Micros,
     /// The answer may begin until then; after that it must go on coming.
@@ -77,10 +79,9 @@
     }
 
     fn request(&self) -> String {
-        let wait = if self.role == Role::Told { Micros(0) } else { self.discovery.wait };
         let query = match self.discovery.generation {
             None => String::new(),
-            Some(g) => format!("?since={g}&timeout_ms={}", wait.0 / 1000),
+            Some(g) => format!("?since={g}&timeout_ms={}", self.wait.0 / 1000),
         };
         // Who asks for all says under which lease: a source that keeps the highest refuses one that is over.
         let epoch = match self.role {
--- a/daemon/src/list/follow.rs
+++ b/daemon/src/list/follow.rs
@@ -54,7 +54,8 @@
         role: Role::Alone,
         behind: false,
         complaint: String::new(),
-        silent: false,
+        silences: 0,
+        confirmed: false,
         calls: 0,
         failures: 0,
         answered_at,
@@ -75,8 +76,10 @@
     behind: bool,
     /// The last complaint about a list that is too long, which one line tells of.
     complaint: String,
-    /// The last call fell silent.
-    silent: bool,
+    /// Calls in a row that fell silent.
+    silences: u32,
+    /// The last call was answered: what is held is the list as it was then, and a watch may wait for changes.
+    confirmed: bool,
     /// Calls made, and those of them that failed since the last answer.
     calls: u64,
     failures: u32,
@@ -106,7 +109,7 @@
     /// Versions of the old discovery mean nothing to the new one, whether a call was out when it moved or not.
     async fn moved(&mut self) -> Result<(), ModuleGone> {
         self.shared.counters.list_moves.up();
-        (self.conn, self.discovery.generation) = (None, None);
+        (self.conn, self.discovery.generation, self.confirmed) = (None, None, false);
         // What the module wished for was a call to the old one.
         while self.wishes.try_recv().is_ok() {}
         self.shared.module.send(ToModule::ListMoved).await.map_err(|_| ModuleGone)
@@ -151,8 +154,10 @@
             return future::pending().await;
         }
         self.calls += 1;
-        let answer_by = asked.after(self.discovery.wait).after(GRACE);
+        let wait = self.wait();
+        let answer_by = asked.after(wait).after(self.patience());
         let call = Call {
+            wait,
             clock: &self.shared.clock,
             discovery: &self.discovery,
             connect_by: asked.after(self.shared.connect_timeout).min(answer_by),
@@ -163,6 +168,19 @@
         call.fetch(&mut self.conn).await
     }
 
+    /// How long the next call waits for news. After a start, a failure or a move the first one does not: whether it was
+    /// answered shows soon, while a watch that falls silent looks like one without news until its wait is over.
+    fn wait(&self) -> Micros {
+        let waits = self.confirmed && self.role != Role::Told && self.discovery.generation.is_some();
+        if waits { self.discovery.wait } else { Micros(0) }
+    }
+
+    /// What a call may take beyond its wait: longer for a discovery that may be slow, and no longer than a call or two need
+    /// that come behind it.
+    fn patience(&self) -> Micros {
+        if self.silences > 0 { Micros(GRACE.0 * 2) } else { GRACE }
+    }
+
     /// What another instance has to say of the list.
     async fn message(&mut self, message: ToList) -> Result<Next, ModuleGone> {
         let news = match message {
@@ -198,10 +216,12 @@
         // It has what it wished for.
         while self.wishes.try_recv().is_ok() {}
         self.log_answer(&list);
-        (self.behind, self.silent, self.complaint, self.failures) = (false, false, String::new(), 0);
+        let waited = self.wait() > Micros(0);
+        (self.behind, self.complaint, self.failures) = (false, String::new(), 0);
+        (self.confirmed, self.silences) = (true, 0);
         self.answered_at = self.shared.clock.now();
         self.shared.list_answered_at.set(self.answered_at);
-        let at_once = self.answered_at.since(asked) < ANSWERED_AT_ONCE;
+        let at_once = self.answered_at.since(asked) < ANSWERED_AT_ONCE && waited;
         if let (Role::Owner(epoch), Some(peers)) = (self.role, &self.shared.peers) {
             let from = self.discovery.generation.unwrap_or(list.generation);
             let news = ListNews { epoch, from, generation: list.generation, body: list.text };
@@ -238,7 +258,7 @@
     async fn failed(&mut self, asked: Micros, failed: Failed) -> Result<Next, ModuleGone> {
         let counters = &self.shared.counters;
         counters.list_failures.up();
-        self.conn = None;
+        (self.conn, self.confirmed) = (None, false);
         self.failures += 1;
         let unanswered_ms = self.shared.clock.now().since(self.answered_at).0 / 1000;
         let longest = counters.list_unanswered_most_ms.get().max(unanswered_ms);
@@ -246,8 +266,9 @@
         // What a watch that has fallen silent misses counts as told in half a second: it is opened anew at once. Those
         // of a fleet were not all opened at one moment, so neither are these. One that is silent again is taken for a
         // service in trouble.
-        let again = !self.silent && matches!(failed, Failed::Silent(_));
-        self.silent = matches!(failed, Failed::Silent(_));
+        let silent = matches!(failed, Failed::Silent(_));
+        let again = silent && self.silences == 0;
+        self.silences = if silent { self.silences + 1 } else { 0 };
         let at_once = self.shared.clock.now().since(asked) < FAILED_AT_ONCE;
         let why = self.log_failure(failed, unanswered_ms);
         if again {
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -21,6 +21,9 @@
 pub const SWEEP: usize = 2048;
 /// What a call may take beyond the wait that it asks for.
 const GRACE: Micros = Micros(1_500_000);
+/// A watch that falls silent shows after its wait and the grace, and then calls that are refused have to fit into the 6 s
+/// in which a change counts as known.
+pub const WAIT_MOST: Micros = Micros(3_000_000);
 /// A watch goes on if the next call comes within 200 ms.
 const PAUSE: Duration = Duration::from_millis(50);
 
--- a/daemon/src/list/tests.rs
+++ b/daemon/src/list/tests.rs
@@ -165,3 +165,28 @@
     assert_eq!(rig.heard(), Some(3));
     drop(rig.wishes);
 }
+
+/// A watch that falls silent looks like one without news until its wait is over: what comes behind a failure asks for what
+/// there is now, and waits only once that was answered.
+#[test]
+fn behind_a_failure_the_first_call_does_not_wait() {
+    let (listener, at) = discovery();
+    let rig = Rig::waiting(at, Micros(20_000_000));
+    let (mut stream, _) = rig.asked(&listener).unwrap();
+    tell(&mut stream, 7);
+    assert_eq!(rig.heard(), Some(7));
+    async_io::block_on(rig.shared.executor.run(Timer::after(Duration::from_millis(100))));
+    assert!(read(&mut stream).contains("since=7&timeout_ms=20000"), "it waits for news");
+    drop(stream);
+    assert_eq!(rig.heard(), None);
+    rig.wishes.try_send(()).unwrap();
+    let (_silent, question) = rig.asked(&listener).unwrap();
+    assert!(question.contains("since=7&timeout_ms=0"), "{question}");
+    // Silent, it is asked again long before a wait would have ended.
+    let (mut stream, question) = rig.asked(&listener).expect("silence shows soon");
+    assert!(question.contains("since=7&timeout_ms=0"), "{question}");
+    tell(&mut stream, 7);
+    assert_eq!(rig.heard(), Some(7));
+    async_io::block_on(rig.shared.executor.run(Timer::after(Duration::from_millis(100))));
+    assert!(read(&mut stream).contains("since=7&timeout_ms=20000"));
+}
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -221,7 +221,7 @@
         names: config.names,
         generation: since,
         bounds,
-        wait: wait.clamp(Micros(1_000_000), Micros(20_000_000)),
+        wait: wait.clamp(Micros(1_000_000), list::WAIT_MOST),
     };
     if let Some(dns) = zone {
         let at = dns.socket.get_ref().local_addr().map_err(|e| e.to_string())?;
--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -145,6 +145,7 @@
                 rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok()
             };
             let (since, ms) = (number("since="), number("timeout_ms=").unwrap_or(0));
+            listing.lock().unwrap().whole_calls += u64::from(since.is_none());
             let mut waited = 0;
             while since.is_some_and(|s| s >= listing.lock().unwrap().generation) && waited < ms {
                 std::thread::sleep(Duration::from_millis(10));
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -98,6 +98,8 @@
     pub refused: u32,
     /// The version that was last told to anybody.
     pub told: Option<u64>,
+    /// How often the whole list was asked for.
+    pub whole_calls: u64,
     /// Where the platform is; the stand-in at another address closes all it has.
     pub at: Option<SocketAddr>,
 }
@@ -384,6 +386,14 @@
                 if got == *code { Ok(()) } else { Err(format!("it ended with {got}")) }
             }
             ["expect", "counter", count] => self.counter(count),
+            ["expect", "whole", "lists", count] => {
+                let calls = self.listing.lock().unwrap().whole_calls.to_string();
+                if calls == *count {
+                    Ok(())
+                } else {
+                    Err(format!("the whole list was asked for {calls} times"))
+                }
+            }
             ["send", "list", name, state] => {
                 let mut l = self.listing.lock().unwrap();
                 l.generation += 1;
--- a/lab/src/soak/discovery.rs
+++ b/lab/src/soak/discovery.rs
@@ -10,6 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 
@@ -46,6 +47,10 @@
 const LOOK_S: f64 = 0.01;
 /// A call waits in its queue for so long at most.
 const QUEUE_S: f64 = 1.0;
+/// A discovery that can be reached refuses or spoils no more than this of one daemon's calls in a row, where one that waited
+/// in the queue counts for three.
+const REFUSED_MOST: u32 = 6;
+const QUEUED: u32 = 3;
 
 struct Entry {
     server: Rc<Server>,
@@ -60,6 +65,8 @@
     pub generation: Cell<u64>,
     pub mode: Cell<Mode>,
     rng: RefCell<StdRng>,
+    /// What each daemon was refused in a row; see `REFUSED_MOST`.
+    refused: RefCell<BTreeMap<usize, u32>>,
     world: World,
     ledger: Ledger,
 }
@@ -83,6 +90,7 @@
             generation: Cell::new(1),
             mode: Cell::new(Mode::Well),
             rng: RefCell::new(StdRng::seed_from_u64(seed)),
+            refused: RefCell::default(),
             world: world.clone(),
             ledger: ledger.clone(),
         })
@@ -178,16 +186,19 @@
         }
     }
 
-    /// This mode hits the call that is there now, if it does.
-    fn hits(&self) -> Option<Mode> {
+    /// This mode hits the call of a daemon that is there now, if it does.
+    fn hits(&self, daemon: usize) -> Option<Mode> {
         let mode = self.mode.get();
-        let hits = match mode {
-            Mode::Well => false,
-            Mode::Crowded(share) | Mode::Slow(share) | Mode::Spoilt(share) => {
-                self.rng.borrow_mut().random_bool(share)
-            }
-            Mode::Silent | Mode::Down => true,
+        let (share, cost) = match mode {
+            Mode::Well => return None,
+            Mode::Silent | Mode::Down => return Some(mode),
+            Mode::Crowded(share) | Mode::Spoilt(share) => (share, 1),
+            Mode::Slow(share) => (share, QUEUED),
         };
+        let mut refused = self.refused.borrow_mut();
+        let refused = refused.entry(daemon).or_default();
+        let hits = *refused + cost <= REFUSED_MOST && self.rng.borrow_mut().random_bool(share);
+        *refused = if hits { *refused + cost } else { 0 };
         hits.then_some(mode)
     }
 
@@ -195,7 +206,7 @@
     async fn call(
         &self, daemon: usize, open: &Cell<bool>, connection: &mut Connection, request: &Request,
     ) -> bool {
-        if let Some(mode) = self.hits() {
+        if let Some(mode) = self.hits(daemon) {
             self.ledger.met(mode.name());
             match mode {
                 Mode::Crowded(_) => return connection.answer(503, "", "").await.is_ok(),
--- a/lab/src/soak/judge.rs
+++ b/lab/src/soak/judge.rs
@@ -65,14 +65,20 @@
 fn known_at(seen: &Seen, daemon: usize, generation: u64, at: f64) -> f64 {
     let told = seen.told.iter().filter(|(_, d, g)| *d == daemon && *g >= generation);
     let told = told.map(|(t, ..)| *t).fold(f64::INFINITY, f64::min);
-    // Time in which discovery could not be reached does not count.
+    told.min(due_at(seen, at))
+}
+
+/// So long after a time, counted anew whenever discovery can be reached again.
+fn due_at(seen: &Seen, at: f64) -> f64 {
+    let mut spans = seen.unreachable.clone();
+    spans.sort_by(|a, b| a.0.total_cmp(&b.0));
     let mut due = at + KNOWN_WITHIN_S;
-    for (from, until) in &seen.unreachable {
-        if *from < due && *until > at {
+    for (from, until) in spans {
+        if from < due && until > at {
             due = due.max(until + KNOWN_WITHIN_S);
         }
     }
-    told.min(due)
+    due
 }
 
 /// A process that starts anew has nothing but its list of before: what it knows counts from its start.
@@ -89,7 +95,7 @@
                 .entry(call.daemon)
                 .or_insert_with(|| known_at(seen, call.daemon, drained.generation, drained.at));
             let start = started_before(seen, call.daemon, call.began);
-            let known = if start > known { start + KNOWN_WITHIN_S } else { known };
+            let known = if start > known { due_at(seen, start) } else { known };
             let late = call.began - known - DRAIN_GRACE_S;
             if late > slack(terms) {
                 let (id, server) = (&call.id, &call.server);
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -301,11 +301,14 @@
     async fn trouble_discovery(&self, mode: discovery::Mode, lasts: f64) {
         let from = self.world.now();
         self.discovery.mode.set(mode);
-        sleep(lasts).await;
+        // Another mode may take its place before.
+        while self.discovery.mode.get() == mode && self.world.now() < from + lasts {
+            sleep(LOOK_S).await;
+        }
         if self.discovery.mode.get() == mode {
             self.discovery.mode.set(discovery::Mode::Well);
         }
-        if matches!(mode, discovery::Mode::Down | discovery::Mode::Silent | discovery::Mode::Slow(_)) {
+        if matches!(mode, discovery::Mode::Down | discovery::Mode::Silent) {
             let until = self.world.now();
             self.ledger.with(|seen| seen.unreachable.push((from, until)));
         }
--- a/src/list_refresh.rs
+++ b/src/list_refresh.rs
@@ -20,10 +20,12 @@
 const PAUSE_MOST: Micros = Micros(KNOWN_WITHIN.0 / CALLS_WITHIN);
 /// The least mean pause after a failure: a service that was lost for a moment is back by then.
 const PAUSE_LEAST: Micros = Micros(300_000);
-/// Many senders whose calls were lost together leave the service so much time to itself ...
-const LOST_PAUSE_LEAST: Micros = Micros(1_000_000);
-/// ... and come back over this: three refused calls fit behind the last of them.
-const LOST_SPREAD: Micros = Micros(KNOWN_WITHIN.0 - LOST_PAUSE_LEAST.0 - 3 * PAUSE_MOST.0 - 250_000);
+/// Many senders whose calls were lost together leave the service so much time to itself at most ...
+const LOST_PAUSE_MOST: Micros = Micros(1_000_000);
+/// ... and come back over this at most: three refused calls fit behind the last of them. Fewer take less of both.
+const LOST_SPREAD_MOST: Micros = Micros(KNOWN_WITHIN.0 - LOST_PAUSE_MOST.0 - 3 * PAUSE_MOST.0 - 250_000);
+/// The part of a fleet's round that passes before the first of them comes back.
+const LOST_PAUSE_PART: f64 = 1.0 / 3.0;
 /// What one call of a fleet keeps clear behind it.
 const CALL_GAP_S: f64 = 0.06;
 /// Of the span in which a sender must ask.
@@ -42,8 +44,8 @@
     has_list: bool,
     /// The mean pause after a call that failed at once.
     pause: Micros,
-    /// It shares the service with many.
-    many: bool,
+    /// What passes after a call that was lost with those of others, at least, and by chance; none where there are few.
+    lost: Option<(Micros, Micros)>,
 }
 
 impl ListRefresh {
@@ -57,13 +59,15 @@
         let within = settings.ask_every.min(KNOWN_WITHIN).secs() * TURNS_WITHIN;
         let place = f64::from(settings.number) / f64::from(settings.senders.max(1));
         let turn = if many { Micros::from_secs(round.min(within) * place) } else { Micros(0) };
+        let pause_least = Micros::from_secs(round * LOST_PAUSE_PART).min(LOST_PAUSE_MOST);
+        let lost = (pause_least, Micros::from_secs(round).min(LOST_SPREAD_MOST));
         ListRefresh {
             due: settings.subscribe.then_some(Micros(0)),
             subscribe: settings.subscribe,
             turn: Some(turn),
             has_list: false,
             pause: if many { Micros::from_secs(round).clamp(PAUSE_LEAST, longest) } else { PAUSE_LEAST },
-            many,
+            lost: many.then_some(lost),
         }
     }
 
@@ -92,11 +96,12 @@
 
     /// A call took its time and failed.
     pub fn failed(&mut self, now: Micros, rng: &mut Dice) {
-        if self.many && self.subscribe {
-            let spread = Micros::from_secs(LOST_SPREAD.secs() * rng.roll());
-            self.due = Some(now.after(LOST_PAUSE_LEAST).after(spread));
-        } else {
-            self.refused(now, rng);
+        match self.lost.filter(|_| self.subscribe) {
+            Some((least, spread)) => {
+                let by_chance = Micros::from_secs(spread.secs() * rng.roll());
+                self.due = Some(now.after(least).after(by_chance));
+            }
+            None => self.refused(now, rng),
         }
     }
 
