--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,4 +1,4 @@
-//! Hosts instances of the onyxrock brain behind a wire of JSON lines on standard input and output.
+//! Hosts instances of the onyxrock policy behind a wire of JSON lines on standard input and output.
 
 mod wire;
 
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -1,6 +1,6 @@
 //! The wire's events and actions, as arrays in JSON, to the library's and back.
 
-use onyxrock::Brain;
+use onyxrock::PolicyEngine;
 use onyxrock::core::Names;
 use onyxrock::interface::*;
 use onyxrock_config::settings;
@@ -37,7 +37,7 @@
 }
 
 struct Instance {
-    brain: Brain,
+    policy: PolicyEngine,
     names: Names,
     actions: Vec<Action>,
     touched: bool,
@@ -62,8 +62,8 @@
         }
         for (who, instance) in self.instances.iter_mut().filter(|(_, i)| i.touched) {
             instance.touched = false;
-            let Instance { brain, actions, .. } = instance;
-            guarded(*who, &mut out, || brain.decide(Micros(now), actions));
+            let Instance { policy, actions, .. } = instance;
+            guarded(*who, &mut out, || policy.decide(Micros(now), actions));
             out.extend(actions.drain(..).map(|a| action(*who, a)));
         }
         Ok(json!({ "do": out }).to_string())
@@ -97,8 +97,8 @@
         };
         instance.touched = true;
         if let Some(event) = read_event(&fields, &instance.names, &self.sheets)? {
-            let Instance { brain, actions, .. } = instance;
-            guarded(who, out, || brain.on_event(now, event, actions));
+            let Instance { policy, actions, .. } = instance;
+            guarded(who, out, || policy.on_event(now, event, actions));
         }
         Ok(())
     }
@@ -108,8 +108,8 @@
         let seed = fields.int(1, "prng")?;
         let setup = fields.get(2).ok_or_else(|| fields.wrong("setup", "an object"))?;
         let (settings, names) = settings::read(setup)?;
-        let brain = Brain::new(settings, seed);
-        self.instances.insert(who, Instance { brain, names, actions: Vec::new(), touched: true });
+        let policy = PolicyEngine::new(settings, seed);
+        self.instances.insert(who, Instance { policy, names, actions: Vec::new(), touched: true });
         Ok(())
     }
 }
--- a/daemon/src/module/tests.rs
+++ b/daemon/src/module/tests.rs
@@ -121,7 +121,7 @@
     let mut m = module(&folder);
     let now = m.shared.clock.now();
     m.known(list(Listing::Ready));
-    m.first_list = Some(now.after(Micros(60_000_000)));
+    m.first_list = Some(FirstList::new(now));
     m.used(now, 1);
     let deadline = now.after(Micros(5_000_000));
     m.desk.take(now, Taken { n: 1, class: "a".into(), destination: 1, deadline, ..Taken::default() });
@@ -130,7 +130,8 @@
     assert_eq!(queued(&m), 0);
     match told {
         Some(listing) => m.list(m.shared.clock.now(), list(listing)),
-        None => m.first_list = Some(now),
+        // The source is silent: what it knows may be as old.
+        None => m.first_list = Some(FirstList::new(Micros(now.0 - 6_000_000))),
     }
     m.settle();
     let called = m.mailboxes.values().filter(|b| !b.is_empty()).count();
@@ -256,3 +257,19 @@
     assert_eq!(steps.iter().filter(|s| ended(s)).count(), 1, "unsafe: not repeated");
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// The grace of a second is the start's own; behind it nothing goes out on a list that may be old, until a source that says
+/// nothing for so long has to be down.
+#[test]
+fn a_start_without_its_first_list_sends_within_the_grace_alone() {
+    let start = Micros(1_000_000_000);
+    let at = |ms: u64| start.after(Micros(ms * 1000));
+    let mut first_list = FirstList::new(start);
+    assert!(first_list.holds(start));
+    first_list.failed(at(30));
+    let held: Vec<_> =
+        [30, 800, 850, 3000, 5999, 6000].into_iter().filter(|ms| first_list.holds(at(*ms))).collect();
+    assert_eq!(held, [850, 3000, 5999]);
+    assert_eq!((first_list.due(at(30)), first_list.due(at(850))), (Some(at(850)), Some(at(6000))));
+    assert_eq!(first_list.due(at(6000)), None);
+}
--- a/daemon/src/notices.rs
+++ b/daemon/src/notices.rs
@@ -16,9 +16,11 @@
 use std::time::Duration;
 
 const BATCH: usize = 64;
-const PATIENCE: Micros = Micros(400_000);
+/// An end is told some tenths of a second before it is overdue: several tries have to fit into that, and one that crosses its
+/// answer does no harm.
+const PATIENCE: Micros = Micros(150_000);
 const PAUSE: Duration = Duration::from_millis(50);
-const PAUSE_MOST: Duration = Duration::from_millis(400);
+const PAUSE_MOST: Duration = Duration::from_millis(200);
 
 /// Each move is word that they go elsewhere from now on, those too that are out and not acknowledged.
 pub async fn run(shared: Rc<Shared>, endings: Receiver<Ending>, moves: Receiver<()>) {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -5,7 +5,7 @@
 use crate::folder::{Claim, Other};
 use crate::keep;
 use crate::list::{self, Discovery, dns};
-use crate::module::{Module, ToModule};
+use crate::module::{FirstList, Module, ToModule};
 use crate::net::Shared;
 use crate::net::http::inbound;
 use crate::net::mgmt;
@@ -43,11 +43,6 @@
 const LOOK: Duration = Duration::from_secs(2);
 const LOOK_BESIDE: Duration = Duration::from_millis(50);
 
-/// Where lists are pushed, what the source has counts as told from a start's first moment: nothing goes out before it has
-/// been asked, for so long at most. A source that many ask at once takes seconds, and what is held meanwhile fills the
-/// room (a second cost a tenth of a day's worth).
-const FIRST_LIST: Micros = Micros(100_000);
-
 type Reread<'a> = &'a dyn Fn() -> Result<(Config, Product), String>;
 
 /// Runs a forwarder until it is told to end.
@@ -199,7 +194,7 @@
     module.knows(&scan.records);
     module.resume(recover(scan.records).into_values());
     if config.pushed && zone.is_none() {
-        module.first_list = Some(now.after(FIRST_LIST));
+        module.first_list = Some(FirstList::new(now));
         let _ = module.follow.try_send(());
     }
     // A process that ended beside another one, both of which are gone.
@@ -288,6 +283,10 @@
         })
         .await;
     }
+    // Who was accepted just before the listener closed is answered, or has said nothing in time.
+    while shared.counters.inbound_open.get() > 0 && told.elapsed() < END_BY {
+        Timer::after(LOOK_BESIDE).await;
+    }
     drop(closing);
     // Ends that came last are still on their way to the platform.
     Timer::after(Duration::from_millis(100)).await;
--- a/lab/src/capacity/cost.rs
+++ b/lab/src/capacity/cost.rs
@@ -44,9 +44,9 @@
     /// A destination of one endpoint in the list.
     ListedMemory, "destination listed", "bytes", "roster::Directory";
     /// A destination in use, in the policy engine and the directory.
-    ActiveMemory, "destination active", "bytes", "onyxrock::Brain, roster::Directory";
+    ActiveMemory, "destination active", "bytes", "onyxrock::PolicyEngine, roster::Directory";
     /// The same while it is out of order.
-    DownMemory, "destination down", "bytes", "onyxrock::Brain, roster::Directory";
+    DownMemory, "destination down", "bytes", "onyxrock::PolicyEngine, roster::Directory";
     /// What is remembered of a destination at rest.
     RestingMemory, "destination remembered", "bytes", "roster::Memories";
     /// A duty that is wanted and is another member's.
@@ -58,7 +58,7 @@
     /// A member at another one.
     MemberMemory, "member watched", "bytes", "membership::Membership";
     /// A message in the policy engine alone.
-    HeldMemory, "message held", "bytes", "onyxrock::Brain";
+    HeldMemory, "message held", "bytes", "onyxrock::PolicyEngine";
     /// A message in the policy engine and the outstanding messages, with its body.
     BacklogMemory, "message of backlog", "bytes", "core::Desk";
     /// The same in the log.
@@ -87,7 +87,7 @@
     WantedMemberCpu, "member, for one duty wanted", "us/s", "duties::Book";
     WantedBytes, "duty wanted, of 11,000 members", "bytes/s", "duties::Book";
     /// Looking through what is in use for what is doubted.
-    ActiveLookCpu, "destination active", "us/s", "onyxrock::Brain";
+    ActiveLookCpu, "destination active", "us/s", "onyxrock::PolicyEngine";
     /// Telling every member the same once.
     TellAllCpu, "member told", "us", "membership::Membership, sharing::Peers";
     TellAllBytes, "member told", "bytes", "membership::Membership, sharing::Peers";
--- a/lab/src/capacity/roles.rs
+++ b/lab/src/capacity/roles.rs
@@ -17,7 +17,7 @@
 const OUTAGE_S: f64 = 3_600.0;
 /// `WANTED_MOST` in `duties/src/book.rs`.
 const WANTED_MOST: f64 = 20_000.0;
-/// `MEMORY_MOST_S` in `src/brain.rs`: no meter of the policy engine remembers longer.
+/// `MEMORY_MOST_S` in `src/policy/tuning.rs`: no meter of the policy engine remembers longer.
 const METER_MEMORY_S: f64 = 30.0;
 
 /// Which destinations a forwarder takes.
@@ -256,7 +256,7 @@
         let restart = (d.destinations, 1.0 / BUDGET.bytes_per_s);
         self.add(role, "a list in force after a restart, at 9 KB/s", Delay, Cost::WholeListBytes, restart);
         let meeting = (d.meeting_s(), Some(METER_MEMORY_S));
-        let mechanism = "onyxrock::Brain (MEMORY_MOST_S)";
+        let mechanism = "onyxrock::PolicyEngine (MEMORY_MOST_S)";
         self.estimate(
             role,
             "between two messages for one destination",
--- a/lab/src/experiments/slopes/engine.rs
+++ b/lab/src/experiments/slopes/engine.rs
@@ -8,7 +8,7 @@
 use crate::capacity::fit::Point;
 use onyxrock::core::{Answered, CallEnd, Desk, Owed, Record, Step, Taken, recover};
 use onyxrock::interface::*;
-use onyxrock::{Brain, interface::Settings};
+use onyxrock::{PolicyEngine, interface::Settings};
 use onyxrock_daemon::wal::Wal;
 use onyxrock_duties::Terms as LeaseTerms;
 use onyxrock_roster::{Directory, Follows};
@@ -148,8 +148,8 @@
     Ok(vec![(Cost::ActiveMemory, well), (Cost::DownMemory, down), (Cost::ActiveLookCpu, look)])
 }
 
-fn held(plan: &Plan, n: u64) -> Brain {
-    let mut brain = Brain::new(settings(), plan.seed);
+fn held(plan: &Plan, n: u64) -> PolicyEngine {
+    let mut policy = PolicyEngine::new(settings(), plan.seed);
     let mut actions = Vec::new();
     for i in 0..n {
         let message = Message {
@@ -160,9 +160,9 @@
             destination: DestinationId(i % BACKLOG_DESTINATIONS),
             left: CLASS_TIME,
         };
-        brain.on_event(Micros(1_000_000), Event::Submit(message), &mut actions);
+        policy.on_event(Micros(1_000_000), Event::Submit(message), &mut actions);
     }
-    brain
+    policy
 }
 
 fn owed(plan: &Plan, n: u64) -> Desk {
--- a/lab/src/senders.rs
+++ b/lab/src/senders.rs
@@ -1,7 +1,7 @@
 //! Many modules on a clock of the experiment's own, without a wire: what each does is harmless, and it is counted over
 //! all of them. A play of half a minute of a hundred senders takes less than a second, and is the same every time.
 
-use onyxrock::Brain;
+use onyxrock::PolicyEngine;
 use onyxrock::interface::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -52,7 +52,7 @@
 
 /// One module, and its calls that are out.
 struct Sender {
-    brain: Brain,
+    policy: PolicyEngine,
     out: Vec<(MessageId, u32, Micros)>,
     attempts: std::collections::BTreeMap<MessageId, u32>,
     /// Calls for the list that it has made and nobody has counted yet.
@@ -61,14 +61,14 @@
 
 impl Sender {
     fn new(senders: u32, number: u32) -> Sender {
-        let brain = Brain::new(settings(senders, number), u64::from(number));
-        Sender { brain, out: Vec::new(), attempts: Default::default(), asks: 0 }
+        let policy = PolicyEngine::new(settings(senders, number), u64::from(number));
+        Sender { policy, out: Vec::new(), attempts: Default::default(), asks: 0 }
     }
 
     fn event(&mut self, now: Micros, event: Event) {
         let mut actions = Vec::new();
-        self.brain.on_event(now, event, &mut actions);
-        self.brain.decide(now, &mut actions);
+        self.policy.on_event(now, event, &mut actions);
+        self.policy.decide(now, &mut actions);
         for action in actions {
             match action {
                 Action::Send { id, .. } => {
--- a/lab/src/soak/discovery.rs
+++ b/lab/src/soak/discovery.rs
@@ -6,6 +6,7 @@
 use crate::http::{Request, Server as Connection};
 use crate::world::{World, sleep};
 use async_io::Async;
+use futures_lite::future;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
@@ -67,6 +68,8 @@
     rng: RefCell<StdRng>,
     /// What each daemon was refused in a row; see `REFUSED_MOST`.
     refused: RefCell<BTreeMap<usize, u32>>,
+    /// The whole list as each daemon was last told it.
+    last_told: RefCell<BTreeMap<usize, Value>>,
     world: World,
     ledger: Ledger,
 }
@@ -91,6 +94,7 @@
             mode: Cell::new(Mode::Well),
             rng: RefCell::new(StdRng::seed_from_u64(seed)),
             refused: RefCell::default(),
+            last_told: RefCell::default(),
             world: world.clone(),
             ledger: ledger.clone(),
         })
@@ -159,6 +163,11 @@
         json!({"generation": self.generation.get(), "reset": since.is_none(), "instances": instances})
     }
 
+    /// The list that a daemon's configuration names at its start: as it last had it.
+    pub fn known_to(&self, daemon: usize) -> Option<Value> {
+        self.last_told.borrow().get(&daemon).cloned()
+    }
+
     async fn serve(self: Rc<Discovery>, daemon: usize, open: Rc<Cell<bool>>, mut connection: Connection) {
         while let Ok(Some(request)) = connection.next().await {
             let lasts = if request.method == "POST" {
@@ -235,7 +244,18 @@
         let since = number("since=").filter(|since| *since <= self.generation.get());
         let ends = self.world.now() + number("timeout_ms=").unwrap_or(0) as f64 / 1000.0;
         while since == Some(self.generation.get()) && self.world.now() < ends {
-            sleep(LOOK_S).await;
+            let looks = async {
+                sleep(LOOK_S).await;
+                false
+            };
+            // Nothing counts as told to one who has left.
+            let left = future::or(looks, async {
+                connection.closed().await;
+                true
+            });
+            if left.await {
+                return false;
+            }
             match self.mode.get() {
                 _ if !open.get() => return false,
                 Mode::Down => {
@@ -256,6 +276,7 @@
         let written = connection.answer(200, "", &body).await.is_ok();
         let now = self.world.now();
         self.ledger.with(|seen| seen.told.push((now, daemon, generation)));
+        self.last_told.borrow_mut().insert(daemon, self.list(None));
         written
     }
 }
--- a/lab/src/soak/judge.rs
+++ b/lab/src/soak/judge.rs
@@ -1,6 +1,6 @@
 //! The rules, judged by what the stand-ins saw.
 
-use super::ledger::{Call, Class, Heard, Message, Restart, Seen};
+use super::ledger::{Call, Class, Drained, Heard, Message, Restart, Seen};
 use std::collections::BTreeMap;
 
 /// The stand-ins may see things late by this, beside what they measured of their own lateness.
@@ -60,12 +60,17 @@
     SLACK_S + terms.lateness_s
 }
 
-/// When a daemon counts as knowing a version of the list: once it was told, or some time after discovery had it and could
-/// be reached.
-fn known_at(seen: &Seen, daemon: usize, generation: u64, at: f64) -> f64 {
+/// When a daemon was first told a version of the list.
+fn told_at(seen: &Seen, daemon: usize, generation: u64) -> f64 {
     let told = seen.told.iter().filter(|(_, d, g)| *d == daemon && *g >= generation);
-    let told = told.map(|(t, ..)| *t).fold(f64::INFINITY, f64::min);
-    told.min(due_at(seen, at))
+    told.map(|(t, ..)| *t).fold(f64::INFINITY, f64::min)
+}
+
+/// When a daemon's process of a time counts as knowing of a drain: once it was told, or some time after discovery had it and
+/// could be reached. A process that starts anew has the list that the one before it was told last.
+fn known_at(seen: &Seen, daemon: usize, drained: &Drained, process_start: f64) -> f64 {
+    let told = told_at(seen, daemon, drained.generation).max(process_start);
+    told.min(due_at(seen, drained.at.max(process_start)))
 }
 
 /// So long after a time, counted anew whenever discovery can be reached again.
@@ -81,21 +86,17 @@
     due
 }
 
-/// A process that starts anew has nothing but its list of before: what it knows counts from its start.
+/// When the process that a daemon has at a time could have begun.
 fn started_before(seen: &Seen, daemon: usize, at: f64) -> f64 {
-    let starts = seen.restarts.iter().filter(|r| r.daemon == daemon).filter_map(|r| r.ready);
-    starts.filter(|ready| *ready <= at).fold(0.0, f64::max)
+    let starts = seen.restarts.iter().filter(|r| r.daemon == daemon).filter_map(|r| r.down);
+    starts.filter(|down| *down <= at).fold(0.0, f64::max)
 }
 
 fn drains(seen: &Seen, terms: Terms, verdict: &mut Verdict) {
     for drained in &seen.drained {
-        let mut known: BTreeMap<usize, f64> = BTreeMap::new();
         for call in seen.calls.iter().filter(|c| c.server == drained.server && c.began > drained.at) {
-            let known = *known
-                .entry(call.daemon)
-                .or_insert_with(|| known_at(seen, call.daemon, drained.generation, drained.at));
             let start = started_before(seen, call.daemon, call.began);
-            let known = if start > known { due_at(seen, start) } else { known };
+            let known = known_at(seen, call.daemon, drained, start);
             let late = call.began - known - DRAIN_GRACE_S;
             if late > slack(terms) {
                 let (id, server) = (&call.id, &call.server);
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -167,6 +167,9 @@
     async fn up(&self, i: usize) -> Result<(), String> {
         let node = &self.nodes[i];
         let mut daemon = node.daemon.borrow_mut().take().ok_or("it is being started already")?;
+        if let Some(known) = self.discovery.known_to(i) {
+            daemon.set_known(known);
+        }
         let started = daemon.start().await;
         let http = daemon.http;
         node.daemon.replace(Some(daemon));
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -3,7 +3,7 @@
 use super::record::{CallEnd, End, Record, Taken};
 use super::recovery::Owed;
 use super::{Ids, Names};
-use crate::Brain;
+use crate::PolicyEngine;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -124,7 +124,7 @@
 /// run backwards while it lives.
 #[derive(Debug)]
 pub struct Desk {
-    brain: Brain,
+    policy: PolicyEngine,
     names: Names,
     /// Destinations that drop no repeats, and where the class of a keyed message stands for them.
     plain: BTreeSet<DestinationId>,
@@ -183,7 +183,7 @@
             ),
             effects: settings.classes.iter().map(|c| c.effect).collect(),
             give_up: settings.classes.iter().map(|c| c.give_up).collect(),
-            brain: Brain::new(settings, seed),
+            policy: PolicyEngine::new(settings, seed),
             names,
             plain,
             unsafe_class,
@@ -202,12 +202,12 @@
 
     /// Destinations that the module doubts.
     pub fn in_question(&self) -> impl Iterator<Item = DestinationId> {
-        self.brain.in_question()
+        self.policy.in_question()
     }
 
-    /// An endpoint of a destination in use is back in the list; see [`Brain::recall`].
+    /// An endpoint of a destination in use is back in the list; see [`PolicyEngine::recall`].
     pub fn recall(&mut self, now: Micros, to: ReceiverId, repute: Repute) {
-        self.brain.recall(now, to, repute);
+        self.policy.recall(now, to, repute);
     }
 
     /// Has the module make one call to a destination, with nothing in it: it keeps every rule that a request's call
@@ -216,7 +216,7 @@
         let n = self.number();
         self.probes.insert(n, destination);
         let m = Message { id: MessageId(n), class, tenant: None, key: None, destination, left };
-        self.brain.on_event(now, Event::Submit(m), &mut self.actions);
+        self.policy.on_event(now, Event::Submit(m), &mut self.actions);
         n
     }
 
@@ -228,24 +228,24 @@
     /// A probe is not wanted any more; its call, if one is out, runs on.
     pub fn call_off(&mut self, now: Micros, n: u64) {
         if self.probes.remove(&n).is_some() {
-            self.brain.on_event(now, Event::Withdrawn(MessageId(n)), &mut self.actions);
+            self.policy.on_event(now, Event::Withdrawn(MessageId(n)), &mut self.actions);
         }
     }
 
     /// An endpoint told that nothing may go there before a time.
     pub fn wait(&mut self, now: Micros, to: ReceiverId, until: Micros) {
-        self.brain.on_event(now, Event::Wait(to, until.since(now)), &mut self.actions);
+        self.policy.on_event(now, Event::Wait(to, until.since(now)), &mut self.actions);
     }
 
-    /// An attempt is about to leave; see [`Brain::leave`].
+    /// An attempt is about to leave; see [`PolicyEngine::leave`].
     pub fn leave(&self, now: Micros, n: u64, attempt: u32, to: ReceiverId) -> Leave {
-        self.brain.leave(now, MessageId(n), attempt, to)
+        self.policy.leave(now, MessageId(n), attempt, to)
     }
 
     /// What another sender was asked to tell of an endpoint that has this number here.
     pub fn note(&mut self, now: Micros, receiver: ReceiverId, news: &[u8]) {
         let id = &receiver.0.to_le_bytes()[..4];
-        self.brain.on_event(now, Event::Note([id, news].concat()), &mut self.actions);
+        self.policy.on_event(now, Event::Note([id, news].concat()), &mut self.actions);
     }
 
     /// Requests that the module has not ended.
@@ -325,7 +325,7 @@
         let Some(m) = self.message(now, &taken) else { return };
         self.next = self.next.max(taken.n + 1);
         self.owed.insert(taken.n, Owed { taken, ..Owed::default() });
-        self.brain.on_event(now, Event::Submit(m), &mut self.actions);
+        self.policy.on_event(now, Event::Submit(m), &mut self.actions);
     }
 
     /// Takes over what an earlier process owed. True if its end was decided there and only needs telling.
@@ -350,7 +350,7 @@
         self.given += usize::from(given);
         match message {
             _ if given => {}
-            Some(m) => self.brain.on_event(now, Event::Resume(m, past), &mut self.actions),
+            Some(m) => self.policy.on_event(now, Event::Resume(m, past), &mut self.actions),
             // Its class has left the settings: nothing can be decided on it any more.
             None => self.actions.push(Action::Fail(MessageId(n))),
         }
@@ -359,20 +359,20 @@
 
     /// The list, or word that it could not be had.
     pub fn list(&mut self, now: Micros, event: Event) {
-        self.brain.on_event(now, event, &mut self.actions);
+        self.policy.on_event(now, event, &mut self.actions);
     }
 
     /// Has the module forget a destination for which nothing is held or out: what it was like, and what its endpoints
     /// were like. None if it cannot rest now.
     pub fn rest(&mut self, now: Micros, destination: u64) -> Option<(Repute, Vec<(ReceiverId, Repute)>)> {
-        self.brain.rest(now, DestinationId(destination))
+        self.policy.rest(now, DestinationId(destination))
     }
 
-    /// Takes a destination in that has rested; see [`Brain::wake`].
+    /// Takes a destination in that has rested; see [`PolicyEngine::wake`].
     pub fn wake(
         &mut self, now: Micros, destination: u64, whole: Repute, each: Vec<(Entry, Repute)>, assumed: f64,
     ) {
-        self.brain.wake(now, DestinationId(destination), whole, each, assumed);
+        self.policy.wake(now, DestinationId(destination), whole, each, assumed);
     }
 
     /// An attempt is about to be made: its record.
@@ -419,7 +419,7 @@
 
     /// Until when the rules let an attempt go that the module has decided on.
     pub fn sends_end(&self, n: u64, attempt: u32) -> Option<Micros> {
-        self.brain.sends_end(MessageId(n), attempt)
+        self.policy.sends_end(MessageId(n), attempt)
     }
 
     /// The attempt could not be put in the log, and was not made.
@@ -446,7 +446,7 @@
             limit: a.limit.0,
             left: a.limit.1,
         };
-        self.brain.on_event(now, Event::Outcome(outcome), &mut self.actions);
+        self.policy.on_event(now, Event::Outcome(outcome), &mut self.actions);
         if over {
             if let Some(o) = self.owed.get_mut(&a.n).filter(|o| o.taken.receipt && o.given.is_none()) {
                 o.given = Some(End::Delivered);
@@ -474,7 +474,7 @@
 
     /// Its client never heard that it was taken on.
     pub fn withdraw(&mut self, now: Micros, n: u64) -> Option<Record> {
-        self.brain.on_event(now, Event::Withdrawn(MessageId(n)), &mut self.actions);
+        self.policy.on_event(now, Event::Withdrawn(MessageId(n)), &mut self.actions);
         self.over(n)
     }
 
@@ -487,10 +487,10 @@
     pub fn decide(&mut self, now: Micros, send: bool, steps: &mut Vec<Step>) {
         while self.wakes.first().is_some_and(|t| *t <= now) {
             self.wakes.pop_first();
-            self.brain.on_event(now, Event::Wake, &mut self.actions);
+            self.policy.on_event(now, Event::Wake, &mut self.actions);
         }
         if send {
-            self.brain.decide(now, &mut self.actions);
+            self.policy.decide(now, &mut self.actions);
         }
         steps.extend(self.receipts.drain(..).map(|n| Step::End { n, end: End::Delivered }));
         for action in std::mem::take(&mut self.actions) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,6 @@
-//! What a sender tells [`Brain`](crate::Brain) and what it is told to do: settings, events, actions.
+//! What a sender tells [`PolicyEngine`](crate::PolicyEngine) and what it is told to do: settings, events, actions.
 //!
-//! All times are microseconds on one clock of the caller's, which never runs backwards; the brain owns no
+//! All times are microseconds on one clock of the caller's, which never runs backwards; the policy owns no
 //! clock of its own. Ids are the caller's and only compared for equality and order.
 
 /// A point in time or a span, in microseconds.
@@ -234,7 +234,7 @@
     pub weight: f64,
 }
 
-/// A message handed in. From here on the brain owes it one final answer.
+/// A message handed in. From here on the policy owes it one final answer.
 #[derive(Clone, Debug)]
 pub struct Message {
     /// Its id.
@@ -392,7 +392,7 @@
 #[derive(Clone, PartialEq, Debug)]
 pub enum Action {
     /// Call the receiver with the message, giving up waiting after `patience`. Sends of one
-    /// [`decide`](crate::Brain::decide) to one receiver share calls as far as its kind allows.
+    /// [`decide`](crate::PolicyEngine::decide) to one receiver share calls as far as its kind allows.
     Send {
         /// The message.
         id: MessageId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,8 @@
 //! The decisions of a sender that delivers notifications to outside receivers: what to send where and
 //! when, what to retry, what to refuse, and how to treat a destination that fails, slows down or returns.
 //!
-//! The library does no I/O and owns no clock, thread or global. The sender hands [`Event`]s to a [`Brain`],
-//! calls [`Brain::decide`] once all events of a moment are in, and carries out the [`Action`]s in order.
+//! The library does no I/O and owns no clock, thread or global. The sender hands [`Event`]s to a [`PolicyEngine`],
+//! calls [`PolicyEngine::decide`] once all events of a moment are in, and carries out the [`Action`]s in order.
 //!
 //! The caller promises that
 //! - its clock never runs backwards, and all times are microseconds on that one clock;
@@ -11,10 +11,10 @@
 //! - each [`Action::WakeAfter`] is answered by an [`Event::Wake`] once the span has passed.
 //!
 //! In return each [`Event::Submit`] gets one final answer before its time is up: the delivery,
-//! [`Action::Refuse`] or [`Action::Fail`]. One brain serves one sender process; brains share nothing.
+//! [`Action::Refuse`] or [`Action::Fail`]. One policy serves one sender process; brains share nothing.
 //!
 //! ```
-//! use onyxrock::{Brain, interface::*};
+//! use onyxrock::{PolicyEngine, interface::*};
 //!
 //! let settings = Settings {
 //!     classes: vec![ClassSettings {
@@ -29,7 +29,7 @@
 //!     max_attempts: 6,
 //!     ..Settings::default()
 //! };
-//! let mut brain = Brain::new(settings, 42);
+//! let mut policy = PolicyEngine::new(settings, 42);
 //! let mut actions = Vec::new();
 //!
 //! // The list names one receiver; a message for its destination is taken.
@@ -42,8 +42,8 @@
 //!     weight: 0.0,
 //! };
 //! let now = Micros(1_000);
-//! brain.on_event(now, Event::FullList(vec![entry]), &mut actions);
-//! brain.on_event(now, Event::Submit(Message {
+//! policy.on_event(now, Event::FullList(vec![entry]), &mut actions);
+//! policy.on_event(now, Event::Submit(Message {
 //!     id: MessageId(1),
 //!     class: ClassId(0),
 //!     tenant: None,
@@ -51,14 +51,14 @@
 //!     destination: DestinationId(1),
 //!     left: Micros(20_000_000),
 //! }), &mut actions);
-//! brain.decide(now, &mut actions);
+//! policy.decide(now, &mut actions);
 //! assert!(matches!(actions[0], Action::Send { receiver: ReceiverId(7), .. }));
 //!
 //! // The call is refused: a timer is asked for, and when it comes the message goes again.
 //! actions.clear();
 //! let elapsed = Micros(40_000);
 //! let now = now.after(elapsed);
-//! brain.on_event(now, Event::Outcome(Outcome {
+//! policy.on_event(now, Event::Outcome(Outcome {
 //!     id: MessageId(1),
 //!     attempt: 0,
 //!     receiver: ReceiverId(7),
@@ -68,21 +68,21 @@
 //!     limit: None,
 //!     left: None,
 //! }), &mut actions);
-//! brain.decide(now, &mut actions);
+//! policy.decide(now, &mut actions);
 //! let Action::WakeAfter(span) = actions[0] else { panic!("a timer is asked for") };
 //! actions.clear();
 //! let now = now.after(span);
-//! brain.on_event(now, Event::Wake, &mut actions);
-//! brain.decide(now, &mut actions);
+//! policy.on_event(now, Event::Wake, &mut actions);
+//! policy.decide(now, &mut actions);
 //! assert!(matches!(actions[0], Action::Send { id: MessageId(1), .. }));
 //! ```
 
-pub mod brain;
 pub mod core;
 pub mod interface;
 mod list_refresh;
 mod news;
+pub mod policy;
 mod state;
 
-pub use brain::Brain;
 pub use interface::{Action, Event, Settings};
+pub use policy::PolicyEngine;
--- a/src/list_refresh.rs
+++ b/src/list_refresh.rs
@@ -1,8 +1,9 @@
 //! When a sender refreshes the list of endpoints: at its start, and again after a call that failed.
 //!
-//! A change counts as known a fixed time after discovery had it and could be reached, whatever calls failed meanwhile. So it
-//! is not one pause that has to be bounded but the time that several failed calls in a row take. The pause after a call that
-//! failed at once lets `CALLS_WITHIN` calls fit into that time, however many failed before it; it does not grow.
+//! A change counts as known a fixed time after discovery had it and could be reached, whatever calls failed
+//! meanwhile. So it is not one pause that has to be bounded but the time that several failed calls in a row take.
+//! The pause after a call that failed at once lets `CALLS_WITHIN` calls fit into that time, however many failed
+//! before it; it does not grow.
 //!
 //! One service answers all senders in turn, and what all of them do in one moment no service answers in time. So beyond a
 //! few senders a start waits for its turn, by its number, if it holds a list from before. And a call that took its time
@@ -10,7 +11,7 @@
 //! anywhere in a span that leaves time for refused calls behind it.
 
 use crate::interface::{Event, Micros, Settings};
-use crate::state::Dice;
+use crate::state::Rng;
 
 /// A change counts as known so long after discovery had it and could be reached, whatever calls failed.
 const KNOWN_WITHIN: Micros = Micros(6_000_000);
@@ -54,8 +55,8 @@
         let longest = Micros::from_secs(PAUSE_MOST.secs() / (1.0 + JITTER / 2.0));
         // Where nothing says how often to ask, every change counts as known at once: then nobody may wait.
         let many = settings.share_much() && settings.ask_every > Micros(0);
-        // Silence for longer than `ask_every` counts as having been told, and a failed call is as late: the last turn comes
-        // before both.
+        // Silence for longer than `ask_every` counts as having been told, and a failed call is as late: the last turn
+        // comes before both.
         let within = settings.ask_every.min(KNOWN_WITHIN).secs() * TURNS_WITHIN;
         let place = f64::from(settings.number) / f64::from(settings.senders.max(1));
         let turn = if many { Micros::from_secs(round.min(within) * place) } else { Micros(0) };
@@ -95,7 +96,7 @@
     }
 
     /// A call took its time and failed.
-    pub fn failed(&mut self, now: Micros, rng: &mut Dice) {
+    pub fn failed(&mut self, now: Micros, rng: &mut Rng) {
         match self.lost.filter(|_| self.subscribe) {
             Some((least, spread)) => {
                 let by_chance = Micros::from_secs(spread.secs() * rng.roll());
@@ -106,7 +107,7 @@
     }
 
     /// A call failed at once.
-    pub fn refused(&mut self, now: Micros, rng: &mut Dice) {
+    pub fn refused(&mut self, now: Micros, rng: &mut Rng) {
         if self.subscribe {
             let jitter = 1.0 + JITTER * (rng.roll() - 0.5);
             self.due = Some(now.after(Micros::from_secs(self.pause.secs() * jitter)));
--- a/src/brain/rest.rs
+++ b/src/policy/idle.rs
@@ -7,7 +7,7 @@
 
 use super::*;
 
-impl Brain {
+impl PolicyEngine {
     /// Takes a destination out, if nothing is held or out for it: what it was like, and what its receivers were like.
     /// None if it cannot rest now, and then it is as before.
     pub fn rest(&mut self, now: Micros, id: DestinationId) -> Option<(Repute, Vec<(ReceiverId, Repute)>)> {
--- a/src/brain/books.rs
+++ b/src/policy/intake.rs
@@ -12,10 +12,10 @@
 
 /// The decisions of one sender.
 #[derive(Clone, Debug)]
-pub struct Brain {
+pub struct PolicyEngine {
     pub(super) set: Settings,
     pub(super) scale: Scale,
-    pub(super) dice: Dice,
+    pub(super) rng: Rng,
     pub(super) destinations: BTreeMap<DestinationId, Destination>,
     pub(super) receivers: BTreeMap<ReceiverId, Receiver>,
     pub(super) held: BTreeMap<MessageId, Held>,
@@ -42,12 +42,12 @@
     pub(super) wake_at: Option<Micros>,
 }
 
-impl Brain {
+impl PolicyEngine {
     /// A sender that knows nothing yet but its settings. All chance comes from `seed`.
-    pub fn new(settings: Settings, seed: u64) -> Brain {
-        Brain {
+    pub fn new(settings: Settings, seed: u64) -> PolicyEngine {
+        PolicyEngine {
             scale: Scale::of(&settings),
-            dice: Dice(seed),
+            rng: Rng(seed),
             destinations: BTreeMap::new(),
             receivers: BTreeMap::new(),
             held: BTreeMap::new(),
@@ -69,14 +69,14 @@
         }
     }
 
-    /// Takes note of something that happened at `now`. Call [`Brain::decide`] after the last of a moment.
+    /// Takes note of something that happened at `now`. Call [`PolicyEngine::decide`] after the last of a moment.
     pub fn on_event(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.list_refresh.heard(&event);
         match event {
             Event::DiskList(entries) | Event::FullList(entries) => self.on_list(entries, true),
             Event::Known(entries) | Event::ListChanges(entries) => self.on_list(entries, false),
-            Event::ListFailed => self.list_refresh.failed(now, &mut self.dice),
-            Event::ListRefused => self.list_refresh.refused(now, &mut self.dice),
+            Event::ListFailed => self.list_refresh.failed(now, &mut self.rng),
+            Event::ListRefused => self.list_refresh.refused(now, &mut self.rng),
             Event::ListMoved => self.list_refresh.moved(),
             Event::Submit(message) => self.on_submit(now, message),
             Event::Resume(message, past) => self.on_resume(now, message, past, actions),
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,5 @@
-//! What a brain keeps between events: records, and the plain structures that hold them. Nothing here decides,
-//! and no tuned value stands here: `src/brain.rs` says what happens.
+//! What a policy keeps between events: records, and the plain structures that hold them. Nothing here decides,
+//! and no tuned value stands here: `src/policy.rs` says what happens.
 
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -55,9 +55,9 @@
 
 /// Numbers from 0 to 1, from the seed alone (splitmix64).
 #[derive(Clone, Debug)]
-pub(crate) struct Dice(pub u64);
+pub(crate) struct Rng(pub u64);
 
-impl Dice {
+impl Rng {
     pub fn roll(&mut self) -> f64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut z = self.0;
--- a/tests/common/fleet/mod.rs
+++ b/tests/common/fleet/mod.rs
@@ -1,6 +1,6 @@
 //! An emulator of a fleet of senders that share destinations, on a virtual clock and without a network.
 //!
-//! Each sender is a [`Brain`] of its own. They meet only in the connection tables of the endpoints: a
+//! Each sender is a [`PolicyEngine`] of its own. They meet only in the connection tables of the endpoints: a
 //! connection that one sender keeps idle is one that no other sender can open. A run is the same every time.
 #![allow(dead_code, unused_imports)] // each test file uses its part
 
@@ -12,7 +12,7 @@
 pub use scenario::{FALL_MULTIPLE, FALL_WINDOW, Outage, Scenario, WARM_WITHIN, warmth};
 
 use endpoint::{Connection, Endpoint};
-use onyxrock::Brain;
+use onyxrock::PolicyEngine;
 use onyxrock::interface::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -49,7 +49,7 @@
 
 /// One process of the fleet.
 struct Sender {
-    brain: Brain,
+    policy: PolicyEngine,
     /// Connections kept open without a call, the longest idle first.
     idle: BTreeMap<ReceiverId, Vec<Connection>>,
 }
@@ -100,7 +100,7 @@
 
     fn new(scenario: Scenario) -> Fleet {
         let senders = (0..scenario.senders).map(|number| Sender {
-            brain: Brain::new(scenario.settings(number), scenario.seed * 1000 + u64::from(number)),
+            policy: PolicyEngine::new(scenario.settings(number), scenario.seed * 1000 + u64::from(number)),
             idle: BTreeMap::new(),
         });
         let endpoints = scenario.receivers().map(|id| (id, Endpoint::new(&scenario)));
@@ -156,9 +156,9 @@
     /// Hands one event to a sender and carries out what it decides.
     fn hand_in(&mut self, number: usize, event: Event) {
         let mut actions = Vec::new();
-        let brain = &mut self.senders[number].brain;
-        brain.on_event(self.now, event, &mut actions);
-        brain.decide(self.now, &mut actions);
+        let policy = &mut self.senders[number].policy;
+        policy.on_event(self.now, event, &mut actions);
+        policy.decide(self.now, &mut actions);
         for action in actions {
             match action {
                 Action::Send { id, receiver, patience } => self.call(number, id, receiver, patience),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
-//! A sender without a network: hands events to the brain and keeps what it decides.
+//! A sender without a network: hands events to the policy and keeps what it decides.
 #![allow(dead_code)] // each test file uses its part
 
-use onyxrock::Brain;
+use onyxrock::PolicyEngine;
 use onyxrock::interface::*;
 
 pub const SAFE: usize = 0;
@@ -81,7 +81,7 @@
 }
 
 pub struct Rig {
-    pub brain: Brain,
+    pub policy: PolicyEngine,
     pub now: Micros,
     pub out: Vec<Sent>,
     pub sent: Vec<Sent>,
@@ -96,9 +96,9 @@
 
 impl Rig {
     pub fn new(settings: Settings, entries: Vec<Entry>) -> Rig {
-        let brain = Brain::new(settings, 7);
+        let policy = PolicyEngine::new(settings, 7);
         let mut rig = Rig {
-            brain,
+            policy,
             now: Micros(5_000_000_000),
             out: vec![],
             sent: vec![],
@@ -113,11 +113,11 @@
         rig.event(Event::DiskList(entries));
         rig
     }
-    /// Hands in one event and lets the brain decide.
+    /// Hands in one event and lets the policy decide.
     pub fn event(&mut self, event: Event) {
         let mut actions = Vec::new();
-        self.brain.on_event(self.now, event, &mut actions);
-        self.brain.decide(self.now, &mut actions);
+        self.policy.on_event(self.now, event, &mut actions);
+        self.policy.decide(self.now, &mut actions);
         self.carry_out(actions);
     }
     pub fn carry_out(&mut self, actions: Vec<Action>) {
@@ -140,7 +140,7 @@
             }
         }
     }
-    /// Lets time pass in steps, waking the brain at each.
+    /// Lets time pass in steps, waking the policy at each.
     pub fn pass(&mut self, span: Micros) {
         let end = self.now.after(span);
         while self.now < end {
--- a/tests/copies.rs
+++ b/tests/copies.rs
@@ -37,7 +37,7 @@
 #[test]
 fn a_copy_goes_only_where_settings_class_and_receivers_allow_it() {
     let mut forbidden = copied(two());
-    forbidden.brain = onyxrock::Brain::new(Settings { notes: false, ..settings() }, 7);
+    forbidden.policy = onyxrock::PolicyEngine::new(Settings { notes: false, ..settings() }, 7);
     forbidden.event(Event::FullList(two()));
     forbidden.warm(2000, 80, 1);
     assert_eq!(hangs(&mut forbidden, SAFE).len(), 1, "the settings allow one");
--- a/tests/fail_back.rs
+++ b/tests/fail_back.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use onyxrock::Brain;
+use onyxrock::PolicyEngine;
 use onyxrock::interface::*;
 
 const SENDERS: u32 = 200;
@@ -27,7 +27,7 @@
     let listed: Vec<_> =
         (1..=receivers).map(|r| Entry { weight: CAPACITY, ..entry(r, 1, kind, 0) }).collect();
     let mut rig = Rig::new(set.clone(), listed.clone());
-    rig.brain = Brain::new(set.clone(), u64::from(seed));
+    rig.policy = PolicyEngine::new(set.clone(), u64::from(seed));
     rig.event(Event::DiskList(listed));
     rig.pass(ms(20_000));
     let start = rig.now;
--- a/tests/list_refresh.rs
+++ b/tests/list_refresh.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use onyxrock::Brain;
+use onyxrock::PolicyEngine;
 use onyxrock::interface::*;
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -26,7 +26,7 @@
 /// The same where `failure` says how the n-th call ends.
 fn pauses_after(set: Settings, seed: u64, held: bool, failure: impl Fn(usize) -> Event) -> Vec<Micros> {
     let mut rig = Rig::new(set.clone(), vec![]);
-    rig.brain = Brain::new(set, seed);
+    rig.policy = PolicyEngine::new(set, seed);
     rig.follows = 0;
     let first = if held { Event::DiskList(vec![entry(1, 1, 0, 0)]) } else { Event::Wake };
     rig.event(first);
--- a/tests/many_senders.rs
+++ b/tests/many_senders.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use onyxrock::Brain;
+use onyxrock::PolicyEngine;
 use onyxrock::interface::*;
 
 fn many() -> Settings {
@@ -184,10 +184,10 @@
 
 #[test]
 fn wake_ups_are_asked_for_exact_times() {
-    let mut brain = Brain::new(settings(), 7);
+    let mut policy = PolicyEngine::new(settings(), 7);
     let mut actions = Vec::new();
     let now = ms(5_000_000);
-    brain.on_event(now, Event::DiskList(vec![entry(1, 1, 0, 0)]), &mut actions);
+    policy.on_event(now, Event::DiskList(vec![entry(1, 1, 0, 0)]), &mut actions);
     let message = |id| Message {
         id: MessageId(id),
         class: ClassId(SAFE),
@@ -196,9 +196,9 @@
         destination: DestinationId(1),
         left: ms(20_000),
     };
-    brain.on_event(now, Event::Submit(message(1)), &mut actions);
-    brain.decide(now, &mut actions);
-    brain.on_event(
+    policy.on_event(now, Event::Submit(message(1)), &mut actions);
+    policy.decide(now, &mut actions);
+    policy.on_event(
         now,
         Event::Outcome(Outcome {
             id: MessageId(1),
@@ -213,11 +213,11 @@
         &mut actions,
     );
     actions.clear();
-    brain.decide(now, &mut actions);
+    policy.decide(now, &mut actions);
     assert_eq!(actions, [Action::WakeAfter(ms(300))], "when the message's own pause is over, and not before");
     actions.clear();
-    brain.on_event(now.after(ms(300)), Event::Wake, &mut actions);
-    brain.decide(now.after(ms(300)), &mut actions);
+    policy.on_event(now.after(ms(300)), Event::Wake, &mut actions);
+    policy.decide(now.after(ms(300)), &mut actions);
     assert_eq!(actions, [Action::WakeAfter(ms(500))], "then when the told wait is");
 }
 
@@ -226,7 +226,7 @@
     let tries: Vec<usize> = (0..20u64)
         .map(|seed| {
             let mut rig = Rig::new(many(), vec![Entry { weight: 400.0, ..entry(1, 1, 0, 0) }]);
-            rig.brain = Brain::new(many(), seed);
+            rig.policy = PolicyEngine::new(many(), seed);
             rig.event(Event::DiskList(vec![Entry { weight: 400.0, ..entry(1, 1, 0, 0) }]));
             rig.submit(1, SAFE, 1);
             rig.answer(1, Verdict::Full(Some(ms(3000))));
@@ -245,7 +245,7 @@
     let told_nothing = Settings { senders: 100, notes: false, ..settings() };
     for seed in 0..100 {
         let mut rig = Rig::new(told_nothing.clone(), vec![entry(1, 1, 0, 0)]);
-        rig.brain = Brain::new(told_nothing.clone(), seed);
+        rig.policy = PolicyEngine::new(told_nothing.clone(), seed);
         rig.event(Event::DiskList(vec![Entry { weight: 80.0, ..entry(1, 1, 0, 0) }]));
         rig.warm(1000, 2, 1);
         rig.submit(1, SAFE, 1);
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use onyxrock::Brain;
+use onyxrock::PolicyEngine;
 use onyxrock::interface::*;
 use std::collections::BTreeMap;
 
@@ -131,7 +131,7 @@
     }
 
     /// Asks the gate for the calls whose connections are up, or lets all go. What is held back has its outcome.
-    fn leave(&mut self, now: Micros, set: &Settings, brain: &Brain, gate: bool) -> Vec<Event> {
+    fn leave(&mut self, now: Micros, set: &Settings, policy: &PolicyEngine, gate: bool) -> Vec<Event> {
         let up = |m: &Known| {
             m.out.iter().filter(|o| o.4.is_some_and(|up| up <= now)).map(|o| (o.0, o.1)).collect()
         };
@@ -140,7 +140,7 @@
         for (id, (attempt, receiver)) in
             all.into_iter().flat_map(|(id, up)| up.into_iter().map(move |u| (id, u)))
         {
-            let says = brain.leave(now, MessageId(id), attempt, ReceiverId(receiver));
+            let says = policy.leave(now, MessageId(id), attempt, ReceiverId(receiver));
             let m = self.messages.get_mut(&id).expect("a known message");
             if says == Leave::Go || !gate {
                 let call = m.out.iter_mut().find(|o| o.0 == attempt).expect("a call is out");
@@ -241,13 +241,13 @@
     let mut dice = Dice(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
     let set = deployments(&mut dice);
     let mut world = World::default();
-    let mut brain = Brain::new(set.clone(), seed);
+    let mut policy = PolicyEngine::new(set.clone(), seed);
     let mut now = Micros(dice.below(1 << 50));
     let mut next = 1;
     let mut called_off = Vec::new();
     let mut events = vec![Event::DiskList((0..RECEIVERS).map(place).collect())];
     for step in 0..3000 {
-        events.extend(world.leave(now, &set, &brain, gate));
+        events.extend(world.leave(now, &set, &policy, gate));
         if step < 2000 && dice.below(3) == 0 {
             let class = dice.below(4) as usize;
             let key = (class == ORDERED).then(|| format!("k{}", dice.below(3)));
@@ -320,9 +320,9 @@
         events.push(Event::Wake);
         let mut actions = Vec::new();
         for event in events.drain(..) {
-            brain.on_event(now, event, &mut actions);
+            policy.on_event(now, event, &mut actions);
         }
-        brain.decide(now, &mut actions);
+        policy.decide(now, &mut actions);
         for action in actions {
             world.log.push(format!("{action:?}"));
             match action {
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -19,9 +19,9 @@
         for id in ids {
             let m = Rig::message(id, tenant, ms(4000 + id));
             self.attempts.insert(id, past.attempts);
-            self.brain.on_event(self.now, Event::Resume(m, past), &mut actions);
+            self.policy.on_event(self.now, Event::Resume(m, past), &mut actions);
         }
-        self.brain.decide(self.now, &mut actions);
+        self.policy.decide(self.now, &mut actions);
         self.carry_out(actions);
     }
     fn goes(&mut self, verdict: Verdict) -> u64 {
--- a/tests/waking.rs
+++ b/tests/waking.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use onyxrock::Brain;
+use onyxrock::PolicyEngine;
 use onyxrock::interface::*;
 use std::collections::BTreeMap;
 
@@ -49,7 +49,7 @@
 /// One destination of one receiver: it takes `capacity` calls a second once warm, a part of that when cold, refuses
 /// what is over, and falls over when it is sent a multiple of what it has.
 struct World {
-    brain: Brain,
+    policy: PolicyEngine,
     now: Micros,
     capacity: f64,
     cold_from: Option<Micros>,
@@ -69,7 +69,7 @@
 impl World {
     fn new(set: Settings) -> World {
         World {
-            brain: Brain::new(set, 7),
+            policy: PolicyEngine::new(set, 7),
             now: s(1000.0),
             capacity: 25.0,
             cold_from: None,
@@ -91,7 +91,7 @@
     }
     fn event(&mut self, event: Event) {
         let mut actions = Vec::new();
-        self.brain.on_event(self.now, event, &mut actions);
+        self.policy.on_event(self.now, event, &mut actions);
         self.act(actions);
     }
     fn submit(&mut self, left: f64) -> u64 {
@@ -153,13 +153,13 @@
                 self.event(Event::Wake);
             }
             let mut actions = Vec::new();
-            self.brain.decide(now, &mut actions);
+            self.policy.decide(now, &mut actions);
             self.act(actions);
         }
     }
     fn wake(&mut self, whole: Repute, weight: f64) {
         let each = vec![(entry(1, 0, weight), Repute::default())];
-        self.brain.wake(self.now, DestinationId(1), whole, each, 10.0);
+        self.policy.wake(self.now, DestinationId(1), whole, each, 10.0);
     }
 }
 
@@ -233,24 +233,24 @@
 fn a_destination_rests_only_when_nothing_is_held_or_out_and_leaves_nothing_behind() {
     let mut w = World::new(settings());
     w.event(Event::FullList(vec![entry(1, 0, 50.0)]));
-    assert!(w.brain.rest(w.now, DestinationId(9)).is_some(), "nothing is known of it");
+    assert!(w.policy.rest(w.now, DestinationId(9)).is_some(), "nothing is known of it");
     w.submit(5.0);
-    assert!(w.brain.rest(w.now, DestinationId(1)).is_none(), "held");
+    assert!(w.policy.rest(w.now, DestinationId(1)).is_none(), "held");
     w.run(0.01);
-    assert!(w.brain.rest(w.now, DestinationId(1)).is_none(), "out");
+    assert!(w.policy.rest(w.now, DestinationId(1)).is_none(), "out");
     w.run(1.0);
     for _ in 0..200 {
         w.submit(5.0);
         w.run(0.1);
     }
     w.run(1.0);
-    let (whole, each) = w.brain.rest(w.now, DestinationId(1)).unwrap();
+    let (whole, each) = w.policy.rest(w.now, DestinationId(1)).unwrap();
     assert!((8.0..12.0).contains(&whole.served) && !whole.sick, "{whole:?}");
     assert_eq!((each.len(), each[0].0), (1, ReceiverId(1)));
     let mut actions = Vec::new();
-    w.brain.decide(w.now.after(s(60.0)), &mut actions);
+    w.policy.decide(w.now.after(s(60.0)), &mut actions);
     assert!(actions.is_empty(), "it asks for nothing: {actions:?}");
-    assert!(w.brain.in_question().next().is_none());
+    assert!(w.policy.in_question().next().is_none());
 }
 
 /// Routes apart have waits of their own, which go to rest with each.
@@ -260,11 +260,11 @@
     let now = w.now;
     let wait = Repute { wait_until: now.after(s(5.0)), sick: true, served: 3.0 };
     let each = vec![(entry(1, 1, 9.0), Repute::default()), (entry(2, 1, 9.0), wait)];
-    w.brain.wake(now, DestinationId(1), Repute::default(), each, 10.0);
+    w.policy.wake(now, DestinationId(1), Repute::default(), each, 10.0);
     w.submit(3.0);
     w.submit(3.0);
     w.run(2.0);
-    let (_, each) = w.brain.rest(w.now, DestinationId(1)).unwrap();
+    let (_, each) = w.policy.rest(w.now, DestinationId(1)).unwrap();
     let of = |n| each.iter().find(|e| e.0 == ReceiverId(n)).unwrap().1;
     assert_eq!(
         (of(2).wait_until, of(2).sick, of(1).wait_until, of(1).sick),
@@ -278,12 +278,12 @@
     let mut w = World::new(settings());
     w.event(Event::FullList(vec![entry(1, 1, 9.0)]));
     let wait = Repute { wait_until: w.now.after(s(1.0)), ..Repute::default() };
-    w.brain.recall(w.now, ReceiverId(1), wait);
+    w.policy.recall(w.now, ReceiverId(1), wait);
     w.submit(5.0);
     w.run(0.99);
     assert!(w.sent.is_empty());
     w.run(0.1);
     assert_eq!(w.sent.len(), 1);
-    w.brain.recall(w.now, ReceiverId(1), Repute { sick: true, ..Repute::default() });
-    assert_eq!(w.brain.in_question().count(), 1);
+    w.policy.recall(w.now, ReceiverId(1), Repute { sick: true, ..Repute::default() });
+    assert_eq!(w.policy.in_question().count(), 1);
 }
--- a/tower/src/lib.rs
+++ b/tower/src/lib.rs
@@ -7,7 +7,7 @@
 use async_channel::{Sender, bounded};
 use async_io::Timer;
 use futures_lite::future;
-use onyxrock::Brain;
+use onyxrock::PolicyEngine;
 use onyxrock::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::future::{Future, poll_fn};
@@ -76,7 +76,7 @@
 }
 
 struct Inner {
-    brain: Brain,
+    policy: PolicyEngine,
     most: usize,
     next: u64,
     orders: BTreeMap<u64, Sender<Order>>,
@@ -106,12 +106,12 @@
         let mut actions = Vec::new();
         while inner.wakes.first().is_some_and(|t| *t <= now) {
             inner.wakes.pop_first();
-            inner.brain.on_event(now, Event::Wake, &mut actions);
+            inner.policy.on_event(now, Event::Wake, &mut actions);
         }
         for event in events {
-            inner.brain.on_event(now, event, &mut actions);
+            inner.policy.on_event(now, event, &mut actions);
         }
-        inner.brain.decide(now, &mut actions);
+        inner.policy.decide(now, &mut actions);
         for action in actions {
             inner.carry_out(now, action);
         }
@@ -185,7 +185,7 @@
         // A request is one future here, which makes one call at a time and ends it by itself.
         let settings = Settings { subscribe: false, second_copies: false, cancel: false, ..settings };
         let inner = Inner {
-            brain: Brain::new(settings, seed),
+            policy: PolicyEngine::new(settings, seed),
             most,
             next: 0,
             orders: BTreeMap::new(),
@@ -314,7 +314,7 @@
                         return Some(Err(e));
                     }
                     // The inner service may have made it wait: a wait may have been told meanwhile, a time be up.
-                    match shared.lock().brain.leave(shared.now(), MessageId(id), attempt, receiver) {
+                    match shared.lock().policy.leave(shared.now(), MessageId(id), attempt, receiver) {
                         Leave::Go => {}
                         Leave::Wait | Leave::Late | Leave::Over => return None,
                     }
