A folder that fails for a while, a clock set back, interrupted calls, no ports

Seen by reading, one by one: an end whose record the log did not take was forgotten, so that a kill behind it could send the message again (module.rs, keep ignored); a start over a folder that failed ended; a log read after the wall clock was set back left windows open by the step (core/desk.rs, resume); EINTR counted as a broken connection (net/buffer.rs); a connect that failed for want of a descriptor, port or route counted against its endpoint (net/http/endpoint.rs).

--- a/daemon/src/folder.rs
+++ b/daemon/src/folder.rs
@@ -71,24 +71,41 @@
     std::fs::remove_file(path).or_else(|e| if e.kind() == ErrorKind::NotFound { Ok(()) } else { Err(e) })
 }
 
+/// Why a process has no place in the folder.
+#[derive(Debug)]
+pub enum NoPlace {
+    /// Two processes have them.
+    Taken(String),
+    /// The folder cannot be used, which may pass.
+    Failed(String),
+}
+
+impl std::fmt::Display for NoPlace {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            NoPlace::Taken(why) | NoPlace::Failed(why) => f.write_str(why),
+        }
+    }
+}
+
 impl Claim {
     /// The first place that nobody has.
     ///
     /// # Errors
     /// One line: both are taken, or the folder cannot be used.
-    pub fn take(folder: &Path) -> Result<Claim, String> {
+    pub fn take(folder: &Path) -> Result<Claim, NoPlace> {
         let shown = folder.display();
         for _ in 0..TRIES {
             for (place, other) in [(PLACES[0], PLACES[1]), (PLACES[1], PLACES[0])] {
-                let locked =
-                    lock(folder, place).map_err(|e| format!("cannot lock the log in {shown}: {e}"))?;
+                let failed = |e| NoPlace::Failed(format!("cannot lock the log in {shown}: {e}"));
+                let locked = lock(folder, place).map_err(failed)?;
                 if let Some(lock) = locked {
                     return Ok(Claim { folder: folder.into(), place, other, _lock: lock });
                 }
             }
             std::thread::sleep(AGAIN);
         }
-        Err(format!("two processes use {shown} already"))
+        Err(NoPlace::Taken(format!("two processes use {shown} already")))
     }
 
     /// Looks at the other place.
@@ -147,7 +164,7 @@
         assert_eq!((first.place, second.place), (PLACES[0], PLACES[1]));
         assert!(matches!(first.other(), Ok(Other::Held)));
         let third = Claim::take(&folder).unwrap_err();
-        assert!(third.contains("two processes"), "{third}");
+        assert!(third.to_string().contains("two processes"), "{third}");
         std::fs::write(folder.join(PLACES[0].log), b"noise").unwrap();
         drop(first);
         let Ok(Other::Free(left)) = second.other() else { panic!("its process is gone") };
--- a/daemon/src/module/guard.rs
+++ b/daemon/src/module/guard.rs
@@ -87,7 +87,7 @@
                 return Err(Verdict::HeldBack);
             }
         };
-        if !self.keep(std::slice::from_ref(&record)) {
+        if !self.keep_now(std::slice::from_ref(&record)) {
             self.desk.unsent(asks.n, asks.attempt);
             return Err(Verdict::Moot);
         }
--- a/daemon/src/module/tests.rs
+++ b/daemon/src/module/tests.rs
@@ -41,7 +41,7 @@
     m.used(now, 1);
     let deadline = now.after(Micros(5_000_000));
     let taken = Taken { n: 1, class: "a".into(), destination: 1, deadline, ..Taken::default() };
-    assert!(m.keep(&[Record::Taken(taken.clone())]));
+    assert!(m.keep_now(&[Record::Taken(taken.clone())]));
     m.desk.take(now, taken);
     (folder, m, now)
 }
@@ -273,3 +273,46 @@
     assert_eq!((first_list.due(at(30)), first_list.due(at(850))), (Some(at(850)), Some(at(6000))));
     assert_eq!(first_list.due(at(6000)), None);
 }
+
+/// A folder that takes nothing for a while: what needs its record first is refused, and what has happened is written later.
+#[test]
+fn what_could_not_be_written_is_written_later_and_in_order() {
+    let (folder, mut m, now) = busy("unwritten");
+    let log = folder.join(crate::folder::PLACES[0].log);
+    m.desk.decide(now, true, &mut Vec::new());
+    assert!(m.writing(now, asks(0, false)).is_ok());
+    let logged = || recover(Wal::open(&folder, 1_000_000).unwrap().1.records);
+    let before = std::fs::read(&log).unwrap();
+    // The log has no room at all.
+    m.wal = Wal::open(&folder, 0).unwrap().0;
+    let n = 1;
+    m.keep_later(Some(Record::Outcome { n, attempt: 0, end: onyxrock::core::CallEnd::NeverRan }));
+    m.keep_later(Some(Record::Over(n)));
+    assert_eq!(std::fs::read(&log).unwrap(), before, "nothing was written");
+    assert_eq!(m.shared.counters.wal_waiting.get(), 2);
+    assert!(!m.keep_now(&[Record::Taken(Taken { n: 2, ..Taken::default() })]), "and nothing is taken on");
+    assert!(logged().contains_key(&n));
+    let due = m.unwritten.due().expect("it is tried again");
+    m.wal = Wal::open(&folder, 1_000_000).unwrap().0;
+    m.retry_waiting(due);
+    assert_eq!((m.unwritten.due(), m.shared.counters.wal_waiting.get()), (None, 0));
+    assert!(logged().is_empty(), "it is over for the next process, too");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// A record that must be there first goes behind those that wait: an attempt behind the outcome of the one before it.
+#[test]
+fn a_record_goes_behind_those_that_wait() {
+    let (folder, mut m, now) = busy("behind");
+    m.wal = Wal::open(&folder, 0).unwrap().0;
+    m.keep_later(Some(Record::Given { n: 1, end: End::Failed }));
+    m.wal = Wal::open(&folder, 1_000_000).unwrap().0;
+    let taken = Taken { n: 2, deadline: now.after(Micros(5_000_000)), ..Taken::default() };
+    assert!(m.keep_now(&[Record::Taken(taken)]));
+    let records = Wal::open(&folder, 1_000_000).unwrap().1.records;
+    assert!(
+        matches!(records[..], [Record::Taken(_), Record::Given { n: 1, .. }, Record::Taken(_)]),
+        "{records:?}"
+    );
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/daemon/src/net/buffer.rs
+++ b/daemon/src/net/buffer.rs
@@ -1,10 +1,23 @@
 //! One buffer a connection: grows as it needs, is compacted in place, and has a cap.
 
-use futures_lite::{AsyncRead, AsyncReadExt};
+use futures_lite::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use std::io;
 
 const STEP: usize = 4096;
 
+/// Writes all of it, whatever signals come between.
+pub async fn write_whole(to: &mut (impl AsyncWrite + Unpin), mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match to.write(bytes).await {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(n) => bytes = &bytes[n..],
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 #[derive(Debug)]
 pub struct Buffer {
     bytes: Vec<u8>,
@@ -52,7 +65,12 @@
                 self.bytes.resize(self.bytes.len() + more, 0);
             }
         }
-        let n = from.read(&mut self.bytes[self.end..]).await?;
+        let n = loop {
+            match from.read(&mut self.bytes[self.end..]).await {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                read => break read?,
+            }
+        };
         self.end += n;
         Ok(n)
     }
@@ -62,6 +80,61 @@
 mod tests {
     use super::*;
     use futures_lite::future::block_on;
+    use std::pin::Pin;
+    use std::task::{Context, Poll};
+
+    /// Every other call is interrupted, and none takes or gives more than a byte.
+    #[derive(Default)]
+    struct Interrupted {
+        bytes: Vec<u8>,
+        calls: usize,
+    }
+
+    impl Interrupted {
+        fn is_hit(&mut self) -> bool {
+            self.calls += 1;
+            self.calls % 2 == 1
+        }
+    }
+
+    impl AsyncRead for Interrupted {
+        fn poll_read(
+            mut self: Pin<&mut Self>, _: &mut Context<'_>, to: &mut [u8],
+        ) -> Poll<io::Result<usize>> {
+            if self.is_hit() {
+                return Poll::Ready(Err(io::ErrorKind::Interrupted.into()));
+            }
+            to[0] = self.bytes.remove(0);
+            Poll::Ready(Ok(1))
+        }
+    }
+
+    impl AsyncWrite for Interrupted {
+        fn poll_write(mut self: Pin<&mut Self>, _: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
+            if self.is_hit() {
+                return Poll::Ready(Err(io::ErrorKind::Interrupted.into()));
+            }
+            self.bytes.push(from[0]);
+            Poll::Ready(Ok(1))
+        }
+        fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+            Poll::Ready(Ok(()))
+        }
+        fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+            Poll::Ready(Ok(()))
+        }
+    }
+
+    #[test]
+    fn signals_and_short_calls_lose_nothing() {
+        let mut stream = Interrupted::default();
+        block_on(write_whole(&mut stream, b"short")).unwrap();
+        let mut buffer = Buffer::new(STEP);
+        while !stream.bytes.is_empty() {
+            block_on(buffer.fill(&mut stream)).unwrap();
+        }
+        assert_eq!(buffer.data(), b"short");
+    }
 
     #[test]
     fn grows_to_its_cap_and_makes_room_in_place() {
--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -2,10 +2,10 @@
 
 use super::{BODY_MOST, Framing, HEADERS, framing, header, seconds};
 use crate::clock::Clock;
-use crate::net::buffer::Buffer;
+use crate::net::buffer::{Buffer, write_whole};
 use async_io::Async;
-use futures_lite::AsyncWriteExt;
 use onyxrock::interface::Micros;
+use rustix::io::Errno;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -65,6 +65,14 @@
     }
 }
 
+/// A failed connect that tells of this machine and not of the one that was to be reached: no descriptor, port, buffer or
+/// route was there for it.
+pub fn is_local(e: &io::Error) -> bool {
+    let local =
+        [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL, Errno::NETUNREACH];
+    e.raw_os_error().is_some_and(|code| local.iter().any(|errno| errno.raw_os_error() == code))
+}
+
 fn bad(text: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, text)
 }
@@ -100,7 +108,7 @@
     }
 
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        write_whole(&mut self.stream, bytes).await
     }
 
     /// Writes what there is room for now, and says how much that was.
@@ -254,6 +262,20 @@
     use super::*;
     use rstest::rstest;
 
+    #[rstest]
+    #[case(Errno::MFILE, true)]
+    #[case(Errno::NFILE, true)]
+    #[case(Errno::NOBUFS, true)]
+    #[case(Errno::ADDRNOTAVAIL, true)]
+    #[case(Errno::NETUNREACH, true)]
+    #[case(Errno::CONNREFUSED, false)]
+    #[case(Errno::TIMEDOUT, false)]
+    #[case(Errno::HOSTUNREACH, false)]
+    fn a_failed_connect_tells_of_this_machine_or_of_the_other(#[case] errno: Errno, #[case] local: bool) {
+        assert_eq!(is_local(&io::Error::from_raw_os_error(errno.raw_os_error())), local);
+        assert!(!is_local(&io::ErrorKind::Other.into()));
+    }
+
     #[rstest]
     #[case(&[], Again::Unsaid)]
     #[case(&["soon"], Again::Unread)]
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -1,7 +1,7 @@
 //! One endpoint: its idle connections, and the outbound calls over them.
 
 use super::HEAD_MOST;
-use super::client::{Again, Answer, Conn, Lost, TAIL};
+use super::client::{Again, Answer, Conn, Lost, TAIL, is_local};
 use super::reuse::AT_ONCE;
 use crate::clock::Clock;
 use crate::module::ToModule;
@@ -19,6 +19,8 @@
 /// take the next call.
 const SETTLE: Micros = Micros(3_000);
 
+/// What this machine has no descriptor or port for is not decided on again at once.
+const LOCAL_PAUSE: Micros = Micros(50_000);
 /// So many of them are logged; all are counted.
 const LOGGED: u64 = 20;
 
@@ -187,6 +189,11 @@
             let by = until.min(clock.now().after(shared.connect_timeout));
             match clock.before(by, Conn::open(address, HEAD_MOST)).await {
                 Some(Ok(conn)) => conn,
+                Some(Err(e)) if is_local(&e) => {
+                    counters.held_back_local.up();
+                    clock.until(Some(clock.now().after(LOCAL_PAUSE))).await;
+                    return (Verdict::HeldBack, None, None);
+                }
                 _ => return (Verdict::ConnectFailed, None, None),
             }
         }
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -3,12 +3,12 @@
 use super::{BODY_MOST, Framing, HEAD_MOST, HEADERS, client_seconds, framing};
 use crate::invariants::OwedAnswer;
 use crate::module::{HandIn, Reply, ToModule};
-use crate::net::buffer::Buffer;
+use crate::net::buffer::{Buffer, write_whole};
 use crate::net::smpp::Note;
 use crate::net::{Held, Shared};
 use async_channel::{Receiver, Sender, bounded};
 use async_io::Async;
-use futures_lite::{AsyncWriteExt, future};
+use futures_lite::future;
 use onyxrock::core::Taken;
 use onyxrock::interface::Micros;
 use onyxrock_sharing::ToPeers;
@@ -393,7 +393,8 @@
         let n = text.len();
         let bytes = format!("HTTP/1.1 {status} {reason}\r\n{wait}{end}Content-Length: {n}\r\n\r\n{text}");
         let clock = self.shared.clock;
-        let written = clock.before(clock.now().after(ANSWER), self.stream.write_all(bytes.as_bytes())).await;
+        let written =
+            clock.before(clock.now().after(ANSWER), write_whole(&mut self.stream, bytes.as_bytes())).await;
         written.unwrap_or(Err(std::io::ErrorKind::TimedOut.into()))
     }
 }
--- a/daemon/src/net/smpp/mod.rs
+++ b/daemon/src/net/smpp/mod.rs
@@ -6,9 +6,9 @@
 pub mod receipts;
 pub mod time;
 
-use super::buffer::Buffer;
+use super::buffer::{Buffer, write_whole};
 use bytes::BytesMut;
-use futures_lite::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use futures_lite::{AsyncRead, AsyncWrite};
 use onyxrock::interface::Micros;
 use rusmpp::decode::DecodeWithLength;
 use rusmpp::encode::{Encode, Length};
@@ -62,7 +62,7 @@
 }
 
 pub async fn write(to: &mut (impl AsyncWrite + Unpin), bytes: &[u8]) -> io::Result<()> {
-    to.write_all(bytes).await
+    write_whole(to, bytes).await
 }
 
 /// Reads until a PDU is there. None at the end of the stream.
--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -168,10 +168,21 @@
     })
 }
 
-/// Tells of each answer as its status, and of the connection's end as `closed`.
-pub fn client(post: Post, to: SocketAddr, who: &str) {
+/// A client's connection. Who has something to say says it before it listens: a crowd leaves no time between the two.
+pub fn connect(post: &Post, to: SocketAddr, who: &str) -> TcpStream {
     let stream = TcpStream::connect(to).unwrap();
     post.keep(who, &stream);
+    stream
+}
+
+/// A client that says nothing yet.
+pub fn client(post: Post, to: SocketAddr, who: &str) {
+    let stream = connect(&post, to, who);
+    listen(post, stream);
+}
+
+/// Tells of each answer as its status, and of the connection's end as `closed`.
+pub fn listen(post: Post, stream: TcpStream) {
     std::thread::spawn(move || {
         let mut from = BufReader::new(stream);
         while let Some((first, headers, _)) = message(&mut from) {
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -412,12 +412,15 @@
                 http::answer(&self.who[*who], rest)
             }
             ["send", who, rest @ ..] => {
-                if !self.who.contains_key(*who) {
-                    let (inbox, post) = inbox();
-                    http::client(post, self.http.ok_or("no daemon")?, who);
-                    self.who.insert((*who).to_owned(), inbox);
+                if self.who.contains_key(*who) {
+                    return http::send(&self.who[*who], who, rest);
                 }
-                http::send(&self.who[*who], who, rest)
+                let (inbox, post) = inbox();
+                let stream = http::connect(&post, self.http.ok_or("no daemon")?, who);
+                let sent = http::send(&inbox, who, rest);
+                http::listen(post, stream);
+                self.who.insert((*who).to_owned(), inbox);
+                sent
             }
             ["expect", who, rest @ ..] => {
                 self.who.get(*who).ok_or_else(|| format!("who is {who}?"))?.expect(rest)
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -328,10 +328,21 @@
         self.policy.on_event(now, Event::Submit(m), &mut self.actions);
     }
 
+    /// The times in the log are those of a wall clock, which may have been set back since: nothing has longer than its class
+    /// gives from now on, and an attempt of the future was made at no known time, so that no window is open for it.
+    fn bounded(&self, now: Micros, mut owed: Owed) -> Owed {
+        owed.taken.deadline = owed.taken.deadline.min(self.latest(now, &owed.taken.class));
+        if let Some((at, _)) = owed.maybe_ran.as_mut().filter(|(at, _)| *at > now) {
+            *at = Micros(0);
+        }
+        owed
+    }
+
     /// Takes over what an earlier process owed. True if its end was decided there and only needs telling.
     pub fn resume(&mut self, now: Micros, owed: Owed) -> bool {
         let n = owed.taken.n;
         self.next = self.next.max(n + 1);
+        let owed = self.bounded(now, owed);
         let message = self.message(now, &owed.taken);
         self.ids.fresh(now, &owed.taken.id);
         let maybe_ran = owed.maybe_ran.as_ref().map(|(at, z)| (*at, self.zone(z)));
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -216,6 +216,27 @@
     assert_eq!(again, says);
 }
 
+/// The wall clock was set back by an hour between two processes: nothing is owed for longer than its class gives, and no
+/// window is open for an attempt of the future.
+#[test]
+fn a_clock_that_was_set_back_opens_no_window_and_gives_no_time() {
+    let mut before = Table::new(&[]);
+    let hour = ms(3_600_000);
+    before.now = before.now.after(hour).after(hour);
+    let n = before.take("zoned", 9_000);
+    let tried = before.call();
+    before.answer(tried, Verdict::Reset);
+    let owed = recover(before.log).remove(&n).expect("it is owed");
+    let mut after = Table::new(&[]);
+    after.now = after.now.after(hour);
+    after.desk.resume(after.now, owed);
+    let steps = after.steps();
+    assert!(!steps.iter().any(|s| matches!(s, Step::Call { .. })), "{steps:?}");
+    let owed = after.desk.get(n).expect("it is owed still");
+    assert!(owed.taken.deadline <= after.desk.latest(after.now, "zoned"));
+    assert!(after.desk.attempt(n, 1, "e", "a", after.now).is_err());
+}
+
 #[test]
 fn damage_costs_only_the_records_that_it_hits() {
     let over = |n| Record::Over(n);
