The soak takes descriptors away for a moment: accept, socket and open fail with EMFILE

Change: fault no_descriptors (prlimit, 0.05 to 0.3 s), drawn with the others; the counts of what was met are in the report.

--- a/lab/src/daemon.rs
+++ b/lab/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::http::ask;
 use async_channel::{Receiver, Sender, unbounded};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::{Value, json};
 use std::cell::Cell;
 use std::fs::File;
@@ -12,6 +12,8 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+/// Descriptors that a daemon may have, as its configuration says.
+const DESCRIPTORS: u64 = 1024;
 /// Far more than a start takes.
 const START: Duration = Duration::from_secs(10);
 
@@ -135,6 +137,18 @@
         self.known = known;
     }
 
+    /// From now on the system gives it no descriptor beyond this number; what it has stays open.
+    pub fn limit_descriptors(&self, most: u64) -> bool {
+        let pid = self.child.as_ref().map(Pid::from_child);
+        let limit = Rlimit { current: Some(most), maximum: Some(DESCRIPTORS) };
+        pid.is_some_and(|pid| prlimit(Some(pid), Resource::Nofile, limit).is_ok())
+    }
+
+    /// The limit that it has at its start.
+    pub fn free_descriptors(&self) -> bool {
+        self.limit_descriptors(DESCRIPTORS)
+    }
+
     /// SIGTERM. It ends by itself.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -29,6 +29,10 @@
     BrokenReload {
         daemon: usize,
     },
+    /// The system has no descriptor for it: accept, socket and open fail.
+    NoDescriptors {
+        daemon: usize,
+    },
     Discovery {
         mode: discovery::Mode,
     },
@@ -50,6 +54,7 @@
             Fault::Stall { .. } => "daemon_stalled",
             Fault::Reloads { .. } => "discovery_moved",
             Fault::BrokenReload { .. } => "broken_reload",
+            Fault::NoDescriptors { .. } => "no_descriptors",
             Fault::Discovery { mode } => mode.name(),
             Fault::Server { mode, .. } => mode.name(),
             Fault::Replace { .. } => "server_replaced",
@@ -78,6 +83,8 @@
 /// Faults a second in the mean.
 const RATE: f64 = 3.0;
 const LASTS: std::ops::Range<f64> = 0.5..5.0;
+/// System calls fail for a moment.
+const MOMENT_MOST: f64 = 0.3;
 /// The longest that a forwarder may be held up between reading its clock and writing.
 const STALL_MOST: f64 = 0.12;
 
@@ -99,13 +106,14 @@
         let fault = fault(kind, extent, &mut rng);
         let lasts = match fault {
             Fault::Stall { .. } => rng.random_range(0.02..STALL_MOST),
+            Fault::NoDescriptors { .. } => rng.random_range(0.05..MOMENT_MOST),
             _ => rng.random_range(LASTS),
         };
         plan.push(Planned { at, lasts, fault });
     }
 }
 
-const KINDS: usize = 21;
+const KINDS: usize = 22;
 
 fn fault(kind: usize, extent: Extent, rng: &mut StdRng) -> Fault {
     let daemon = rng.random_range(0..extent.daemons);
@@ -131,6 +139,7 @@
         17 => Fault::Server { server, mode: server::Mode::ResetAfter },
         18 => Fault::Server { server, mode: server::Mode::Spoilt },
         19 => Fault::Server { server, mode: server::Mode::Refusing },
+        20 => Fault::NoDescriptors { daemon },
         _ => Fault::Replace { server },
     }
 }
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -195,6 +195,7 @@
                     self.ledger.met("broken_reload");
                 }
             }
+            Fault::NoDescriptors { daemon } => self.no_descriptors(daemon, planned.lasts).await,
             Fault::Discovery { mode } => self.trouble_discovery(mode, planned.lasts).await,
             Fault::Server { server, mode } => self.trouble_server(server, mode, planned.lasts).await,
             Fault::Replace { server } => self.replace(server).await,
@@ -284,6 +285,16 @@
         }
     }
 
+    async fn no_descriptors(&self, i: usize, lasts: f64) {
+        if self.with(i, |d| d.limit_descriptors(0)) == Some(true) {
+            self.ledger.met("no_descriptors");
+            sleep(lasts).await;
+            if let Some(daemon) = self.nodes[i].daemon.borrow().as_ref() {
+                daemon.free_descriptors();
+            }
+        }
+    }
+
     async fn reload(&self, i: usize, count: usize) {
         for _ in 0..count {
             let Ok(new) = self.discovery.open(i) else { return };
--- a/lab/tests/soak.rs
+++ b/lab/tests/soak.rs
@@ -144,7 +144,7 @@
         let mut kinds: Vec<_> = plan.iter().map(|p| p.fault.name()).collect();
         kinds.sort_unstable();
         kinds.dedup();
-        assert_eq!(kinds.len(), 20, "seed {seed}: {kinds:?}");
+        assert_eq!(kinds.len(), 21, "seed {seed}: {kinds:?}");
         assert!(plan.iter().all(|p| p.at <= extent.seconds && p.lasts > 0.0));
     }
 }
