--- a/tests/cold_ramp.rs
+++ b/tests/cold_ramp.rs
@@ -49,7 +49,7 @@
 /// once it has long been warm it is given at least what it took when cold.
 #[rstest]
 fn the_ramp_holds_for_the_sum_of_all_senders(
-    #[values(1, 20, 30, 300)] senders: u32, #[values(Weights::Nominal, Weights::Off)] weights: Weights,
+    #[values(1, 2, 6, 20, 30, 300)] senders: u32, #[values(Weights::Nominal, Weights::Off)] weights: Weights,
     #[values(10.0, 80.0)] capacity: f64, #[values(0.7, 1.1)] load: f64,
 ) {
     let outage = Some(Outage { from: STOPS, until: Some(RETURNS) });
