--- a/lab/src/daemon.rs
+++ b/lab/src/daemon.rs
@@ -27,6 +27,8 @@
     product: String,
     /// The settings object of its configuration.
     pub settings: Value,
+    /// What fails inside its process; see `preload/`.
+    pub preload: Option<Preload>,
     child: Option<Child>,
     /// Where clients reach it.
     pub http: Option<SocketAddr>,
@@ -36,6 +38,38 @@
     stopped: Cell<bool>,
 }
 
+/// Faults of system calls inside a daemon's process.
+#[derive(Clone, Debug)]
+pub struct Preload {
+    library: PathBuf,
+    plan: PathBuf,
+    /// How far the next process's wall clock is off.
+    pub clock_step_s: i64,
+}
+
+impl Preload {
+    /// With the library beside this program, as one build makes both, and a plan in a daemon's folder.
+    pub fn beside(plan: PathBuf) -> Result<Preload, String> {
+        let me = std::env::current_exe().map_err(|e| e.to_string())?;
+        let library = me.with_file_name("libonyxrock_preload.so");
+        if !library.exists() {
+            return Err(format!("no library at {}", library.display()));
+        }
+        Ok(Preload { library, plan, clock_step_s: 0 })
+    }
+
+    /// From now on this fails.
+    pub fn write(&self, plan: &str) -> Result<(), String> {
+        write(&self.plan, plan)
+    }
+
+    /// How often a fault of this name was met.
+    pub fn hits(&self, what: &str) -> usize {
+        let file = format!("{}.hits", self.plan.display());
+        std::fs::read_to_string(file).unwrap_or_default().lines().filter(|line| *line == what).count()
+    }
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.kill();
@@ -72,6 +106,7 @@
             known,
             product,
             settings: settings(senders),
+            preload: None,
             child,
             http,
             members,
@@ -86,7 +121,15 @@
         let (config, product) = (self.folder.join("config.json"), self.folder.join("product.toml"));
         write(&config, &self.config().to_string())?;
         write(&product, &self.product)?;
-        let mut child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        if let Some(preload) = &self.preload {
+            preload.write("")?;
+            command
+                .env("LD_PRELOAD", &preload.library)
+                .env("ONYXROCK_FAULT_PLAN", &preload.plan)
+                .env("ONYXROCK_CLOCK_STEP_S", preload.clock_step_s.to_string());
+        }
+        let mut child = command
             .args(["serve", "--config"])
             .arg(&config)
             .arg("--product")
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -5,6 +5,34 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+/// How writes to the log fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskFault {
+    NoSpace,
+    Io,
+    /// Half of a record is written, the rest fails, and the half cannot be cut off.
+    Short,
+}
+
+impl DiskFault {
+    /// The plan that the library in the process reads.
+    pub fn plan(self) -> &'static str {
+        match self {
+            DiskFault::NoSpace => "write = \"ENOSPC\"\npath = \"onyxrock.log\"\n",
+            DiskFault::Io => "write = \"EIO\"\npath = \"onyxrock.log\"\n",
+            DiskFault::Short => "write = \"short\"\ntruncate = true\npath = \"onyxrock.log\"\n",
+        }
+    }
+
+    pub fn name(self) -> &'static str {
+        match self {
+            DiskFault::NoSpace => "disk_no_space",
+            DiskFault::Io => "disk_io_error",
+            DiskFault::Short => "disk_short_write",
+        }
+    }
+}
+
 /// One thing that goes wrong, with what it hits.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -29,6 +57,16 @@
     BrokenReload {
         daemon: usize,
     },
+    /// Its log cannot be written.
+    Disk {
+        daemon: usize,
+        fault: DiskFault,
+    },
+    /// Its machine's wall clock is stepped, and it is started anew.
+    ClockStep {
+        daemon: usize,
+        seconds: i64,
+    },
     /// The system has no descriptor for it: accept, socket and open fail.
     NoDescriptors {
         daemon: usize,
@@ -55,6 +93,8 @@
             Fault::Reloads { .. } => "discovery_moved",
             Fault::BrokenReload { .. } => "broken_reload",
             Fault::NoDescriptors { .. } => "no_descriptors",
+            Fault::Disk { fault, .. } => fault.name(),
+            Fault::ClockStep { .. } => "clock_stepped",
             Fault::Discovery { mode } => mode.name(),
             Fault::Server { mode, .. } => mode.name(),
             Fault::Replace { .. } => "server_replaced",
@@ -113,7 +153,9 @@
     }
 }
 
-const KINDS: usize = 22;
+const KINDS: usize = 26;
+/// Steps of the wall clock, in seconds.
+const STEPS_S: [i64; 4] = [-3600, -7, 7, 3600];
 
 fn fault(kind: usize, extent: Extent, rng: &mut StdRng) -> Fault {
     let daemon = rng.random_range(0..extent.daemons);
@@ -140,6 +182,10 @@
         18 => Fault::Server { server, mode: server::Mode::Spoilt },
         19 => Fault::Server { server, mode: server::Mode::Refusing },
         20 => Fault::NoDescriptors { daemon },
+        21 => Fault::Disk { daemon, fault: DiskFault::NoSpace },
+        22 => Fault::Disk { daemon, fault: DiskFault::Io },
+        23 => Fault::Disk { daemon, fault: DiskFault::Short },
+        24 => Fault::ClockStep { daemon, seconds: STEPS_S[rng.random_range(0..STEPS_S.len())] },
         _ => Fault::Replace { server },
     }
 }
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -2,11 +2,11 @@
 
 use super::clients::Clients;
 use super::discovery::{self, Address, Discovery};
-use super::faults::{Extent, Fault, Planned, draw};
+use super::faults::{DiskFault, Extent, Fault, Planned, draw};
 use super::judge::{Terms, Verdict, judge};
 use super::ledger::{Ledger, Restart};
 use super::server::{self, Server};
-use crate::daemon::Daemon;
+use crate::daemon::{Daemon, Preload};
 use crate::experiments::Setup;
 use crate::http::ask;
 use crate::world::{World, sleep};
@@ -150,6 +150,7 @@
                 soak.daemons,
             )?;
             daemon.settings = settings(soak, i);
+            daemon.preload = Some(Preload::beside(setup.out.join(&name).join("faults"))?);
             let seed = soak.seed.wrapping_mul(1000).wrapping_add(i as u64);
             let clients = Clients::start(&world, &ledger, i, soak.destinations, soak.rate, seed);
             let (daemon, address) = (RefCell::new(Some(daemon)), RefCell::new(address));
@@ -196,6 +197,11 @@
                 }
             }
             Fault::NoDescriptors { daemon } => self.no_descriptors(daemon, planned.lasts).await,
+            Fault::Disk { daemon, fault } => self.trouble_disk(daemon, fault, planned.lasts).await,
+            Fault::ClockStep { daemon, seconds } => {
+                self.step_clock(daemon, seconds);
+                self.kill(daemon).await;
+            }
             Fault::Discovery { mode } => self.trouble_discovery(mode, planned.lasts).await,
             Fault::Server { server, mode } => self.trouble_server(server, mode, planned.lasts).await,
             Fault::Replace { server } => self.replace(server).await,
@@ -295,6 +301,30 @@
         }
     }
 
+    async fn trouble_disk(&self, i: usize, fault: DiskFault, lasts: f64) {
+        let preload = self.with(i, |d| d.preload.clone()).flatten();
+        let Some(preload) = preload else { return };
+        let met = |what| preload.hits(what);
+        let before = met("write") + met("short");
+        if preload.write(fault.plan()).is_err() {
+            return;
+        }
+        sleep(lasts).await;
+        let _ = preload.write("");
+        if met("write") + met("short") > before {
+            self.ledger.met(fault.name());
+        }
+    }
+
+    /// The wall clock of its next process is off by so much.
+    fn step_clock(&self, i: usize, seconds: i64) {
+        let stepped =
+            self.with(i, |d| d.preload.as_mut().map(|preload| preload.clock_step_s += seconds).is_some());
+        if stepped == Some(true) {
+            self.ledger.met("clock_stepped");
+        }
+    }
+
     async fn reload(&self, i: usize, count: usize) {
         for _ in 0..count {
             let Ok(new) = self.discovery.open(i) else { return };
--- a/lab/tests/soak.rs
+++ b/lab/tests/soak.rs
@@ -138,13 +138,13 @@
 #[test]
 fn a_seed_draws_the_same_faults_again_and_a_long_run_has_every_kind() {
     let extent = Extent { daemons: 24, servers: 12, seconds: 30.0 };
-    for seed in 1..20 {
+    for seed in 1..20u64 {
         let plan = draw(extent, seed);
         assert_eq!(plan, draw(extent, seed));
         let mut kinds: Vec<_> = plan.iter().map(|p| p.fault.name()).collect();
         kinds.sort_unstable();
         kinds.dedup();
-        assert_eq!(kinds.len(), 21, "seed {seed}: {kinds:?}");
+        assert_eq!(kinds.len(), 25, "seed {seed}: {kinds:?}");
         assert!(plan.iter().all(|p| p.at <= extent.seconds && p.lasts > 0.0));
     }
 }
--- /dev/null
+++ b/preload/tests/plan.rs
@@ -0,0 +1,26 @@
+//! Plans of faults are read or refused with one line.
+
+use onyxrock_preload::plan::{Plan, WriteFault, parse};
+
+#[test]
+fn a_plan_says_what_fails() {
+    let plan =
+        parse("write = \"ENOSPC\"  # a full disk\npath = \"onyxrock.log\"\ntruncate = true\n").unwrap();
+    let write = Some(WriteFault::Fails(28));
+    assert_eq!(plan, Plan { write, truncate: true, path: "onyxrock.log".into() });
+    assert_eq!(parse("").unwrap(), Plan::default());
+}
+
+#[test]
+fn what_is_wrong_is_named_by_line_and_key() {
+    for (text, says) in [
+        ("write = \"ENOENT\"", "line 1: write: no such error: write = \"ENOENT\""),
+        ("\nread = \"EIO\"", "line 2: no such key: read = \"EIO\""),
+        ("path = \"../x\"", "line 1: path: a part of a path inside the folder: path = \"../x\""),
+        ("truncate = 1", "line 1: truncate: true or false: truncate = 1"),
+        ("write", "line 1: not key = value: write"),
+        ("write = \"EIO\"", "path: missing"),
+    ] {
+        assert_eq!(parse(text), Err(says.to_owned()));
+    }
+}
