Time goes on over a restart though the wall clock was stepped; the soak steps clocks

Ruled out: the failing disk of the same daemon (its 4 waiting records were written 6 s before the kill).

--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -92,7 +92,7 @@
     let (to_peers, peers_inbox) = bounded((4 * others).max(1024));
     let (to_list, list_letters) = bounded(64);
     let shared = Rc::new(Shared {
-        clock: Clock::default(),
+        clock: Clock::continued(&config.state),
         counters: Counters::default(),
         invariants: Default::default(),
         module: to_module.clone(),
