--- a/daemon/src/list/tests.rs
+++ b/daemon/src/list/tests.rs
@@ -18,7 +18,7 @@
 /// The list's actor between a discovery and a module that the test plays.
 struct Rig {
     shared: Rc<Shared>,
-    letters: Receiver<ToModule>,
+    messages: Receiver<ToModule>,
     wishes: Sender<()>,
     moves: Sender<()>,
     _roles: Sender<ToList>,
@@ -29,7 +29,7 @@
         Rig::waiting(at, Micros(10_000))
     }
     fn waiting(at: SocketAddr, wait: Micros) -> Rig {
-        let (module, letters) = bounded(64);
+        let (module, messages) = bounded(64);
         let shared = Shared::alone(module);
         shared.discovery.set(at);
         let bounds = onyxrock_config::idle::Bounds::default();
@@ -38,7 +38,7 @@
         shared.executor.spawn(run(shared.clone(), discovery, wished, moved, roles)).detach();
         // That of a start, and the module's own: one answer is what both want.
         (0..2).for_each(|_| wishes.try_send(()).unwrap());
-        Rig { shared, letters, wishes, moves, _roles }
+        Rig { shared, messages, wishes, moves, _roles }
     }
     /// The next connection that comes, and what is asked over it. None if nothing comes.
     fn asked(&self, discovery: &TcpListener) -> Option<(TcpStream, String)> {
@@ -62,7 +62,7 @@
     fn heard(&self) -> Option<u64> {
         self.within(async {
             loop {
-                match self.letters.recv().await.ok()? {
+                match self.messages.recv().await.ok()? {
                     ToModule::Part(Part::Sweep(done)) => done.try_send(true).unwrap(),
                     ToModule::Part(Part::End(generation)) => return Some(generation),
                     ToModule::ListFailed { .. } => return None,
@@ -142,7 +142,7 @@
     let _first = TcpStream::connect(at).unwrap();
     let _second = TcpStream::connect_timeout(&at, Duration::from_millis(200));
     let rig = Rig::waiting(at, Micros(20_000_000));
-    let failed = rig.within(async { rig.letters.recv().await.ok() });
+    let failed = rig.within(async { rig.messages.recv().await.ok() });
     assert!(matches!(failed, Some(ToModule::ListFailed { why, .. }) if why == "no connection in time"));
 }
 
--- /dev/null
+++ b/daemon/src/module/calls.rs
@@ -0,0 +1,124 @@
+//! Calls on their way to the actors of endpoints, what came of them, and ends on their way to the fronts.
+
+use super::*;
+
+impl Module {
+    pub(super) fn call(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, patience: Micros) {
+        let Some(o) = self.desk.get(n) else { return };
+        let t = &o.taken;
+        if o.attempts > 0 {
+            self.shared.counters.retried.up();
+        }
+        tracing::debug!(id = t.id, attempt, to = to.0, earlier = o.attempts, "attempt decided");
+        let called_off = self.desk.calls_off().then(|| {
+            let (wanted, called_off) = bounded(1);
+            self.out.insert((n, attempt), wanted);
+            called_off
+        });
+        self.hand(OutboundCall {
+            called_off,
+            harmful: self.desk.harmful(&t.class),
+            n,
+            attempt,
+            to,
+            id: t.id.clone(),
+            key: t.key.clone(),
+            note: t.note.clone(),
+            body: t.body.clone(),
+            started: now,
+            patience,
+            probe: None,
+        });
+    }
+
+    /// The call of a probe: as any other, but nothing of it is logged or owed.
+    pub(super) fn probe(&mut self, now: Micros, n: u64, to: ReceiverId, patience: Micros) {
+        let Some(probing) = &self.probing else { return };
+        self.hand(OutboundCall {
+            harmful: false,
+            n,
+            attempt: 0,
+            to,
+            id: String::new(),
+            key: String::new(),
+            note: String::new(),
+            body: Vec::new(),
+            started: now,
+            patience: patience.min(probing.patience()),
+            probe: Some(probing.path.clone()),
+            called_off: None,
+        });
+    }
+
+    /// Hands a call to its endpoint's actor. The module is owed an outcome wherever it sends: to an endpoint that is
+    /// not here any more, to one whose mailbox is full, to a gateway that knows no probes.
+    pub(super) fn hand(&mut self, call: OutboundCall) {
+        let (now, moot) = (call.started, call.answered(call.started, Verdict::Moot));
+        let odd = call.probe.is_some() && self.directory.is_fixed(call.to);
+        self.directory.goes(call.to);
+        let mailbox = self.mailboxes.get(&call.to).filter(|_| !odd);
+        if mailbox.is_none_or(|m| m.try_send(ToEndpoint::Call(Box::new(call))).is_err()) {
+            self.answered(now, &moot);
+        }
+    }
+
+    pub(super) fn tell(&mut self, n: u64, end: End) {
+        let Some(o) = self.desk.get(n) else { return };
+        match end {
+            End::Failed => self.shared.counters.failed.up(),
+            End::Returned(_) => self.shared.counters.returned.up(),
+            End::Delivered => {}
+        }
+        let t = &o.taken;
+        let (id, attempts) = (&t.id, o.attempts);
+        tracing::debug!(id, attempts, may_have_run = o.maybe_ran.is_some(), "request ended: {end:?}");
+        let ending = Ending { n, id: t.id.clone(), note: t.note.clone(), deadline: t.deadline, end };
+        self.pass(ending);
+    }
+
+    pub(super) fn pass(&mut self, ending: Ending) -> bool {
+        let front = self.desk.get(ending.n).map_or(0, |o| o.taken.front);
+        match self.fronts.get(&front).map(|f| f.try_send(ending)) {
+            Some(Err(TrySendError::Full(ending))) => {
+                self.waiting.push_front(ending);
+                false
+            }
+            _ => true,
+        }
+    }
+
+    pub(super) fn answered(&mut self, now: Micros, a: &Answered) {
+        if let Some(p) = &mut self.probing {
+            p.ended(a.n);
+        }
+        self.out.remove(&(a.n, a.attempt));
+        let c = &self.shared.counters;
+        if a.verdict == Verdict::Stale {
+            c.stale.up();
+        }
+        match a.verdict {
+            Verdict::Delivered => &c.delivered,
+            Verdict::Error => &c.error,
+            Verdict::Full(_) => &c.full,
+            Verdict::TimedOut => &c.timed_out,
+            Verdict::ConnectFailed => &c.connect_failed,
+            Verdict::Reset | Verdict::Stale => &c.reset,
+            Verdict::Cancelled => &c.cancelled,
+            Verdict::Moot => &c.moot,
+            Verdict::HeldBack => &c.held_back,
+        }
+        .up();
+        if a.told > Micros(0) {
+            c.waits_told.up();
+        }
+        if let Some(o) = self.desk.get(a.n) {
+            let (id, attempt, elapsed_ms) = (&o.taken.id, a.attempt, a.elapsed.0 / 1000);
+            tracing::debug!(id, attempt, to = a.to.0, elapsed_ms, "attempt ended: {:?}", a.verdict);
+        }
+        self.directory.told(a.to, a.told);
+        self.shared.invariants.told_wait(now, a.to, a.told);
+        self.directory.ended(a.to);
+        let record = self.desk.answered(now, a);
+        self.keep_later(record);
+    }
+}
--- /dev/null
+++ b/daemon/src/module/listing.rs
@@ -0,0 +1,179 @@
+//! Endpoints and destinations: what the list says of them, and those that come into use or rest.
+
+use super::*;
+
+impl Module {
+    /// A gateway is an endpoint of its destination, and stays one.
+    pub fn gateway(&mut self, g: Gateway) {
+        let now = self.shared.clock.now();
+        let (to, entry) = self.directory.fix(
+            now,
+            &Endpoint {
+                name: &g.name,
+                address: g.address,
+                zone: &g.zone,
+                kind: u16::try_from(g.kind).unwrap_or(u16::MAX),
+                destination: g.destination,
+                weight: g.weight as f32,
+                listing: Listing::Ready,
+            },
+        );
+        self.desk.list(now, Event::Known(vec![entry]));
+        let mailbox = gateway::start(&self.shared, g, self.room());
+        self.mailboxes.insert(to, mailbox);
+    }
+
+    /// As many calls as may be out to one destination, and messages of other kinds.
+    pub(super) fn room(&self) -> usize {
+        self.slots * 3 / 4 + 8
+    }
+
+    /// A destination is used: it wakes, if it was at rest.
+    pub(super) fn used(&mut self, now: Micros, destination: u64) {
+        let mut follows = Follows::default();
+        let Some(woken) = self.directory.touch(now, destination, &mut follows) else { return };
+        self.shared.counters.wakes.up();
+        self.order(follows.orders);
+        match self.assumed {
+            Some(assumed) => self.desk.wake(now, destination, woken.whole, woken.each, assumed),
+            None => {
+                let (entries, known): (Vec<_>, Vec<_>) = woken.each.into_iter().unzip();
+                let numbers: Vec<_> = entries.iter().map(|e| e.receiver).collect();
+                self.desk.list(now, Event::Known(entries));
+                for (to, repute) in numbers.into_iter().zip(known) {
+                    self.desk.recall(now, to, repute);
+                }
+            }
+        }
+    }
+
+    /// Carries out what is to be done at endpoints.
+    pub(super) fn order(&mut self, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Open(to, address) => {
+                    let mailbox = endpoint::start(&self.shared, address, self.room());
+                    self.mailboxes.insert(to, mailbox);
+                }
+                // Its actor ends with its mailbox, once nothing is out there.
+                Order::Close(to) => drop(self.mailboxes.remove(&to)),
+                Order::CloseIdle(to) => self.send_to_endpoint(to, ToEndpoint::CloseIdle),
+                Order::Moved(to, address) => self.send_to_endpoint(to, ToEndpoint::Moved(Box::new(address))),
+            }
+        }
+    }
+
+    pub(super) fn send_to_endpoint(&self, to: ReceiverId, message: ToEndpoint) {
+        if let Some(mailbox) = self.mailboxes.get(&to) {
+            let _ = mailbox.try_send(message);
+        }
+    }
+
+    pub(super) fn follow_up(&mut self, now: Micros, follows: Follows) {
+        self.order(follows.orders);
+        follows.entries.iter().for_each(|e| self.shared.invariants.listed(now, e));
+        for entry in follows.entries.iter().filter(|e| e.listing != Listing::Ready) {
+            if let Some(peer) = self.directory.peer(entry.receiver) {
+                let (endpoint, to) = (&peer.name, entry.receiver.0);
+                tracing::info!(endpoint, to, "list: nothing more goes there: {:?}", entry.listing);
+            }
+        }
+        if !follows.entries.is_empty() {
+            self.desk.list(now, Event::Known(follows.entries));
+        }
+        for (to, repute) in follows.recalled {
+            self.desk.recall(now, to, repute);
+        }
+    }
+
+    pub(super) fn put(&mut self, now: Micros, e: Endpoint<'_>, follows: &mut Follows) {
+        if let Err(why) = self.directory.put(now, e.clone(), follows) {
+            self.shared.counters.list_refused.up();
+            let why = match why {
+                Refused::Full => "there is no place for it",
+                Refused::Shape => "its name or zone is out of bounds",
+            };
+            tracing::error!("list: {} is left out: {why}", e.name);
+        }
+    }
+
+    /// A list in one message.
+    pub(super) fn list(&mut self, now: Micros, list: List) {
+        let mut follows = Follows::default();
+        if list.whole {
+            self.directory.begin();
+        }
+        for l in &list.entries {
+            self.put(now, listed_endpoint(l), &mut follows);
+        }
+        self.directory.sweep(now, usize::MAX, &mut follows);
+        self.follow_up(now, follows);
+        self.has_list(now, list.generation);
+    }
+
+    pub(super) fn part(&mut self, now: Micros, part: Part) {
+        let mut follows = Follows::default();
+        match part {
+            Part::Begin => self.directory.begin(),
+            Part::Entries(block) => {
+                for e in block.iter() {
+                    self.put(now, e, &mut follows);
+                }
+            }
+            Part::Sweep(reply) => {
+                let done = self.directory.sweep(now, SWEEP, &mut follows);
+                let _ = reply.try_send(done);
+            }
+            Part::End(generation) => self.has_list(now, generation),
+        }
+        self.follow_up(now, follows);
+    }
+
+    /// A list has been taken.
+    pub(super) fn has_list(&mut self, now: Micros, generation: u64) {
+        self.directory.taken();
+        self.first_list = None;
+        if let Some(p) = &mut self.probing {
+            p.listed(Some(generation));
+        }
+        self.shared.counters.list_old.set(0);
+        self.shared.counters.listed.set(self.directory.listed());
+        *self.shared.list.borrow_mut() = Held::Current;
+        self.desk.list(now, Event::ListChanges(Vec::new()));
+    }
+
+    /// Lets endpoints go that are gone, and destinations rest that nobody uses.
+    pub(super) fn tidy(&mut self, now: Micros) {
+        let mut follows = Follows::default();
+        self.directory.tidy(now, &mut follows);
+        while let Some(destination) = self.directory.tired(now) {
+            let Some((whole, each)) = self.desk.rest(now, destination) else { continue };
+            self.shared.counters.rests.up();
+            self.directory.rested(now, destination, whole, &each, &mut follows);
+        }
+        self.order(follows.orders);
+        self.shared.counters.awake.set(self.directory.awake());
+        self.shared.counters.remembered.set(self.directory.memories().len());
+        self.keep_memories(now);
+    }
+
+    /// The list as it was last held.
+    pub fn known(&mut self, list: List) {
+        let now = self.shared.clock.now();
+        self.list(now, List { whole: true, ..list });
+    }
+
+    /// Has what is remembered kept, if that is another thing than was kept last.
+    pub(super) fn keep_memories(&mut self, now: Micros) {
+        let changes = self.directory.memories().changes();
+        let Some(keep) = self.keep.as_ref().filter(|_| now >= self.keep_at.0 && changes != self.keep_at.1)
+        else {
+            return;
+        };
+        let all = self.directory.memories().iter().map(|(w, m)| (w.clone(), *m)).collect();
+        // While one is still being written the next waits.
+        if keep.try_send(all).is_ok() {
+            self.keep_at = (now.after(KEEP_EVERY), changes);
+        }
+    }
+}
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -43,7 +43,7 @@
             shared.clock.until(oldest).await;
             (None, None)
         };
-        let (letter, back) = future::or(future::or(back, next), retire).await;
+        let (message, back) = future::or(future::or(back, next), retire).await;
         let now = shared.clock.now();
         match back {
             // Near the bound on descriptors no connection is kept for later; none outlives its address.
@@ -61,7 +61,7 @@
             Some(Back::Suspect) => close_all(&shared, &mut idle),
             None => {}
         }
-        match letter {
+        match message {
             None => {}
             // The endpoint is gone, and nothing is out to it.
             Some(Err(_)) => return close_all(&shared, &mut idle),
--- a/daemon/src/net/http/endpoint/tests.rs
+++ b/daemon/src/net/http/endpoint/tests.rs
@@ -18,11 +18,11 @@
 
 impl Rig {
     fn new() -> Rig {
-        let (module, letters) = bounded(8);
+        let (module, messages) = bounded(8);
         let shared = Shared::alone(module);
         let peer = TcpListener::bind("127.0.0.1:0").unwrap();
         let mailbox = start(&shared, peer.local_addr().unwrap(), 8);
-        Rig { shared, module: letters, mailbox, peer }
+        Rig { shared, module: messages, mailbox, peer }
     }
     /// Has a call made; it ends when what is returned is dropped.
     fn call(&self, id: &str, body: usize) -> Sender<()> {
@@ -44,17 +44,17 @@
         self.mailbox.try_send(ToEndpoint::Call(Box::new(call))).unwrap();
         wanted
     }
-    fn letter(&self) -> ToModule {
+    fn message(&self) -> ToModule {
         async_io::block_on(self.shared.executor.run(self.module.recv())).unwrap()
     }
     /// The actor asks whether its call may go.
     fn gate(&self, says: crate::module::Gate) -> bool {
-        let ToModule::Writing { asks, reply, .. } = self.letter() else { panic!("no question") };
+        let ToModule::Writing { asks, reply, .. } = self.message() else { panic!("no question") };
         reply.try_send(says).unwrap();
         asks.begun
     }
     fn answered(&self) -> Answered {
-        match self.letter() {
+        match self.message() {
             ToModule::Answered(a) => a,
             other => panic!("{other:?}"),
         }
@@ -99,14 +99,14 @@
     stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
     assert_eq!(rig.answered().verdict, Verdict::Delivered);
     let _second = rig.call("second", 0);
-    let ToModule::Writing { reply, .. } = rig.letter() else { panic!("no question") };
+    let ToModule::Writing { reply, .. } = rig.message() else { panic!("no question") };
     assert_eq!(rig.shared.counters.outbound_reused.get(), 1);
     drop(stream);
     reply.try_send(Ok(PERMIT)).unwrap();
     assert_eq!(rig.answered().verdict, Verdict::HeldBack, "a kept one");
     assert_eq!(rig.shared.counters.held_back_closed.get(), 1);
     let _third = rig.call("third", 0);
-    let ToModule::Writing { reply, .. } = rig.letter() else { panic!("no question") };
+    let ToModule::Writing { reply, .. } = rig.message() else { panic!("no question") };
     drop(rig.peer.accept().unwrap());
     reply.try_send(Ok(PERMIT)).unwrap();
     assert_eq!(rig.answered().verdict, Verdict::ConnectFailed, "a new one");
@@ -146,7 +146,7 @@
     if ends {
         stream.shutdown(Shutdown::Write).unwrap();
     }
-    let ToModule::Wait { to, until } = rig.letter() else { panic!("the head was whole") };
+    let ToModule::Wait { to, until } = rig.message() else { panic!("the head was whole") };
     assert_eq!((to, until >= before.after(Micros(2_500_000))), (ReceiverId(7), true));
     let a = rig.answered();
     assert_eq!((a.verdict, a.told), (verdict, until));
@@ -162,7 +162,7 @@
     drop(wanted);
     let mut told = Micros(0);
     let a = loop {
-        match rig.letter() {
+        match rig.message() {
             ToModule::Wait { until, .. } => told = until,
             ToModule::Answered(a) => break a,
             other => panic!("{other:?}"),
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -335,8 +335,8 @@
 
     async fn hand_in(&mut self, taken: Taken, close: bool) -> std::io::Result<()> {
         let (reply, answer) = bounded(1);
-        let letter = ToModule::HandIn(HandIn { taken, reply });
-        let reply = match self.shared.module.send(letter).await {
+        let message = ToModule::HandIn(HandIn { taken, reply });
+        let reply = match self.shared.module.send(message).await {
             Ok(()) => answer.recv().await.unwrap_or(Reply::FailFast(None)),
             Err(_) => Reply::FailFast(None),
         };
--- a/daemon/src/net/http/inbound/tests.rs
+++ b/daemon/src/net/http/inbound/tests.rs
@@ -66,7 +66,7 @@
 #[case::taken_back(true, "HTTP/1.1 503")]
 #[case::has_begun(false, "HTTP/1.1 202")]
 fn a_client_that_sends_no_more_gets_an_answer_that_is_true(#[case] back: bool, #[case] said: &str) {
-    let (module, letters) = bounded(4);
+    let (module, messages) = bounded(4);
     let shared = Shared::alone(module);
     let (listener, at) = door();
     let (_open, shut) = bounded(1);
@@ -78,17 +78,17 @@
         )
         .unwrap();
     let all = async {
-        let Ok(ToModule::HandIn(h)) = letters.recv().await else { panic!("no hand-in") };
+        let Ok(ToModule::HandIn(h)) = messages.recv().await else { panic!("no hand-in") };
         client.shutdown(std::net::Shutdown::Write).unwrap();
         h.reply.try_send(Reply::Taken(7)).unwrap();
-        let Ok(ToModule::TakeBack(7, reply)) = letters.recv().await else { panic!("no question") };
+        let Ok(ToModule::TakeBack(7, reply)) = messages.recv().await else { panic!("no question") };
         reply.try_send(back).unwrap();
         let heard = answer(client).await;
         assert!(heard.starts_with(said), "{heard}");
     };
     async_io::block_on(shared.executor.run(all));
     assert_eq!(shared.counters.unheard.get(), u64::from(back));
-    assert!(letters.try_recv().is_err());
+    assert!(messages.try_recv().is_err());
 }
 
 /// The names of classes and tenants are any text; what goes on to an endpoint is printed.
--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -30,8 +30,8 @@
 }
 
 async fn run(shared: Rc<Shared>, gateway: Gateway, inbox: Receiver<ToEndpoint>) {
-    while let Ok(letter) = inbox.recv().await {
-        let ToEndpoint::Call(call) = letter else { continue };
+    while let Ok(message) = inbox.recv().await {
+        let ToEndpoint::Call(call) = message else { continue };
         let by = call.until().min(shared.clock.now().after(shared.connect_timeout));
         shared.counters.outbound_open.up();
         shared.counters.outbound_opened.up();
@@ -55,8 +55,8 @@
             _ => {
                 // What came meanwhile would only wait for the next bind to fail, past its time.
                 end(&shared, &call, Verdict::ConnectFailed).await;
-                while let Ok(letter) = inbox.try_recv() {
-                    if let ToEndpoint::Call(call) = letter {
+                while let Ok(message) = inbox.try_recv() {
+                    if let ToEndpoint::Call(call) = message {
                         end(&shared, &call, Verdict::ConnectFailed).await;
                     }
                 }
@@ -113,7 +113,7 @@
 }
 
 enum Event {
-    Letter(Option<ToEndpoint>),
+    Message(Option<ToEndpoint>),
     Pdu(Option<Read>),
     Time,
     Closing,
@@ -148,7 +148,7 @@
             let first = self.out.values().chain(&self.waiting).map(OutboundCall::until).min();
             let due = first.map_or(silence, |f| f.min(silence));
             let event = {
-                let letter = async { Event::Letter(inbox.recv().await.ok()) };
+                let message = async { Event::Message(inbox.recv().await.ok()) };
                 let pdu = async { Event::Pdu(next(&mut self.link.buffer, &mut self.link.stream).await) };
                 let time = async {
                     clock.until(Some(due)).await;
@@ -158,19 +158,19 @@
                     let _ = self.shared.closing.recv().await;
                     Event::Closing
                 };
-                future::or(future::or(pdu, letter), future::or(time, closing)).await
+                future::or(future::or(pdu, message), future::or(time, closing)).await
             };
             sound = match event {
-                Event::Letter(Some(ToEndpoint::Call(call))) => {
+                Event::Message(Some(ToEndpoint::Call(call))) => {
                     self.waiting.push_back(*call);
                     true
                 }
-                Event::Letter(Some(ToEndpoint::CloseIdle)) => {
+                Event::Message(Some(ToEndpoint::CloseIdle)) => {
                     self.closing = self.out.is_empty() && self.waiting.is_empty();
                     true
                 }
-                Event::Letter(Some(ToEndpoint::Moved(_))) => true,
-                Event::Letter(None) | Event::Pdu(None) => false,
+                Event::Message(Some(ToEndpoint::Moved(_))) => true,
+                Event::Message(None) | Event::Pdu(None) => false,
                 Event::Pdu(Some(Read::Pdu(c))) => {
                     self.heard = clock.now();
                     self.take(*c).await
