Large fleets ask for the list once behind a failure; the siege of crowd_list_down traced

Change: who shares discovery with so many that two calls from each do not fit into 6 s (over 50, CALL_GAP_S) watches at once, and asks without a wait behind a second silence alone. Silent clients of the siege come again after 0.25 s: the same 32 places are full.

--- a/daemon/src/list/follow.rs
+++ b/daemon/src/list/follow.rs
@@ -169,9 +169,12 @@
     }
 
     /// How long the next call waits for news. After a start, a failure or a move the first one does not: whether it was
-    /// answered shows soon, while a watch that falls silent looks like one without news until its wait is over.
+    /// answered shows soon, while a watch that falls silent looks like one without news until its wait is over. Where many
+    /// share discovery that is one call more from each at the moment in which all of them come, so a watch has to fall
+    /// silent twice before.
     fn wait(&self) -> Micros {
-        let waits = self.confirmed && self.role != Role::Told && self.discovery.generation.is_some();
+        let trusts = self.confirmed || self.discovery.shared_by_many && self.silences < 2;
+        let waits = trusts && self.role != Role::Told && self.discovery.generation.is_some();
         if waits { self.discovery.wait } else { Micros(0) }
     }
 
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -36,6 +36,8 @@
     /// How long a call may wait for news. Shorter than discovery would allow: on a connection that has gone
     /// silent nothing else tells that news is missed.
     pub wait: Micros,
+    /// So many forwarders ask that what each asks at one moment adds up.
+    pub shared_by_many: bool,
     pub bounds: Bounds,
 }
 
--- a/daemon/src/list/tests.rs
+++ b/daemon/src/list/tests.rs
@@ -33,7 +33,8 @@
         let shared = Shared::alone(module);
         shared.discovery.set(at);
         let bounds = onyxrock_config::idle::Bounds::default();
-        let discovery = Discovery { names: Names::default(), generation: None, wait, bounds };
+        let (names, generation, shared_by_many) = (Names::default(), None, false);
+        let discovery = Discovery { names, generation, wait, shared_by_many, bounds };
         let ((wishes, wished), (moves, moved), (_roles, roles)) = (bounded(4), bounded(1), bounded(4));
         shared.executor.spawn(run(shared.clone(), discovery, wished, moved, roles)).detach();
         // That of a start, and the module's own: one answer is what both want.
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -121,6 +121,8 @@
     let fronts = BTreeMap::from([(inbound::FRONT, notice), (smpp::FRONT, receipt)]);
     let slots = (config.settings.slots as usize).min(4096);
     let (ask_every, share_much) = (config.settings.ask_every, config.settings.share_much());
+    // One that tells whether it is answered, and the watch behind it.
+    let asks_twice = config.settings.list_calls_fit(2);
     let classes = config.names.classes.iter();
     let give_up = classes.map(|(c, i)| (c.clone(), config.settings.classes[*i].give_up)).collect();
     let gateways = smpp.as_ref().map_or(Vec::new(), |s| s.gateways.clone());
@@ -220,6 +222,7 @@
     let discovery = Discovery {
         names: config.names,
         generation: since,
+        shared_by_many: !asks_twice,
         bounds,
         wait: wait.clamp(Micros(1_000_000), list::WAIT_MOST),
     };
--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -46,6 +46,11 @@
     address
 }
 
+/// So soon a silent client comes again that was sent off. The oldest silent one goes for each that comes: of those that
+/// came at once, a hundred sent off all 32 in a few milliseconds, which a client that is looked at may need between its
+/// connect and its first write. New connections may be shut unread then.
+const COMES_AGAIN: Duration = Duration::from_millis(250);
+
 /// Keeps so many silent connections open to an address until it is over.
 pub fn besiege(to: SocketAddr, count: usize, over: Arc<AtomicBool>) {
     for _ in 0..count {
@@ -55,6 +60,7 @@
                 let Ok(mut stream) = TcpStream::connect(to) else { return };
                 // Until it is closed by the other side.
                 let _ = stream.read(&mut [0]);
+                std::thread::sleep(COMES_AGAIN);
             }
         });
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -203,6 +203,12 @@
     pub fn share_much(&self) -> bool {
         self.senders > FEW
     }
+
+    /// Where all senders ask for the list at one moment, each may make so many calls, and a change is known in time.
+    #[must_use]
+    pub fn list_calls_fit(&self, calls_each: u32) -> bool {
+        crate::list_refresh::calls_fit(self.senders, calls_each)
+    }
 }
 
 /// State of a receiver in the list. Says nothing of its health.
--- a/src/list_refresh.rs
+++ b/src/list_refresh.rs
@@ -34,6 +34,11 @@
 /// Pauses fall apart by chance, by so much of their mean.
 const JITTER: f64 = 0.5;
 
+/// So many calls of each sender that all make at one moment are through within the time of a change.
+pub(crate) fn calls_fit(senders: u32, calls_each: u32) -> bool {
+    f64::from(senders) * f64::from(calls_each) * CALL_GAP_S <= KNOWN_WITHIN.secs()
+}
+
 /// The schedule of calls for the list.
 #[derive(Clone, Debug)]
 pub(crate) struct ListRefresh {
--- a/tests/list_refresh.rs
+++ b/tests/list_refresh.rs
@@ -123,3 +123,11 @@
     let mean = f64::from(senders) / 30.0;
     assert!(f64::from(most) <= mean + 4.0 * mean.sqrt(), "{most} of {senders} in 0.1 s: {tenths:?}");
 }
+
+/// A second call from each sender of a fleet is one more that the service has to get through in the time of a change.
+#[test]
+fn a_fleet_asks_twice_where_two_calls_of_each_fit() {
+    let fits = |senders| fleet(senders, 0, ms(10_000)).list_calls_fit(2);
+    assert!([1, 8, 24, 50].into_iter().all(fits));
+    assert!(![51, 100, 300, 11_000].into_iter().any(fits));
+}
