The run-time check keeps what drains alone; messages, start, settings in own files

Cause, found on reading the change again: invariants.rs kept an entry for each endpoint that was listed ready, and beyond 8,192 of them looked at all for each entry of a list. It keeps those that drain or told a wait, and forgets them after a minute.

--- a/daemon/src/invariants.rs
+++ b/daemon/src/invariants.rs
@@ -17,8 +17,10 @@
 const END_GRACE: Micros = Micros(300_000);
 /// Ends of what an earlier process left are not overdue before.
 const RESTART_GRACE: Micros = Micros(1_500_000);
-/// Endpoints of which something is known; beyond that the check forgets those that are gone.
+/// Endpoints of which something is known; beyond that the check forgets those that drained long ago: their calls end within
+/// the time of a message.
 const KNOWN_MOST: usize = 8_192;
+const KNOWN_FOR: Micros = Micros(60_000_000);
 
 /// What was told of an endpoint.
 #[derive(Clone, Copy, Debug, Default)]
@@ -71,14 +73,17 @@
     /// The list says this of an endpoint.
     pub fn listed(&self, now: Micros, entry: &Entry) {
         let mut told = self.told.borrow_mut();
+        if entry.listing == Listing::Ready {
+            if let Some(told) = told.get_mut(&entry.receiver) {
+                told.drained = None;
+            }
+            return;
+        }
         if told.len() >= KNOWN_MOST {
-            told.retain(|_, t| t.drained.is_none_or(|at| now.since(at) < Micros(60_000_000)));
+            let lately = |at: Micros| now.since(at) < KNOWN_FOR;
+            told.retain(|_, t| t.drained.is_some_and(lately) || t.wait.is_some_and(|(_, until)| until > now));
         }
-        let told = told.entry(entry.receiver).or_default();
-        told.drained = match entry.listing {
-            Listing::Ready => None,
-            Listing::Draining | Listing::Gone => told.drained.or(Some(now)),
-        };
+        told.entry(entry.receiver).or_default().drained.get_or_insert(now);
     }
 
     /// An endpoint told a wait.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod notices;
 pub mod serve;
 pub mod show;
+pub mod start;
 pub mod wal;
--- /dev/null
+++ b/daemon/src/module/messages.rs
@@ -0,0 +1,92 @@
+//! What the module is told and asked, and what it answers.
+
+use super::{Asks, Gate};
+use crate::folder::Left;
+use crate::list::Part;
+use async_channel::Sender;
+use onyxrock::core::{Answered, End, Taken};
+use onyxrock::interface::{Micros, ReceiverId};
+use onyxrock_config::list::List;
+use onyxrock_sharing::FromPeers;
+use std::net::SocketAddr;
+
+#[derive(Debug)]
+pub struct HandIn {
+    pub taken: Taken,
+    pub reply: Sender<Reply>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    Taken(u64),
+    FailFast(Option<Micros>),
+    /// The same, since no more can be held.
+    Full,
+    /// No such class or tenant.
+    Unknown,
+    /// The list has never named its destination.
+    Nowhere,
+    /// Its id has been used, and that request could still run.
+    Again,
+}
+
+/// The module's mailbox.
+#[derive(Debug)]
+pub enum ToModule {
+    HandIn(HandIn),
+    /// The answer that it was taken on did not reach its client.
+    Unheard(u64),
+    /// A client that may be gone: it is owed no more if nothing of it has begun, as the answer says.
+    TakeBack(u64, Sender<bool>),
+    /// A call is about to be written: may it go?
+    Writing {
+        asks: Asks,
+        /// Where its connection leads.
+        at: SocketAddr,
+        reply: Sender<Gate>,
+    },
+    /// An endpoint has told a wait, and its answer has not ended yet.
+    Wait {
+        to: ReceiverId,
+        until: Micros,
+    },
+    Answered(Answered),
+    List(List),
+    /// One part of a list that is too long for one message.
+    Part(Part),
+    ListFailed {
+        why: String,
+        /// The call failed at once.
+        at_once: bool,
+    },
+    /// Discovery has moved, and is asked there.
+    ListMoved,
+    /// A client has been told of an end.
+    Told(u64),
+    /// From other instances.
+    Peers(FromPeers),
+    /// Shows the duties, as JSON.
+    Duties(Sender<serde_json::Value>),
+    /// What another process of this forwarder owed, which is gone.
+    Adopt(Left),
+    /// Hold all further sends.
+    Hold,
+    /// Says when no call is out any more.
+    Quiet(Sender<()>),
+}
+
+impl From<FromPeers> for ToModule {
+    fn from(news: FromPeers) -> ToModule {
+        ToModule::Peers(news)
+    }
+}
+
+/// The end of a request, on its way to its client.
+#[derive(Clone, Debug)]
+pub struct Ending {
+    pub n: u64,
+    pub id: String,
+    pub note: String,
+    pub deadline: Micros,
+    pub end: End,
+}
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::folder::{Claim, NoPlace, Other};
+use crate::folder::{Claim, Other};
 use crate::keep;
 use crate::list::{self, Discovery, dns};
 use crate::module::{FirstList, Module, ToModule};
@@ -11,13 +11,13 @@
 use crate::net::mgmt;
 use crate::net::smpp;
 use crate::notices;
-use crate::wal::Wal;
+use crate::start::open_folder;
 use async_channel::bounded;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
-use onyxrock::core::{Desk, Record, Scan, probes, recover};
+use onyxrock::core::{Desk, Record, probes, recover};
 use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::Config;
 use onyxrock_config::product::Product;
@@ -29,7 +29,6 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
-use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -40,11 +39,6 @@
 const SEND_FOR: Duration = Duration::from_millis(2300);
 const END_BY: Duration = Duration::from_millis(3300);
 
-/// A start waits so long for a folder that fails, and is ready within the 30 s that it has ...
-const FOLDER_FOR: Duration = Duration::from_secs(20);
-/// ... and looks so often.
-const FOLDER_AGAIN: Duration = Duration::from_millis(200);
-
 /// How often a process looks whether another one of its forwarder is there, or still is.
 const LOOK: Duration = Duration::from_secs(2);
 const LOOK_BESIDE: Duration = Duration::from_millis(50);
@@ -302,30 +296,6 @@
     Ok(())
 }
 
-/// Opens the log, and waits for a folder that fails: a start that went on without what it cannot read would lose it.
-async fn open_folder(folder: &Path, log_bytes: u64) -> Result<(Claim, Wal, Scan), String> {
-    let started = Instant::now();
-    let mut told = false;
-    loop {
-        let why = match Claim::take(folder) {
-            Err(NoPlace::Taken(why)) => return Err(why),
-            Err(NoPlace::Failed(why)) => why,
-            Ok(claim) => match Wal::of(&claim, log_bytes) {
-                Ok((wal, scan)) => return Ok((claim, wal, scan)),
-                Err(e) => format!("cannot open the log in {}: {e}", folder.display()),
-            },
-        };
-        if started.elapsed() > FOLDER_FOR {
-            return Err(why);
-        }
-        if !told {
-            tracing::error!("{why}; the start waits for it");
-            told = true;
-        }
-        Timer::after(FOLDER_AGAIN).await;
-    }
-}
-
 /// Where clients connect. Another process of this forwarder may listen there as well, to take over from this one; anybody
 /// else who does is a fault, which shows as long as nobody of ours does.
 fn door(at: SocketAddr, beside: bool) -> std::io::Result<TcpListener> {
--- a/lab/src/soak/discovery.rs
+++ b/lab/src/soak/discovery.rs
@@ -84,7 +84,7 @@
     pub fn new(world: &World, ledger: &Ledger, servers: &[Rc<Server>], seed: u64) -> Rc<Discovery> {
         let entry = |server: &Rc<Server>| Entry {
             server: server.clone(),
-            name: server.name.borrow().clone(),
+            name: server.name.clone(),
             lifecycle: "Ready",
             generation: 1,
         };
@@ -133,7 +133,7 @@
     /// A server is new to the list.
     pub fn add(&self, server: &Rc<Server>) {
         let generation = self.next_generation();
-        let name = server.name.borrow().clone();
+        let name = server.name.clone();
         self.entries.borrow_mut().push(Entry {
             server: server.clone(),
             name,
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -12,5 +12,6 @@
 pub mod ledger;
 mod run;
 pub mod server;
+mod settings;
 
 pub use run::{Soak, play};
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -6,10 +6,11 @@
 use super::judge::{Terms, Verdict, judge};
 use super::ledger::{Ledger, Restart};
 use super::server::{self, Server};
+use super::settings::{WINDOW_S, settings};
 use crate::daemon::{Daemon, Preload};
 use crate::experiments::Setup;
 use crate::http::ask;
-use crate::world::{World, sleep};
+use crate::world::{World, sleep, watch_lateness};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -41,7 +42,6 @@
     pub not_met: Vec<&'static str>,
 }
 
-const WINDOW_S: f64 = 1.0;
 /// The longest time of a message, and what its end may take beyond it.
 const SETTLE_S: f64 = 6.5;
 /// The front deals out new connections for so long after SIGTERM.
@@ -72,31 +72,6 @@
     replaced: Cell<u64>,
 }
 
-/// The settings object of an instance: a class of each effect, and one kind of destination.
-fn settings(soak: &Soak, number: usize) -> Value {
-    let class = |name: &str, effect: &str, give_up_s: u64| {
-        json!({"name": name, "effect": effect, "group": "all", "giveUpUs": give_up_s * 1_000_000,
-            "targetUs": 800_000, "windowUs": (WINDOW_S * 1e6) as u64, "lateShare": 0.1, "worth": 1.0})
-    };
-    json!({
-        "azs": ["floor-2"],
-        "classes": [class("status", "repeatable", 3), class("booking", "by_key", 5), class("payment", "once", 5)],
-        "hostTypes": ["club"],
-        "discovery": "subscribe",
-        "extra": {"fades": "line", "feeByZone": [0], "kindApart": [false], "perCall": [1], "slots": 24},
-        "limits": {"cancel": true, "connIdleUs": 5_000_000, "connectTimeoutUs": 1_000_000, "maxAttempts": 12,
-            "maxOpen": 450, "maxRetryAfterUs": 3_000_000, "peerMessages": false, "probes": false,
-            "retryAfter": false, "secondCopies": false},
-        "overShareWorth": 0.05,
-        "replicasOfMe": soak.daemons,
-        "slotNo": number,
-        "rules": {"askEveryUs": 10_000_000, "coldFrom": 0.17, "fallMultiple": 2.0, "fallUs": 3_000_000,
-            "stopSendingWithinUs": 1_000_000, "warmWithinUs": 12_000_000},
-        "tenants": [],
-        "weightSource": "rough",
-    })
-}
-
 /// Plays one run with real daemons.
 pub async fn play(setup: &Setup, soak: Soak) -> Result<Outcome, String> {
     let run = Rc::new(Run::start(setup, &soak).await?);
@@ -117,15 +92,6 @@
     run.end(&plan, lateness.get()).await
 }
 
-/// How late the stand-ins are: they share one thread.
-async fn watch_lateness(world: World, lateness: Rc<Cell<f64>>) {
-    loop {
-        let due = world.now() + LOOK_S;
-        sleep(LOOK_S).await;
-        lateness.set(lateness.get().max(world.now() - due));
-    }
-}
-
 impl Run {
     async fn start(setup: &Setup, soak: &Soak) -> Result<Run, String> {
         let (world, ledger) = (setup.world.clone(), Ledger::default());
@@ -149,7 +115,7 @@
                 String::new(),
                 soak.daemons,
             )?;
-            daemon.settings = settings(soak, i);
+            daemon.settings = settings(soak.daemons, i);
             daemon.preload = Some(Preload::beside(setup.out.join(&name).join("faults"))?);
             let seed = soak.seed.wrapping_mul(1000).wrapping_add(i as u64);
             let clients = Clients::start(&world, &ledger, i, soak.destinations, soak.rate, seed);
@@ -376,7 +342,7 @@
         self.discovery.add(&new);
         self.servers.borrow_mut()[i] = new;
         self.ledger.met("server_replaced");
-        let name = old.name.borrow().clone();
+        let name = old.name.clone();
         self.discovery.set(&name, "Terminating");
         sleep(GONE_AFTER_S).await;
         self.discovery.set(&name, "Gone");
--- a/lab/src/soak/server.rs
+++ b/lab/src/soak/server.rs
@@ -6,7 +6,7 @@
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use rustix::net::sockopt::set_socket_linger;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::Duration;
@@ -61,7 +61,7 @@
 const IDLE_S: f64 = 5.0;
 
 pub struct Server {
-    pub name: RefCell<String>,
+    pub name: String,
     pub destination: u64,
     pub address: SocketAddr,
     pub mode: Cell<Mode>,
@@ -73,7 +73,7 @@
     pub fn start(world: &World, ledger: &Ledger, name: &str, destination: u64) -> Result<Rc<Server>, String> {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).map_err(|e| e.to_string())?;
         let address = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
-        let (name, mode) = (RefCell::new(name.to_owned()), Cell::new(Mode::Well));
+        let (name, mode) = (name.to_owned(), Cell::new(Mode::Well));
         let server =
             Server { name, destination, address, mode, world: world.clone(), ledger: ledger.clone() };
         let server = Rc::new(server);
@@ -129,7 +129,7 @@
         let turned_away = matches!(mode, Mode::Full(_) | Mode::Shut);
         let began = self.world.now() - request.began.elapsed().as_secs_f64();
         let daemon = daemon_of(&request.id).unwrap_or(usize::MAX);
-        let name = self.name.borrow().clone();
+        let name = self.name.clone();
         let call = Call {
             id: request.id.clone(),
             server: name.clone(),
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -8,6 +8,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -37,3 +38,15 @@
 pub async fn sleep(secs: f64) {
     Timer::after(Duration::from_secs_f64(secs.max(0.0))).await;
 }
+
+/// How often the stand-ins look how late they are.
+const LATENESS_LOOK_S: f64 = 0.02;
+
+/// How late the stand-ins are: they share one thread.
+pub async fn watch_lateness(world: World, lateness: Rc<Cell<f64>>) {
+    loop {
+        let due = world.now() + LATENESS_LOOK_S;
+        sleep(LATENESS_LOOK_S).await;
+        lateness.set(lateness.get().max(world.now() - due));
+    }
+}
