--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -232,7 +232,10 @@
         Action::Tell(data) => json!(["tell", who, "all", to_hex(&data)]),
         Action::Follow => json!(["follow", who, true]),
         Action::WakeAfter(span) => json!(["after", who, span.0, "wake"]),
-        Action::Log(text) => json!(["writeLog", who, text]),
+        Action::Sick { receiver, destination, verdict } => {
+            let text = format!("receiver {} of {} sick: {verdict:?}", receiver.0, destination.0);
+            json!(["writeLog", who, text])
+        }
     }
 }
 
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -63,6 +63,8 @@
     listed, awake, wakes, rests, remembered, idle_kept,
     // the log
     wal_records, wal_refused, wal_compactions, wal_waiting,
+    // calls of operators, and those of them that were refused
+    operator_calls, operator_calls_refused,
     // duties shared with other instances
     probes, probes_refused, notes_told, notes_heard, notes_unknown, leases_won, lead_epoch, fence_refused,
     // SMPP
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -50,8 +50,15 @@
     CloseIdle(ReceiverId),
     /// Ask for the list and its changes.
     Follow,
-    /// Write a line to the log.
-    Log(String),
+    /// For the log: an endpoint is taken for out of order from now on.
+    Sick {
+        /// Which.
+        receiver: ReceiverId,
+        /// Its destination.
+        destination: DestinationId,
+        /// How the call ended that showed it.
+        verdict: Verdict,
+    },
 }
 
 /// Why an attempt must not be made.
@@ -531,7 +538,7 @@
                 self.wakes.insert(now.after(span));
                 return None;
             }
-            Action::Log(text) => Step::Log(text),
+            Action::Sick { receiver, destination, verdict } => Step::Sick { receiver, destination, verdict },
             Action::Tell(bytes) => {
                 let (id, news) = bytes.split_first_chunk::<4>()?;
                 Step::Tell(ReceiverId(u32::from_le_bytes(*id).into()), news.to_vec())
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -431,6 +431,13 @@
     Follow,
     /// Hand in [`Event::Wake`] after this span.
     WakeAfter(Micros),
-    /// Write a line to the operators' log.
-    Log(String),
+    /// For the operators' log: the receiver is taken for out of order from now on.
+    Sick {
+        /// Which.
+        receiver: ReceiverId,
+        /// Its destination.
+        destination: DestinationId,
+        /// How the call ended that showed it.
+        verdict: Verdict,
+    },
 }
--- a/src/policy/learning.rs
+++ b/src/policy/learning.rs
@@ -170,8 +170,8 @@
         }
         if !was_sick && r.sick() {
             d.trouble_at = now;
-            let (which, of) = (o.receiver.0, r.destination.0);
-            actions.push(Action::Log(format!("receiver {which} of {of} sick: {:?}", o.verdict)));
+            let (receiver, destination) = (o.receiver, r.destination);
+            actions.push(Action::Sick { receiver, destination, verdict: o.verdict });
         }
         // All that were told the same opening would meet there: each falls into a gap of its own after it.
         if r.doubted(d) && (o.wait() > Micros(0) || !knew) {
--- a/tests/common/fleet/mod.rs
+++ b/tests/common/fleet/mod.rs
@@ -166,7 +166,7 @@
                 Action::CallOff { id, attempt } => self.call_off((id, attempt)),
                 Action::WakeAfter(span) => self.schedule(self.now.after(span), Due::Wake(number)),
                 Action::Refuse { id, .. } | Action::Fail(id) => self.give_up(id),
-                Action::Tell(_) | Action::Follow | Action::Log(_) => {}
+                Action::Tell(_) | Action::Follow | Action::Sick { .. } => {}
             }
         }
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -136,7 +136,7 @@
                 Action::CloseIdle(id) => self.closed.push(id.0),
                 Action::Tell(data) => self.told.push(data),
                 Action::CallOff { id, attempt } => self.called_off.push((id.0, attempt)),
-                Action::WakeAfter(_) | Action::Log(_) => {}
+                Action::WakeAfter(_) | Action::Sick { .. } => {}
             }
         }
     }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -44,7 +44,7 @@
     fn steps(&mut self) -> Vec<Step> {
         let mut steps = Vec::new();
         self.desk.decide(self.now, true, &mut steps);
-        steps.retain(|s| !matches!(s, Step::Log(_)));
+        steps.retain(|s| !matches!(s, Step::Sick { .. }));
         for s in &steps {
             if let Step::End { n, end } = s {
                 self.log.push(Record::Given { n: *n, end: *end });
--- a/tower/src/lib.rs
+++ b/tower/src/lib.rs
@@ -162,7 +162,7 @@
             | Action::Follow
             | Action::CloseIdle(_)
             | Action::Tell(_)
-            | Action::Log(_) => return,
+            | Action::Sick { .. } => return,
         };
         if let Some(orders) = self.orders.get(&id.0) {
             let _ = orders.try_send(order);
