--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -103,6 +103,16 @@
         let _ = send(&inbox, id, &["status", &format!("id={id}"), "dest=1"]);
         let _ = inbox.expect(&["202"]);
     }
+
+    /// The same, where there may be nobody just now.
+    pub fn try_hand_in(&self, id: &str) {
+        let Ok(stream) = TcpStream::connect(self.0) else { return };
+        let (inbox, post) = super::inbox();
+        post.keep(id, &stream);
+        listen(post, stream);
+        let _ = send(&inbox, id, &["status", &format!("id={id}"), "dest=1"]);
+        let _ = inbox.expect(&["202"]);
+    }
 }
 
 /// `ID STATUS [Header=value ...]`, `ID reset`, or `ID raw TEXT`, which leaves the connection open.
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -2,6 +2,7 @@
 
 mod dns;
 mod http;
+mod operators;
 mod smpp;
 
 use serde_json::{Value, json};
@@ -155,6 +156,7 @@
     descriptors: Option<u32>,
     http: Option<SocketAddr>,
     smpp: Option<SocketAddr>,
+    operators: operators::Operators,
     seen: Arc<Mutex<String>>,
 }
 
@@ -189,6 +191,7 @@
             descriptors: None,
             http,
             smpp,
+            operators: operators::Operators::default(),
             seen,
         }
     }
@@ -283,6 +286,14 @@
                 self.sections += &format!("[{name}]\n{}\n", rest.join("\n"));
                 Ok(())
             }
+            ["given", "operators"] => {
+                self.operators.wanted = true;
+                Ok(())
+            }
+            ["send", who @ ("operator" | "old-operator"), call @ ..] => {
+                self.operators.call(*who == "operator", &call.join(" "))
+            }
+            ["expect", "operator", words @ ..] => self.operators.expect(&words.join(" ")),
             ["given", "list", "unknown"] => {
                 self.unknown = true;
                 Ok(())
@@ -376,6 +387,7 @@
             // A second process over the same folder, at the same address for clients. The first one is `old` then.
             ["send", "daemon", "beside"] => {
                 self.old = self.child.take();
+                self.operators.second_process();
                 let at = self.http.ok_or("no daemon")?.to_string();
                 self.start(&at)
             }
@@ -484,7 +496,7 @@
         let platform = self.who["platform"].address.unwrap().to_string();
         let known = if self.unknown { Value::Null } else { self.listing.lock().unwrap().json() };
         let config = json!({"name": "n1", "seed": "1f", "limits": self.limits, "discovery": platform,
-            "known": known, "settings": settings});
+            "known": known, "settings": settings, "mgmt": self.operators.wanted.then_some("127.0.0.1:0")});
         let file = self.folder.join("config.json");
         std::fs::write(&file, config.to_string()).unwrap();
         file
@@ -566,6 +578,7 @@
                 *match of {
                     "SMPP" => &mut self.smpp,
                     "members" => continue,
+                    "operators" => &mut self.operators.at,
                     "DNS" => &mut self.dns_at,
                     _ => &mut self.http,
                 } = at.parse().ok();
