Operators take endpoints out and put them back: held by the guard, kept in the folder

Change: roster/src/maintenance.rs: what is out counts as draining, whatever lists say, until it is put back; the one guard holds it. daemon/src/maintenance.rs: the names in one file of the folder, replaced under a lock, which a second process follows within 0.1 s and the next one finds. module/maintenance.rs: holds from the call on, whatever the folder does. Put back, an endpoint is cold: one trial, by chance in its gap, then the budget (PolicyEngine::restarted). violations_maintenance checks it by name, apart from the directory.

--- a/daemon/src/invariants.rs
+++ b/daemon/src/invariants.rs
@@ -36,6 +36,8 @@
 pub struct Invariants {
     /// A call began at an endpoint more than a second after its drain was known.
     pub drain: Count,
+    /// A call began at an endpoint more than a second after operators had taken it out.
+    pub in_maintenance: Count,
     /// A call began during a wait that its endpoint had told.
     pub wait: Count,
     /// A call began after the time in which the guard had allowed it.
@@ -49,13 +51,16 @@
     /// An end was told more than 0.3 s after the message's time.
     pub late_end: Count,
     told: RefCell<BTreeMap<ReceiverId, Told>>,
+    /// What operators have taken out, and when.
+    out: RefCell<BTreeMap<String, Micros>>,
 }
 
 impl Invariants {
     /// Each count by its name, as `/counters` shows it.
-    pub fn counts(&self) -> [(&'static str, u64); 7] {
+    pub fn counts(&self) -> [(&'static str, u64); 8] {
         [
             ("violations_drain", self.drain.get()),
+            ("violations_maintenance", self.in_maintenance.get()),
             ("violations_wait", self.wait.get()),
             ("violations_late_attempt", self.late_attempt.get()),
             ("violations_repeat", self.repeat.get()),
@@ -86,6 +91,16 @@
         told.entry(entry.receiver).or_default().drained.get_or_insert(now);
     }
 
+    /// Operators have taken an endpoint out, or put it back.
+    pub fn maintenance(&self, now: Micros, endpoint: &str, out: bool) {
+        let mut all = self.out.borrow_mut();
+        if out {
+            all.entry(endpoint.to_owned()).or_insert(now);
+        } else {
+            all.remove(endpoint);
+        }
+    }
+
     /// An endpoint told a wait.
     pub fn told_wait(&self, now: Micros, to: ReceiverId, until: Micros) {
         if until > now {
@@ -103,6 +118,9 @@
         if told.drained.is_some_and(|at| now.since(at) > DRAIN_GRACE) {
             violated(&self.drain, call, "a call to an endpoint that drains or is gone");
         }
+        if self.out.borrow().get(&call.endpoint).is_some_and(|at| now.since(*at) > DRAIN_GRACE) {
+            violated(&self.in_maintenance, call, "a call to an endpoint that operators have taken out");
+        }
         if told.wait.is_some_and(|(at, until)| now < until && now.since(at) > WAIT_GRACE) {
             violated(&self.wait, call, "a call during a wait");
         }
--- a/daemon/src/invariants/tests.rs
+++ b/daemon/src/invariants/tests.rs
@@ -13,6 +13,7 @@
         n: 1,
         attempt: 0,
         to: TO,
+        endpoint: "e1".into(),
         id: "m1".into(),
         key: String::new(),
         note: String::new(),
@@ -53,6 +54,25 @@
     assert_eq!(invariants.total(), 0);
 }
 
+#[rstest]
+#[case::within_the_grace(1_000_000, false, 0)]
+#[case::beyond_it(1_000_001, false, 1)]
+#[case::put_back(9_000_000, true, 0)]
+fn a_call_to_an_endpoint_that_operators_took_out(
+    #[case] after: u64, #[case] put_back: bool, #[case] violations: u64,
+) {
+    let invariants = Invariants::default();
+    invariants.maintenance(START, "e1", true);
+    // The call may come twice, and the list may say that it is ready.
+    invariants.maintenance(START.after(Micros(500_000)), "e1", true);
+    invariants.listed(START, &listed(Listing::Ready));
+    if put_back {
+        invariants.maintenance(START.after(Micros(600_000)), "e1", false);
+    }
+    invariants.sends(START.after(Micros(after)), &call(false), &PERMIT);
+    assert_eq!((invariants.in_maintenance.get(), invariants.total()), (violations, violations));
+}
+
 #[rstest]
 #[case::crosses_the_answer(100_000, 0)]
 #[case::during_the_wait(100_001, 1)]
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod keep;
 pub mod list;
 pub mod log;
+pub mod maintenance;
 pub mod module;
 pub mod net;
 pub mod notices;
--- /dev/null
+++ b/daemon/src/maintenance/tests.rs
@@ -0,0 +1,80 @@
+//! The file that says what operators have taken out.
+
+use super::*;
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("onyxrock-maintenance-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn change(endpoint: &str, out: bool) -> Change {
+    Change { endpoint: endpoint.into(), out }
+}
+
+fn names(all: &[&str]) -> BTreeSet<String> {
+    all.iter().map(|name| (*name).to_owned()).collect()
+}
+
+#[test]
+fn two_processes_that_are_called_in_turn_lose_neither_change() {
+    let folder = folder("two");
+    let (mut first, mut second) = (MaintenanceFile::of(&folder), MaintenanceFile::of(&folder));
+    assert_eq!(first.load().unwrap(), names(&[]), "there is no file yet");
+    first.change(change("a", true)).unwrap();
+    second.change(change("b", true)).unwrap();
+    first.change(change("c", true)).unwrap();
+    second.change(change("a", false)).unwrap();
+    second.change(change("a", false)).unwrap();
+    for file in [&first, &second, &MaintenanceFile::of(&folder)] {
+        assert_eq!(file.load().unwrap(), names(&["b", "c"]));
+    }
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// Another process is writing just now, or the folder takes nothing: the change holds here and is written later, in order.
+#[test]
+fn what_could_not_be_written_waits_and_holds() {
+    let folder = folder("waits");
+    let mut file = MaintenanceFile::of(&folder);
+    let other = lock(&folder).unwrap();
+    assert!(file.change(change("a", true)).is_err());
+    assert!(file.change(change("b", true)).is_err());
+    assert!(file.change(change("a", false)).is_err());
+    assert!(file.waits());
+    assert_eq!(file.load().unwrap(), names(&["b"]));
+    assert_eq!(MaintenanceFile::of(&folder).load().unwrap(), names(&[]));
+    drop(other);
+    file.write().unwrap();
+    assert!(!file.waits());
+    assert_eq!(MaintenanceFile::of(&folder).load().unwrap(), names(&["b"]));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn half_of_a_next_file_says_nothing_and_noise_is_no_panic() {
+    let folder = folder("noise");
+    let mut file = MaintenanceFile::of(&folder);
+    file.change(change("a", true)).unwrap();
+    std::fs::write(&files(&folder)[1], "b\nc").unwrap();
+    assert_eq!(file.load().unwrap(), names(&["a"]));
+    std::fs::write(&files(&folder)[0], b"a\n\n\xff\xfe\n").unwrap();
+    assert!(file.load().unwrap().contains("a"));
+    // A folder in its place cannot be read: a start waits for it.
+    std::fs::remove_file(&files(&folder)[0]).unwrap();
+    std::fs::create_dir(&files(&folder)[0]).unwrap();
+    assert!(file.load().is_err());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn the_file_is_bounded() {
+    let mut all = BTreeSet::new();
+    let name = |i: usize| format!("s-{i:08x}");
+    while MaintenanceFile::has_room(&all, &name(all.len())) {
+        all.insert(name(all.len()));
+    }
+    assert!(all.len() > 1024, "{} endpoints fit", all.len());
+    assert!(all.iter().map(|n| n.len() + 1).sum::<usize>() <= BYTES_MOST);
+}
--- a/daemon/src/module/calls.rs
+++ b/daemon/src/module/calls.rs
@@ -21,6 +21,7 @@
             n,
             attempt,
             to,
+            endpoint: self.endpoint_name(to),
             id: t.id.clone(),
             key: t.key.clone(),
             note: t.note.clone(),
@@ -31,6 +32,10 @@
         });
     }
 
+    fn endpoint_name(&self, to: ReceiverId) -> String {
+        self.directory.peer(to).map(|peer| peer.name.clone()).unwrap_or_default()
+    }
+
     /// The call of a probe: as any other, but nothing of it is logged or owed.
     pub(super) fn probe(&mut self, now: Micros, n: u64, to: ReceiverId, patience: Micros) {
         let Some(probing) = &self.probing else { return };
@@ -39,6 +44,7 @@
             n,
             attempt: 0,
             to,
+            endpoint: self.endpoint_name(to),
             id: String::new(),
             key: String::new(),
             note: String::new(),
--- a/daemon/src/module/guard.rs
+++ b/daemon/src/module/guard.rs
@@ -47,7 +47,10 @@
         }
         // The list that told of the drain may have taken its time: there is no grace left to use up.
         if peer.drains.is_some() && !asks.begun {
-            return held_back(&counters.held_back_drain);
+            let in_maintenance = self.directory.maintenance().contains(&peer.name);
+            let why =
+                if in_maintenance { &counters.held_back_maintenance } else { &counters.held_back_drain };
+            return held_back(why);
         }
         match self.desk.leave(now, asks.n, asks.attempt, asks.to) {
             Leave::Wait => return held_back(&counters.held_back_wait),
--- a/daemon/src/module/listing.rs
+++ b/daemon/src/module/listing.rs
@@ -84,6 +84,7 @@
         for (to, repute) in follows.recalled {
             self.desk.recall(now, to, repute);
         }
+        follows.restarted.into_iter().for_each(|to| self.desk.restarted(now, to));
     }
 
     pub(super) fn put(&mut self, now: Micros, e: Endpoint<'_>, follows: &mut Follows) {
--- a/daemon/src/module/messages.rs
+++ b/daemon/src/module/messages.rs
@@ -1,8 +1,9 @@
 //! What the module is told and asked, and what it answers.
 
-use super::{Asks, Gate};
+use super::{Asks, Gate, MaintenanceAnswer};
 use crate::folder::Left;
 use crate::list::Part;
+use crate::maintenance::Change;
 use async_channel::Sender;
 use onyxrock::core::{Answered, End, Taken};
 use onyxrock::interface::{Micros, ReceiverId};
@@ -67,6 +68,13 @@
     Peers(FromPeers),
     /// Shows the duties, as JSON.
     Duties(Sender<serde_json::Value>),
+    /// Operators take an endpoint out, or put it back.
+    Maintenance {
+        change: Change,
+        reply: Sender<MaintenanceAnswer>,
+    },
+    /// The file of what operators have taken out is another one than it was.
+    MaintenanceChanged,
     /// What another process of this forwarder owed, which is gone.
     Adopt(Left),
     /// Hold all further sends.
--- a/daemon/src/module/tests.rs
+++ b/daemon/src/module/tests.rs
@@ -316,3 +316,37 @@
     );
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// A call may be decided on and wait for its connection when an operator takes its endpoint out.
+#[test]
+fn a_queued_call_is_not_written_once_operators_have_taken_its_endpoint_out() {
+    let (folder, mut m, now) = busy("maintenance");
+    m.desk.decide(now, true, &mut Vec::new());
+    let change = |endpoint: &str, out| crate::maintenance::Change { endpoint: endpoint.into(), out };
+    assert_eq!(m.maintenance_call(now, change("nobody", true)), MaintenanceAnswer::Unknown);
+    assert_eq!(m.maintenance_call(now, change("e", true)), MaintenanceAnswer::Done);
+    assert_eq!(m.writing(now, asks(0, false)), Err(Verdict::HeldBack));
+    assert_eq!(m.shared.counters.held_back_maintenance.get(), 1);
+    m.list(now, list(Listing::Ready));
+    assert_eq!(m.writing(now, asks(0, false)), Err(Verdict::HeldBack), "whatever the list says");
+    assert_eq!(m.maintenance_call(now, change("e", false)), MaintenanceAnswer::Done);
+    assert!(m.writing(now, asks(0, false)).is_ok());
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// The folder takes nothing: the call holds all the same, says so, and is written later.
+#[test]
+fn a_call_of_operators_holds_over_a_folder_that_fails() {
+    let (folder, mut m, now) = busy("maintenance-folder");
+    // The next file cannot be written while a folder has its name.
+    let [file, next] = crate::maintenance::files(&folder);
+    std::fs::create_dir(&next).unwrap();
+    let change = crate::maintenance::Change { endpoint: "e".into(), out: true };
+    assert!(matches!(m.maintenance_call(now, change), MaintenanceAnswer::NotKept(_)));
+    m.maintenance_changed(now);
+    assert!(m.directory.maintenance().contains("e"), "the file does not say it yet");
+    std::fs::remove_dir(&next).unwrap();
+    m.retry_maintenance(m.maintenance_due().expect("it is tried again"));
+    assert_eq!((m.maintenance_due(), std::fs::read_to_string(file).unwrap().as_str()), (None, "e\n"));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/daemon/src/net/http/endpoint/tests.rs
+++ b/daemon/src/net/http/endpoint/tests.rs
@@ -28,6 +28,7 @@
     fn call(&self, id: &str, body: usize) -> Sender<()> {
         let (wanted, called_off) = bounded(1);
         let call = OutboundCall {
+            endpoint: "e1".into(),
             n: 1,
             attempt: 0,
             to: ReceiverId(7),
--- a/daemon/src/net/mgmt.rs
+++ b/daemon/src/net/mgmt.rs
@@ -2,6 +2,9 @@
 //! own, few of them, and waits for nobody else's queue.
 
 use super::{Held, Shared};
+use crate::maintenance::Change;
+use crate::module::{MaintenanceAnswer, ToModule};
+use async_channel::bounded;
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use onyxrock::interface::Micros;
@@ -14,6 +17,8 @@
 const WHOLE: Micros = Micros(5_000_000);
 /// ... and sooner, the oldest first, where so many are here.
 const CALLERS: usize = 16;
+/// An answer is due within a second, whatever the load.
+const MODULE_ANSWERS_WITHIN: Micros = Micros(800_000);
 const PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
 
 pub async fn listen(shared: Rc<Shared>, listener: Async<TcpListener>) {
@@ -48,7 +53,7 @@
         let n = stream.read(&mut some).await?;
         line.extend_from_slice(&some[..n]);
         if let Some(end) = line.iter().position(|b| *b == b'\n') {
-            let answer = answer(shared, &line[..end]);
+            let answer = answer(shared, &line[..end]).await;
             note(shared, &line[..end], &answer);
             break answer;
         }
@@ -75,7 +80,7 @@
     }
 }
 
-fn answer(shared: &Shared, line: &[u8]) -> String {
+async fn answer(shared: &Shared, line: &[u8]) -> String {
     let line = String::from_utf8_lossy(line);
     let words: Vec<&str> = line.split_whitespace().collect();
     match words[..] {
@@ -85,11 +90,37 @@
             Held::Current => "200 ready".into(),
             Held::Old(why) => format!("200 ready, with an old list: {}", why.replace(['\r', '\n'], " ")),
         },
-        ["maint-on" | "maint-off", ..] => "400 endpoints cannot be taken out by hand here".into(),
+        [what @ ("maint-on" | "maint-off"), endpoint] => {
+            let change = Change { endpoint: endpoint.to_owned(), out: what == "maint-on" };
+            maintenance(shared, change).await
+        }
+        ["maint-on" | "maint-off", ..] => "400 one endpoint a call".into(),
         [] => "400 an empty call".into(),
         [what, ..] => format!("400 no such call: {}", what.escape_debug()),
     }
 }
 
+/// Takes an endpoint out, or puts it back.
+async fn maintenance(shared: &Shared, change: Change) -> String {
+    let Change { endpoint, out } = change.clone();
+    let shown = endpoint.escape_debug();
+    let done = format!("200 {shown} is {}", if out { "out" } else { "back" });
+    let (reply, answered) = bounded(1);
+    let asked = async {
+        shared.module.send(ToModule::Maintenance { change, reply }).await.ok()?;
+        answered.recv().await.ok()
+    };
+    let by = shared.clock.now().after(MODULE_ANSWERS_WITHIN);
+    match shared.clock.before(by, asked).await.flatten() {
+        Some(MaintenanceAnswer::Done) => done,
+        Some(MaintenanceAnswer::NotKept(why)) => {
+            format!("{done}, and not yet kept for the next process: {why}")
+        }
+        Some(MaintenanceAnswer::Unknown) => format!("400 no such endpoint: {shown}"),
+        Some(MaintenanceAnswer::TooMany) => "400 too many endpoints are out".into(),
+        None => "400 no answer in time: call again".into(),
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -128,6 +128,8 @@
     pub n: u64,
     pub attempt: u32,
     pub to: ReceiverId,
+    /// The name of the endpoint.
+    pub endpoint: String,
     pub id: String,
     pub key: String,
     /// What its front noted of it.
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -5,13 +5,14 @@
 use crate::folder::{Claim, Other};
 use crate::keep;
 use crate::list::{self, Discovery, dns};
+use crate::maintenance;
 use crate::module::{FirstList, Module, ToModule};
 use crate::net::Shared;
 use crate::net::http::inbound;
 use crate::net::mgmt;
 use crate::net::smpp;
 use crate::notices;
-use crate::start::open_folder;
+use crate::start::{Opened, open_folder};
 use async_channel::bounded;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -73,7 +74,7 @@
     }
     // The file of what is remembered, old and new, too.
     let log_bytes = config.disk_bytes.saturating_sub(zones + 2 * kept);
-    let (claim, wal, scan) = open_folder(&config.state, log_bytes).await?;
+    let Opened { claim, wal, scan, maintenance: taken_out } = open_folder(&config.state, log_bytes).await?;
     if scan.damaged > 0 {
         tracing::warn!("log: {} bytes belong to no whole record and are left out", scan.damaged);
     }
@@ -146,6 +147,7 @@
         executor.spawn(keep::run(shared.clone(), config.state.clone(), kept as usize, keeping)).detach();
     }
     gateways.into_iter().for_each(|g| module.gateway(g));
+    module.begin_maintenance(&taken_out);
     if let (Some(d), Some(class)) = (&duties, probe_class) {
         let (me, now) = (place(d, &config.name)?, shared.clock.now());
         let socket = listen(d)?;
@@ -230,6 +232,7 @@
     executor.spawn(notices::run(shared.clone(), endings, notice_moves)).detach();
     executor.spawn(module.run(module_inbox)).detach();
 
+    let claim_folder = claim.folder.clone();
     executor.spawn(take_over(shared.clone(), claim, beside)).detach();
     let listener = door(config.listen, beside)
         .and_then(Async::new)
@@ -253,6 +256,7 @@
             .map_err(|e| format!("cannot listen on {address} for operators: {e}"))?;
         let at = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
         executor.spawn(mgmt::listen(shared.clone(), listener)).detach();
+        executor.spawn(maintenance::follow(shared.clone(), claim_folder)).detach();
         tracing::info!("listens on {at} for operators");
     }
     tracing::info!("listens on {at}");
--- a/daemon/src/start/tests.rs
+++ b/daemon/src/start/tests.rs
@@ -13,8 +13,8 @@
         std::thread::sleep(FOLDER_AGAIN);
         std::fs::create_dir_all(late).unwrap();
     });
-    let (_claim, _wal, scan) = block_on(open_folder(&folder, 1_000_000)).expect("it is there by then");
-    assert!(scan.records.is_empty());
+    let opened = block_on(open_folder(&folder, 1_000_000)).expect("it is there by then");
+    assert!(opened.scan.records.is_empty());
     comes.join().unwrap();
     std::fs::remove_dir_all(&folder).unwrap();
 }
--- a/daemon/src/wal.rs
+++ b/daemon/src/wal.rs
@@ -1,6 +1,7 @@
 //! The log in the folder that lasts. What write() has taken survives the process, so nothing is synced.
 
 use crate::folder::{Claim, PLACES, Place, read, remove};
+use crate::maintenance;
 use onyxrock::core::{Owed, Record, Scan, frames};
 use std::fs::{File, OpenOptions, rename};
 use std::io::{self, ErrorKind, Write};
@@ -17,7 +18,7 @@
     place: Place,
     file: File,
     size: u64,
-    /// Bytes that log and new log may take together, and those of another process of this forwarder.
+    /// Bytes that log and new log may take together, with those of another process and what operators have taken out.
     budget: u64,
     beside: Vec<PathBuf>,
     /// At this size it is worth asking how much of the log is owed, which takes a look at all that is held.
@@ -29,7 +30,8 @@
     /// Opens the log of the place that this process has.
     pub fn of(claim: &Claim, budget: u64) -> io::Result<(Wal, Scan)> {
         let (wal, scan) = Wal::at(&claim.folder, claim.place, budget)?;
-        Ok((Wal { beside: claim.beside().into(), ..wal }, scan))
+        let beside = claim.beside().into_iter().chain(maintenance::files(&claim.folder)).collect();
+        Ok((Wal { beside, ..wal }, scan))
     }
 
     /// Opens the log of a folder where there is nobody else.
@@ -62,11 +64,16 @@
         ))
     }
 
-    /// What another process of this forwarder has in the folder.
+    /// What else is in the folder.
     fn beside(&self) -> u64 {
         self.beside.iter().filter_map(|p| Some(p.metadata().ok()?.len())).sum()
     }
 
+    /// The folder that lasts.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
     pub fn size(&self) -> u64 {
         self.size
     }
--- a/daemon/tests/operators.rs
+++ b/daemon/tests/operators.rs
@@ -12,6 +12,8 @@
 
 /// Nothing new may reach an endpoint so long after the call that takes it out.
 const GRACE: Duration = Duration::from_secs(1);
+/// One that is back is cold: its first call comes within the gap that its budget leaves.
+const BACK_WITHIN: Duration = Duration::from_secs(5);
 const SEND_EVERY: Duration = Duration::from_millis(20);
 /// Under this load a call reaches each endpoint many times within so long.
 const LOOK: Duration = Duration::from_millis(500);
@@ -63,8 +65,10 @@
 
     fn gets_calls(&self, why: &str) {
         let from = Instant::now();
-        thread::sleep(LOOK);
-        assert!(self.calls_after(from) > 0, "no call {why}\n{}", self.stage.log());
+        while self.calls_after(from) == 0 {
+            assert!(from.elapsed() < BACK_WITHIN, "no call {why}\n{}", self.stage.log());
+            thread::sleep(SEND_EVERY);
+        }
     }
 
     fn gets_nothing(&self, why: &str) {
@@ -95,4 +99,47 @@
     forwarder.play(&["send operator maint-on e1", "expect operator 200"]);
     forwarder.play(&["send operator maint-off e1", "expect operator 200"]);
     forwarder.gets_calls("once it is back");
+    forwarder.play(&["send operator maint-on e2", "expect operator 200"]);
+    forwarder.gets_calls("as the only one that is in use");
+}
+
+/// An upgrade: both processes are one forwarder, whichever of them is called, and so is the next one after a kill.
+#[test]
+fn what_one_process_is_told_binds_the_one_beside_it_and_the_next() {
+    let mut forwarder = Forwarder::start();
+    forwarder.gets_calls("before it is taken out");
+    forwarder.play(&["send daemon beside", "send operator maint-on e1", "expect operator 200"]);
+    thread::sleep(GRACE);
+    forwarder.gets_nothing("though the new process has taken it out");
+    forwarder.play(&["send old-operator maint-off e1", "expect operator 200"]);
+    forwarder.play(&["expect log put back at another process"]);
+    forwarder.gets_calls("once the old process has put it back");
+    forwarder.play(&["send old-operator maint-on e1", "expect operator 200", "send old KILL"]);
+    thread::sleep(GRACE);
+    forwarder.gets_nothing("though the old process had taken it out");
+    forwarder.play(&["send daemon KILL", "send daemon start", "expect log 1 endpoints are out of use"]);
+    forwarder.traffic();
+    forwarder.gets_nothing("after a kill");
+    forwarder.play(&["send operator maint-off e1", "expect operator 200"]);
+    forwarder.gets_calls("once the next process has put it back");
+}
+
+/// Discovery is down, and its list leaves the endpoint out and names it again.
+#[test]
+fn neither_an_outage_of_discovery_nor_a_new_list_puts_it_back() {
+    let mut forwarder = Forwarder::start();
+    forwarder.gets_calls("before it is taken out");
+    forwarder.stage.refuse_list_calls(u32::MAX);
+    forwarder.play(&["send operator maint-on e1", "expect operator 200", "expect counter list_old=1"]);
+    thread::sleep(GRACE);
+    forwarder.gets_nothing("while discovery is down");
+    forwarder.play(&["send list e1 Gone"]);
+    forwarder.stage.refuse_list_calls(0);
+    forwarder.play(&["expect log Gone", "send list e1 Ready", "expect counter list_old=0"]);
+    while !forwarder.stage.list_was_told() {
+        thread::sleep(SEND_EVERY);
+    }
+    forwarder.gets_nothing("though the list names it again");
+    forwarder.play(&["send operator maint-off e1", "expect operator 200"]);
+    forwarder.gets_calls("once it is back");
 }
--- a/roster/src/directory.rs
+++ b/roster/src/directory.rs
@@ -40,10 +40,10 @@
     pub destination: u64,
     /// Where it is.
     pub address: SocketAddr,
-    /// When the list told that it drains or is gone.
+    /// When the list, or an operator, told that it drains or is gone.
     pub drains: Option<Micros>,
     /// The list does not name it any more, or as gone.
-    gone: bool,
+    pub(crate) gone: bool,
     /// No list names it, and it stays.
     fixed: bool,
     /// Calls that it has and has not told the end of.
@@ -74,6 +74,8 @@
     pub entries: Vec<Entry>,
     /// What is still known of those among them that come into use.
     pub recalled: Vec<(ReceiverId, Repute)>,
+    /// Those among them that operators have put back: they were restarted, and are cold.
+    pub restarted: Vec<ReceiverId>,
 }
 
 /// What is known of a destination that wakes.
@@ -102,12 +104,16 @@
 #[derive(Debug)]
 pub struct Directory {
     rules: Rules,
-    roster: Roster,
+    pub(crate) roster: Roster,
     awake: Awake,
     memories: Memories,
-    peers: BTreeMap<ReceiverId, Peer>,
+    pub(crate) peers: BTreeMap<ReceiverId, Peer>,
     /// Numbers by name. One that is gone keeps its number for a while: the module still knows of waits there.
-    numbers: HashMap<String, ReceiverId>,
+    pub(crate) numbers: HashMap<String, ReceiverId>,
+    /// Endpoints that operators have taken out of use, by name: they count as draining, whatever the list says.
+    pub(crate) maintenance: BTreeSet<String>,
+    /// What is told of the endpoints that no list names.
+    pub(crate) fixed_entries: BTreeMap<ReceiverId, Entry>,
     last: u64,
     /// Those that are gone, and when to look whether they can be let go.
     leaving: BTreeSet<(Micros, ReceiverId)>,
@@ -133,6 +139,8 @@
             memories: Memories::new(rules.terms),
             peers: BTreeMap::new(),
             numbers: HashMap::new(),
+            maintenance: BTreeSet::new(),
+            fixed_entries: BTreeMap::new(),
             last: 0,
             leaving: BTreeSet::new(),
             forget: BTreeSet::new(),
@@ -249,7 +257,9 @@
             wait_until: Micros(0),
         };
         self.peers.insert(to, peer);
-        (to, self.entry(to, e))
+        let entry = self.entry(to, e);
+        self.fixed_entries.insert(to, entry.clone());
+        (to, entry)
     }
 
     /// This one stays, whatever the list says.
@@ -258,10 +268,12 @@
         self.peers.get(&to).is_some_and(|p| p.fixed)
     }
 
-    fn entry(&self, receiver: ReceiverId, e: &Endpoint<'_>) -> Entry {
+    /// What the module is told of an endpoint: one that is ready and in maintenance drains.
+    pub(crate) fn entry(&self, receiver: ReceiverId, e: &Endpoint<'_>) -> Entry {
+        let held_out = e.listing == Listing::Ready && self.maintenance.contains(e.name);
         Entry {
             receiver,
-            listing: e.listing,
+            listing: if held_out { Listing::Draining } else { e.listing },
             destination: DestinationId(e.destination),
             kind: KindId(if e.kind == u16::MAX { usize::MAX } else { usize::from(e.kind) }),
             zone: ZoneId(self.rules.zones.get(e.zone).copied().unwrap_or(usize::MAX)),
@@ -287,7 +299,7 @@
         let to = known.unwrap_or(ReceiverId(self.last + 1));
         let entry = self.entry(to, &e);
         // One that drained meanwhile has no time left in which a call might go.
-        let drains = (e.listing != Listing::Ready).then_some(Micros(0));
+        let drains = (entry.listing != Listing::Ready).then_some(Micros(0));
         let (name, zone) = (e.name.to_owned(), e.zone.to_owned());
         let (destination, address) = (e.destination, e.address);
         let peer = Peer {
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -9,6 +9,7 @@
 //!   What changed comes out as [`Change`]s, so that nobody walks the whole.
 //! - [`Directory`] is all of it together: it takes the list and each use of a destination, and says what follows for
 //!   the endpoints in use ([`Order`]) and for the module round which they are ([`Follows`], [`Woken`]).
+//!   Operators may take endpoints out of use for maintenance ([`Directory::set_maintenance`]), which lists do not undo.
 //! - [`Staged`] holds a list while it is read: the table takes a list as a whole or not at all.
 //! - [`Awake`] says which destinations are in use, and which have not been for long enough to rest.
 //! - [`Memory`] is what is kept of a destination that goes to rest: its served rate, a wait it had told, whether it was
@@ -47,6 +48,7 @@
 
 mod awake;
 mod directory;
+mod maintenance;
 mod memory;
 mod snapshot;
 mod staged;
@@ -54,6 +56,7 @@
 
 pub use awake::Awake;
 pub use directory::{Directory, Follows, Order, Peer, Rules, Standing, Woken};
+pub use maintenance::UnknownEndpoint;
 pub use memory::{Memories, Memory, Terms, Whose};
 pub use snapshot::{Writer, read};
 pub use staged::{Block, Staged};
--- /dev/null
+++ b/roster/tests/maintenance.rs
@@ -0,0 +1,109 @@
+//! Endpoints that operators take out of use, through all that lists say of them meanwhile.
+
+use onyxrock::interface::{Entry, Listing, Micros};
+use onyxrock_roster::{Directory, Endpoint, Follows, Rules, Terms, UnknownEndpoint};
+use rstest::rstest;
+use std::net::SocketAddr;
+
+const NOW: Micros = Micros(1_000_000);
+const DESTINATION: u64 = 7;
+
+fn directory(rest: Option<Micros>) -> Directory {
+    let terms = Terms { half_life: Micros(600_000_000), forget: Micros(3_600_000_000) };
+    Directory::new(Rules { most: 100, rest, terms, zones: Default::default() })
+}
+
+fn endpoint(port: u16, listing: Listing) -> Endpoint<'static> {
+    let address = SocketAddr::from(([127, 0, 0, 1], port));
+    Endpoint { name: "e", address, zone: "z", kind: 0, destination: DESTINATION, weight: 1.0, listing }
+}
+
+/// What the module is told when the list says this.
+fn listed(d: &mut Directory, e: Endpoint<'_>) -> Vec<Entry> {
+    let mut follows = Follows::default();
+    d.put(NOW, e, &mut follows).unwrap();
+    d.taken();
+    follows.entries
+}
+
+fn set(d: &mut Directory, out: bool) -> Follows {
+    let mut follows = Follows::default();
+    d.set_maintenance(NOW, "e", out, &mut follows);
+    follows
+}
+
+fn listings(entries: &[Entry]) -> Vec<Listing> {
+    entries.iter().map(|e| e.listing).collect()
+}
+
+fn drains(d: &Directory) -> bool {
+    let to = d.number_of("e").expect("it is in use");
+    d.peer(to).is_some_and(|peer| peer.drains.is_some())
+}
+
+/// A destination in use with one endpoint.
+fn in_use() -> Directory {
+    let mut d = directory(None);
+    listed(&mut d, endpoint(1, Listing::Ready));
+    d.touch(NOW, DESTINATION, &mut Follows::default());
+    d
+}
+
+#[test]
+fn one_that_is_out_drains_until_it_is_put_back_cold() {
+    let mut d = in_use();
+    assert_eq!(d.known("nobody"), Err(UnknownEndpoint));
+    assert_eq!(d.known("e"), Ok(()));
+    assert_eq!(listings(&set(&mut d, true).entries), [Listing::Draining]);
+    assert!(drains(&d));
+    assert!(set(&mut d, true).entries.is_empty(), "called twice");
+    let back = set(&mut d, false);
+    assert_eq!((listings(&back.entries), back.restarted.len()), (vec![Listing::Ready], 1));
+    assert!(!drains(&d));
+    assert!(set(&mut d, false).entries.is_empty());
+}
+
+#[rstest]
+#[case::it_is_ready_elsewhere(Listing::Ready)]
+#[case::it_drains(Listing::Draining)]
+fn a_list_does_not_put_it_back(#[case] listing: Listing) {
+    let mut d = in_use();
+    set(&mut d, true);
+    assert_eq!(listings(&listed(&mut d, endpoint(2, listing))), [Listing::Draining]);
+    assert!(drains(&d));
+    let back = set(&mut d, false);
+    assert_eq!(listings(&back.entries), [listing], "then the list holds");
+    assert_eq!(back.restarted.is_empty(), listing != Listing::Ready);
+}
+
+#[test]
+fn one_that_leaves_the_list_and_comes_back_is_still_out() {
+    let mut d = in_use();
+    set(&mut d, true);
+    assert_eq!(listings(&listed(&mut d, endpoint(1, Listing::Gone))), [Listing::Gone]);
+    assert_eq!(d.known("e"), Ok(()), "it can be put back all the same");
+    assert_eq!(listings(&listed(&mut d, endpoint(1, Listing::Ready))), [Listing::Draining]);
+    assert!(drains(&d));
+    assert_eq!(listings(&set(&mut d, false).entries), [Listing::Ready]);
+}
+
+#[test]
+fn one_that_comes_into_use_while_it_is_out_is_not_used() {
+    let mut d = directory(None);
+    // As a start does that finds it in the file, before there is a list.
+    assert!(set(&mut d, true).entries.is_empty());
+    listed(&mut d, endpoint(1, Listing::Ready));
+    let woken = d.touch(NOW, DESTINATION, &mut Follows::default()).expect("it was at rest");
+    assert_eq!(woken.each.iter().map(|(e, _)| e.listing).collect::<Vec<_>>(), [Listing::Draining]);
+    assert!(drains(&d));
+}
+
+#[test]
+fn a_gateway_can_be_taken_out_by_its_name() {
+    let mut d = directory(None);
+    let (to, entry) = d.fix(NOW, &endpoint(1, Listing::Ready));
+    assert_eq!((entry.listing, d.known("e")), (Listing::Ready, Ok(())));
+    assert_eq!(listings(&set(&mut d, true).entries), [Listing::Draining]);
+    assert!(d.peer(to).is_some_and(|peer| peer.drains.is_some()));
+    assert_eq!(listings(&set(&mut d, false).entries), [Listing::Ready]);
+}
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -217,6 +217,11 @@
         self.policy.recall(now, to, repute);
     }
 
+    /// An endpoint was restarted; see [`PolicyEngine::restarted`].
+    pub fn restarted(&mut self, now: Micros, to: ReceiverId) {
+        self.policy.restarted(now, to);
+    }
+
     /// Has the module make one call to a destination, with nothing in it: it keeps every rule that a request's call
     /// keeps, and goes after them all. Nobody is owed its end, and no log has it. Its number.
     pub fn probe(&mut self, now: Micros, class: ClassId, destination: DestinationId, left: Micros) -> u64 {
--- a/src/policy/idle.rs
+++ b/src/policy/idle.rs
@@ -68,6 +68,20 @@
             }
         }
     }
+
+    /// A receiver that is ready again was restarted meanwhile, as operators do: a trial has to show that it is up, and then
+    /// it is cold. All senders learn of it at one moment, so the trial falls anywhere in its gap by chance.
+    pub fn restarted(&mut self, now: Micros, to: ReceiverId) {
+        let phase = self.rng.roll();
+        let Some(r) = self.receivers.get_mut(&to) else { return };
+        let Some(d) = self.destinations.get_mut(&r.destination) else { return };
+        r.wake_sick(now);
+        (r.failed_lately, r.connects_refused) = (0, 0);
+        let proven = r.last_proof;
+        let pace = if r.apart { &mut r.pace } else { &mut d.pace };
+        pace.doubt = Doubt { from: now.max(pace.wait_until), phase, proven };
+        self.agenda.look(r.destination, now);
+    }
 }
 
 impl Receiver {
