A process that ends tells the ends of what it still has in time

Ruled out: notices (they went out at once after the take-over), the take-over itself (within 50 ms of the end). Change: while it holds, the module ends at its deadline what has no attempt out (Desk::expire).

--- a/daemon/src/module/tests.rs
+++ b/daemon/src/module/tests.rs
@@ -350,3 +350,33 @@
     assert_eq!((m.maintenance_due(), std::fs::read_to_string(file).unwrap().as_str()), (None, "e\n"));
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+/// A process that ends sends nothing new, and owes the ends of what it still has: nobody else can tell them before it is gone.
+#[rstest]
+#[case::untried(false, End::Returned(None))]
+#[case::may_have_run(true, End::Failed)]
+fn a_process_that_ends_tells_ends_in_time(#[case] called: bool, #[case] end: End) {
+    let (folder, mut m, now) = busy(&format!("expiry-{called}"));
+    m.desk.decide(now, true, &mut Vec::new());
+    if called {
+        assert!(m.writing(now, asks(0, false)).is_ok());
+    }
+    m.take(ToModule::Hold);
+    let deadline = m.desk.get(1).expect("it is owed").taken.deadline;
+    assert_eq!(m.due(now), (!called).then_some(deadline), "a call that is out is waited for");
+    let verdict = if called { Verdict::TimedOut } else { Verdict::HeldBack };
+    let (finished, limit, told) = (false, (None, None), Micros(0));
+    let elapsed = Micros(1);
+    m.answered(
+        now,
+        &Answered { n: 1, attempt: 0, to: ReceiverId(1), verdict, elapsed, finished, limit, told },
+    );
+    assert_eq!(m.due(now), Some(deadline));
+    let mut steps = Vec::new();
+    m.desk.expire(Micros(deadline.0 - 1), &mut steps);
+    assert_eq!(steps, []);
+    m.desk.expire(deadline, &mut steps);
+    assert_eq!(steps, [Step::End { n: 1, end }]);
+    assert_eq!(m.due(now), None);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -521,6 +521,26 @@
         }
     }
 
+    /// When the time of a request is over that waits for nothing but that: it has no attempt out.
+    pub fn expiry_due(&self) -> Option<Micros> {
+        self.waiting().map(|o| o.taken.deadline).min()
+    }
+
+    /// Ends the requests whose time is over, where nothing more is decided: a process that ends sends nothing new, and owes
+    /// its ends in time all the same.
+    pub fn expire(&mut self, now: Micros, steps: &mut Vec<Step>) {
+        let over: Vec<_> = self.waiting().filter(|o| o.taken.deadline <= now).map(|o| o.taken.n).collect();
+        for n in over {
+            let may_have_run = self.owed.get(&n).is_some_and(|o| o.maybe_ran.is_some());
+            let end = if may_have_run { End::Failed } else { End::Returned(None) };
+            steps.extend(self.end(now, n, end));
+        }
+    }
+
+    fn waiting(&self) -> impl Iterator<Item = &Owed> {
+        self.owed.values().filter(|o| o.given.is_none() && o.out.is_empty())
+    }
+
     fn step(&mut self, now: Micros, action: Action) -> Option<Step> {
         Some(match action {
             Action::Send { id, receiver, patience } if self.probes.contains_key(&id.0) => {
