--- a/lab/src/soak/ledger.rs
+++ b/lab/src/soak/ledger.rs
@@ -76,6 +76,29 @@
     pub ready: Option<f64>,
 }
 
+/// A server that an operator has taken out at a daemon.
+#[derive(Clone, Debug)]
+pub struct Maintenance {
+    pub daemon: usize,
+    pub server: String,
+    /// When the call was answered that took it out.
+    pub from: f64,
+    /// When the call was made that put it back.
+    pub until: f64,
+}
+
+/// Two processes of one daemon.
+#[derive(Clone, Copy, Debug)]
+pub struct Upgrade {
+    pub daemon: usize,
+    /// The second process was started.
+    pub from: f64,
+    /// It said that it is ready.
+    pub ready: Option<f64>,
+    /// One of them was killed.
+    pub killed: Option<f64>,
+}
+
 /// A wait that a server told.
 #[derive(Clone, Debug)]
 pub struct Wait {
@@ -95,6 +118,12 @@
     pub told: Vec<(f64, usize, u64)>,
     pub restarts: Vec<Restart>,
     pub waits: Vec<Wait>,
+    pub maintenance: Vec<Maintenance>,
+    /// Calls of operators that were answered late, wrongly or not at all.
+    pub operators_wrong: Vec<String>,
+    pub upgrades: Vec<Upgrade>,
+    /// Spans in which a crowd was at a daemon: new connections may be shut unread then.
+    pub crowds: Vec<(usize, f64, f64)>,
     /// Spans in which discovery could not be reached by a daemon.
     pub unreachable: Vec<(f64, f64)>,
     /// How often each kind of fault was begun, and how often it was met.
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -10,6 +10,8 @@
 pub mod faults;
 pub mod judge;
 pub mod ledger;
+mod operators;
+mod processes;
 mod run;
 pub mod server;
 mod settings;
