A wait that one process of a forwarder is told binds the one beside it, too

During an upgrade a wait that an endpoint had told one process was not heeded by the other (docs/operate/upgrade.md said so). Change: while two processes are there each appends told waits to a file at its place, after all that it knew before (daemon/src/shared_waits.rs, module/beside.rs); a newcomer sends nothing until it has read them, 0.15 s at most; the older one looks for a newcomer every 0.05 s where operators may call, and at its file every 0.02 s. The look at the other process is a module of its own (daemon/src/beside.rs, out of serve.rs).

--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -37,13 +37,18 @@
         let boot_id = std::fs::read_to_string(BOOT_ID).unwrap_or_default();
         Clock {
             started: Instant::now(),
-            wall: continue_from(folder, boot_id.trim(), wall_time(), boot_time()),
+            wall: continue_from(folder, boot_id.trim(), wall_time(), Clock::boot_time()),
         }
     }
 
     pub fn now(&self) -> Micros {
         self.wall.after(self.up())
     }
+    /// Time since the boot, suspended or not: all processes of a machine read it alike.
+    pub fn boot_time() -> Micros {
+        let time = clock_gettime(ClockId::Boottime);
+        Micros(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1000)
+    }
     /// How long this process has run.
     pub fn up(&self) -> Micros {
         Micros(self.started.elapsed().as_micros() as u64)
@@ -75,12 +80,6 @@
     Micros(wall.as_micros() as u64)
 }
 
-/// Time since the boot, suspended or not.
-fn boot_time() -> Micros {
-    let time = clock_gettime(ClockId::Boottime);
-    Micros(time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1000)
-}
-
 /// The time at which a process begins: the wall time, or, if that was stepped since another process of this boot kept its
 /// offset, the time by that offset.
 fn continue_from(folder: &Path, boot_id: &str, wall: Micros, boot: Micros) -> Micros {
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -52,7 +52,7 @@
     outbound_open, outbound_opened, outbound_reused, outbound_passed_over, outbound_calls, outbound_no_place,
     delivered, spoilt, error, full, timed_out, connect_failed, reset, stale, moot, cancelled, held_back, late_decisions,
     // the gate before a call's first byte, and the waits that it heeds
-    held_back_wait, held_back_drain, held_back_maintenance, held_back_late, held_back_ending, held_back_moved, held_back_closed, held_back_repeat, held_back_local, waits_told, waits_unread,
+    held_back_wait, held_back_drain, held_back_maintenance, held_back_late, held_back_ending, held_back_moved, held_back_closed, held_back_repeat, held_back_local, waits_told, waits_told_beside, waits_unread,
     // attempts after the first, and ends
     retried, failed, returned, notices_sent, notices_retried,
     // the list
--- a/daemon/src/folder.rs
+++ b/daemon/src/folder.rs
@@ -14,11 +14,18 @@
     /// The next log, until it takes the place of that one.
     pub new: &'static str,
     lock: &'static str,
+    /// What it tells the other place's process of waits.
+    pub waits: &'static str,
 }
 
 pub const PLACES: [Place; 2] = [
-    Place { log: "onyxrock.log", new: "onyxrock.log.new", lock: "onyxrock.lock" },
-    Place { log: "onyxrock-2.log", new: "onyxrock-2.log.new", lock: "onyxrock-2.lock" },
+    Place { log: "onyxrock.log", new: "onyxrock.log.new", lock: "onyxrock.lock", waits: "onyxrock.waits" },
+    Place {
+        log: "onyxrock-2.log",
+        new: "onyxrock-2.log.new",
+        lock: "onyxrock-2.lock",
+        waits: "onyxrock-2.waits",
+    },
 ];
 
 /// Whoever looks at the other place holds its lock for a moment; a process that starts just then tries again.
@@ -118,6 +125,12 @@
         Ok(lock(&self.folder, self.other)?.map_or(Other::Held, |lock| Other::Free(left(lock))))
     }
 
+    /// Where this process tells the other one of waits, and where that one does.
+    #[must_use]
+    pub fn waits(&self) -> [PathBuf; 2] {
+        [self.folder.join(self.place.waits), self.folder.join(self.other.waits)]
+    }
+
     /// Where the other place's logs are: both have to fit in the folder.
     #[must_use]
     pub fn beside(&self) -> [PathBuf; 2] {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,6 +1,7 @@
 //! The forwarder: the module's decisions on real sockets. Everything runs on one thread; each peer, the list,
 //! the notices and the module are actors with bounded mailboxes.
 
+pub mod beside;
 pub mod clock;
 pub mod counters;
 pub mod folder;
@@ -13,6 +14,7 @@
 pub mod net;
 pub mod notices;
 pub mod serve;
+pub mod shared_waits;
 pub mod show;
 pub mod start;
 pub mod wal;
--- a/daemon/src/module/calls.rs
+++ b/daemon/src/module/calls.rs
@@ -123,6 +123,7 @@
         }
         self.directory.told(a.to, a.told);
         self.shared.invariants.told_wait(now, a.to, a.told);
+        self.share_wait(now, a.to, a.told);
         self.directory.ended(a.to);
         let record = self.desk.answered(now, a);
         self.keep_later(record);
--- a/daemon/src/module/messages.rs
+++ b/daemon/src/module/messages.rs
@@ -4,12 +4,14 @@
 use crate::folder::Left;
 use crate::list::Part;
 use crate::maintenance::Change;
+use crate::shared_waits::Shared;
 use async_channel::Sender;
 use onyxrock::core::{Answered, End, Taken};
 use onyxrock::interface::{Micros, ReceiverId};
 use onyxrock_config::list::List;
 use onyxrock_sharing::FromPeers;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 #[derive(Debug)]
 pub struct HandIn {
@@ -75,6 +77,10 @@
     },
     /// The file of what operators have taken out is another one than it was.
     MaintenanceChanged,
+    /// Another process of this forwarder is beside this one, and this is where it is told of waits; none once it is gone.
+    Beside(Option<PathBuf>),
+    /// What that process has told of waits.
+    HeardBeside(Shared),
     /// What another process of this forwarder owed, which is gone.
     Adopt(Left),
     /// Hold all further sends.
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -1,12 +1,13 @@
 //! Puts a forwarder together, runs it, and ends it in order.
 
+use crate::beside;
 use crate::clock::Clock;
 use crate::counters::Counters;
-use crate::folder::{Claim, Other};
+use crate::folder::Other;
 use crate::keep;
 use crate::list::{self, Discovery, dns};
 use crate::maintenance;
-use crate::module::{FirstList, Module, ToModule};
+use crate::module::{Beside, FirstList, Module, ToModule};
 use crate::net::Shared;
 use crate::net::http::inbound;
 use crate::net::mgmt;
@@ -40,9 +41,8 @@
 const SEND_FOR: Duration = Duration::from_millis(2300);
 const END_BY: Duration = Duration::from_millis(3300);
 
-/// How often a process looks whether another one of its forwarder is there, or still is.
-const LOOK: Duration = Duration::from_secs(2);
-const LOOK_BESIDE: Duration = Duration::from_millis(50);
+/// How often a process that ends looks whether its last connections have ended.
+const LOOK: Duration = Duration::from_millis(50);
 
 type Reread<'a> = &'a dyn Fn() -> Result<(Config, Product), String>;
 
@@ -203,7 +203,11 @@
     // A process that ended beside another one, both of which are gone.
     let other =
         claim.other().map_err(|e| format!("cannot lock the log in {}: {e}", claim.folder.display()))?;
-    let beside = matches!(other, Other::Held);
+    let other_is_there = matches!(other, Other::Held);
+    if other_is_there {
+        let [waits, _] = claim.waits();
+        module.beside = Some(Beside::newcomer(now, waits));
+    }
     if let Other::Free(left) = other {
         module.adopt(&left);
     } else {
@@ -233,8 +237,9 @@
     executor.spawn(module.run(module_inbox)).detach();
 
     let claim_folder = claim.folder.clone();
-    executor.spawn(take_over(shared.clone(), claim, beside)).detach();
-    let listener = door(config.listen, beside)
+    let upgrades = config.mgmt.is_some();
+    executor.spawn(beside::follow(shared.clone(), claim, other_is_there, upgrades)).detach();
+    let listener = door(config.listen, other_is_there)
         .and_then(Async::new)
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let at = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
@@ -291,7 +296,7 @@
     }
     // Who was accepted just before the listener closed is answered, or has said nothing in time.
     while shared.counters.inbound_open.get() > 0 && told.elapsed() < END_BY {
-        Timer::after(LOOK_BESIDE).await;
+        Timer::after(LOOK).await;
     }
     drop(closing);
     // Ends that came last are still on their way to the platform.
@@ -316,25 +321,6 @@
     Ok(TcpListener::from(socket))
 }
 
-/// Takes over what another process of this forwarder owes as soon as that is gone.
-async fn take_over(shared: Rc<Shared>, claim: Claim, mut beside: bool) {
-    while !shared.stopping.get() {
-        Timer::after(if beside { LOOK_BESIDE } else { LOOK }).await;
-        match claim.other() {
-            Ok(Other::Held) => beside = true,
-            Ok(Other::Free(left)) => {
-                beside = false;
-                if left.is_there() && !shared.stopping.get() {
-                    let _ = shared.module.send(ToModule::Adopt(left)).await;
-                }
-            }
-            Err(e) => tracing::warn!("log: cannot look at another process's: {e}"),
-        }
-    }
-    // The place is this process's until it ends.
-    future::pending::<()>().await;
-}
-
 /// Keys for members hold at once; what else differs in our own file is named.
 fn reload_product(shared: &Shared, ours: &Product, new: &Product) {
     if let (Some(peers), Some(d)) = (&shared.peers, &new.duties) {
--- /dev/null
+++ b/daemon/src/shared_waits/tests.rs
@@ -0,0 +1,69 @@
+//! What two processes of a forwarder tell each other of waits.
+
+use super::*;
+use std::fs::OpenOptions;
+
+fn path(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("onyxrock-waits-{name}-{}", std::process::id()))
+}
+
+fn wait(clock: &Clock, endpoint: &str, left_ms: u64) -> ToldWait {
+    ToldWait { endpoint: endpoint.into(), until: clock.now().after(Micros(left_ms * 1000)) }
+}
+
+fn names(told: &[Shared]) -> Vec<&str> {
+    let name = |one: &Shared| match one {
+        Shared::Wait(wait) => wait.endpoint.clone(),
+        Shared::EndOfSnapshot => END_OF_SNAPSHOT.to_owned(),
+    };
+    told.iter().map(name).map(|name| &*name.leak()).collect()
+}
+
+#[test]
+fn what_was_known_before_comes_first_and_each_wait_comes_once() {
+    let (clock, path) = (Clock::default(), path("order"));
+    let (mut writer, mut reader) = (WaitWriter::at(path.clone()), WaitReader::at(path.clone()));
+    assert_eq!(reader.read(&clock).unwrap(), [], "there is no file yet");
+    assert!(writer.wants_snapshot());
+    let known = [wait(&clock, "a", 900), wait(&clock, "over", 0)];
+    writer.snapshot(&clock, &known).unwrap();
+    let told = reader.read(&clock).unwrap();
+    assert_eq!(names(&told), ["a", "."], "a wait that is over is none");
+    let Shared::Wait(heard) = &told[0] else { panic!("{told:?}") };
+    let off = heard.until.since(known[0].until).max(known[0].until.since(heard.until));
+    assert!(off < Micros(20_000), "by the clock of another process: {off:?}");
+    writer.add(&clock, &wait(&clock, "b", 500)).unwrap();
+    assert_eq!(names(&reader.read(&clock).unwrap()), ["b"]);
+    assert_eq!(reader.read(&clock).unwrap(), []);
+    drop(writer);
+    assert!(!path.exists(), "it goes with its process's part in it");
+}
+
+#[test]
+fn half_a_line_is_read_once_it_is_whole_and_noise_is_passed_over() {
+    let (clock, path) = (Clock::default(), path("half"));
+    let mut writer = WaitWriter::at(path.clone());
+    let mut reader = WaitReader::at(path.clone());
+    writer.snapshot(&clock, &[]).unwrap();
+    let mut file = OpenOptions::new().append(true).open(&path).unwrap();
+    let whole = line(&clock, &wait(&clock, "a", 900));
+    file.write_all(b"noise\n\xff \n").unwrap();
+    file.write_all(&whole.as_bytes()[..5]).unwrap();
+    assert_eq!(names(&reader.read(&clock).unwrap()), ["."]);
+    file.write_all(&whole.as_bytes()[5..]).unwrap();
+    assert_eq!(names(&reader.read(&clock).unwrap()), ["a"]);
+}
+
+#[test]
+fn a_file_that_grew_long_is_begun_anew() {
+    let (clock, path) = (Clock::default(), path("long"));
+    let mut writer = WaitWriter::at(path.clone());
+    let mut reader = WaitReader::at(path);
+    writer.snapshot(&clock, &[]).unwrap();
+    while !writer.wants_snapshot() {
+        writer.add(&clock, &wait(&clock, "s-00000000", 900)).unwrap();
+    }
+    assert!(reader.read(&clock).unwrap().len() > 1000);
+    writer.snapshot(&clock, &[wait(&clock, "a", 900)]).unwrap();
+    assert_eq!(names(&reader.read(&clock).unwrap()), ["a", "."]);
+}
--- a/roster/src/directory.rs
+++ b/roster/src/directory.rs
@@ -232,6 +232,12 @@
         }
     }
 
+    /// Endpoints in use that told a wait which is not over, and until when.
+    pub fn waits(&self, now: Micros) -> impl Iterator<Item = (&str, Micros)> {
+        let waits = self.peers.values().filter(move |p| p.wait_until > now && !p.fixed);
+        waits.map(|p| (p.name.as_str(), p.wait_until))
+    }
+
     fn number(&mut self) -> ReceiverId {
         self.last += 1;
         ReceiverId(self.last)
