New settings hold on SIGHUP: classes and attempts, and nothing of a file that is not whole

Change: src/core/classes.rs: a name stands for a class of a time; a message keeps the class and the attempts that it was taken on under. config/src/changes.rs: a later file must hold all keys that the one before it held, and positive deadlines and attempts; else one line, and the old settings stay. What cannot change while it runs is named. The soak has settings_changed and the rule settings. Open: over a kill a message has the class that the file of the next start gives its name.

--- a/config/src/daemon.rs
+++ b/config/src/daemon.rs
@@ -1,6 +1,6 @@
 //! What the platform tells one forwarder: variables, and one JSON object.
 
-use crate::{list, settings};
+use crate::{changes, list, settings};
 use onyxrock::core::Names;
 use onyxrock::interface::{Micros, Settings};
 use serde_json::Value;
@@ -25,9 +25,19 @@
     pub names: Names,
     /// The list as this forwarder last had it.
     pub known: Option<list::List>,
+    /// The file, but for what a later one may leave out: that has to hold all that is here.
+    pub file: Value,
 }
 
 impl Config {
+    /// Another reading of the file may take the place of this one.
+    ///
+    /// # Errors
+    /// One line that names the key that it lacks, or that is wrong.
+    pub fn check_next(&self, next: &Config) -> Result<(), String> {
+        changes::check(&self.file, &next.file)
+    }
+
     /// What another reading of the file says otherwise and only a new start can take over.
     pub fn differs(&self, new: &Config) -> Vec<&'static str> {
         let limits = |c: &Config| (c.sockets, c.disk_bytes);
@@ -36,12 +46,26 @@
             ("listen", self.listen != new.listen),
             ("mgmt", self.mgmt != new.mgmt),
             ("limits", limits(self) != limits(new)),
-            ("settings", self.settings != new.settings || self.connect_timeout != new.connect_timeout),
+            ("settings", self.other_settings(new)),
         ];
         all.into_iter().filter(|d| d.1).map(|d| d.0).collect()
     }
 }
 
+impl Config {
+    /// The settings differ in what is not taken over while the daemon runs.
+    fn other_settings(&self, new: &Config) -> bool {
+        // Classes, attempts and room are.
+        let alike = Settings {
+            classes: self.settings.classes.clone(),
+            max_attempts: self.settings.max_attempts,
+            max_held: self.settings.max_held,
+            ..new.settings.clone()
+        };
+        self.settings != alike || self.connect_timeout != new.connect_timeout
+    }
+}
+
 /// Reads the file; `var` gives the platform's variables, which stand above it. Only discovery's address stands in
 /// the file first: the file may be replaced while the variables stay.
 pub fn read(path: &Path, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
@@ -94,5 +118,6 @@
         pushed,
         names,
         known,
+        file: changes::lasting(&v),
     })
 }
--- a/daemon/src/module/calls.rs
+++ b/daemon/src/module/calls.rs
@@ -17,7 +17,7 @@
         });
         self.hand(OutboundCall {
             called_off,
-            harmful: self.desk.harmful(&t.class),
+            harmful: self.desk.harmful(n),
             n,
             attempt,
             to,
--- a/daemon/src/module/messages.rs
+++ b/daemon/src/module/messages.rs
@@ -6,8 +6,8 @@
 use crate::maintenance::Change;
 use crate::shared_waits::Shared;
 use async_channel::Sender;
-use onyxrock::core::{Answered, End, Taken};
-use onyxrock::interface::{Micros, ReceiverId};
+use onyxrock::core::{Answered, End, Names, Taken};
+use onyxrock::interface::{Micros, ReceiverId, Settings};
 use onyxrock_config::list::List;
 use onyxrock_sharing::FromPeers;
 use std::net::SocketAddr;
@@ -33,6 +33,13 @@
     Again,
 }
 
+/// Settings that hold from now on.
+#[derive(Debug)]
+pub struct LiveSettings {
+    pub settings: Settings,
+    pub names: Names,
+}
+
 /// The module's mailbox.
 #[derive(Debug)]
 pub enum ToModule {
@@ -77,6 +84,8 @@
     },
     /// The file of what operators have taken out is another one than it was.
     MaintenanceChanged,
+    /// New settings.
+    Settings(Box<LiveSettings>),
     /// Another process of this forwarder is beside this one, and this is where it is told of waits; none once it is gone.
     Beside(Option<PathBuf>),
     /// What that process has told of waits.
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -7,7 +7,7 @@
 use crate::keep;
 use crate::list::{self, Discovery, dns};
 use crate::maintenance;
-use crate::module::{Beside, FirstList, Module, ToModule};
+use crate::module::{Beside, FirstList, LiveSettings, Module, ToModule};
 use crate::net::Shared;
 use crate::net::http::inbound;
 use crate::net::mgmt;
@@ -59,7 +59,7 @@
 ) -> Result<(), String> {
     let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
         .map_err(|e| format!("cannot wait for signals: {e}"))?;
-    let started = config.clone();
+    let mut held = Config { known: None, ..config.clone() };
     let Product { smpp, dns, duties, list: bounds, idle: resting, .. } = product.clone();
     // The kept zone, old and new, shares the folder with the log.
     let kept_zone = dns.as_ref().map_or(0, |d| dns::kept_most(&d.zone, config.disk_bytes));
@@ -267,7 +267,7 @@
     tracing::info!("listens on {at}");
 
     while let Some(Ok(Signal::Hup)) = signals.next().await {
-        if reload(&shared, &started, &product, reread) {
+        if reload(&shared, &mut held, &product, reread).await {
             let _ = move_list.try_send(());
             let _ = move_notices.try_send(());
         }
@@ -339,27 +339,33 @@
     }
 }
 
-/// Reads the file again. True if discovery has moved. What cannot be read changes nothing.
-fn reload(shared: &Shared, started: &Config, ours: &Product, reread: Reread) -> bool {
-    let new = match reread() {
-        Ok((new, product)) => {
-            reload_product(shared, ours, &product);
-            new
-        }
+/// Reads the file again, and has all of it hold that can while this process runs. True if discovery has moved. What cannot
+/// be read, or is not whole, changes nothing.
+async fn reload(shared: &Shared, held: &mut Config, ours: &Product, reread: Reread<'_>) -> bool {
+    let read = reread().and_then(|(new, product)| held.check_next(&new).map(|()| (new, product)));
+    let (new, product) = match read {
+        Ok(read) => read,
         Err(e) => {
             shared.counters.reloads_refused.up();
             tracing::error!("reload: {e}; the old settings stay");
             return false;
         }
     };
+    reload_product(shared, ours, &product);
     shared.counters.reloads.up();
-    let late = started.differs(&new);
+    let late = held.differs(&new);
     if !late.is_empty() {
         tracing::warn!("reload: {} will hold from the next start on", late.join(", "));
     }
     // The same address may be another discovery, too.
     shared.discovery.set(new.discovery);
     tracing::info!("reload: discovery is at {}", new.discovery);
+    let Config { settings, names, .. } = new.clone();
+    let live = Box::new(LiveSettings { settings, names });
+    let _ = shared.module.send(ToModule::Settings(live)).await;
+    // What waits for the next start is compared with what this one had.
+    let Config { discovery, file, .. } = new;
+    (held.discovery, held.file) = (discovery, file);
     true
 }
 
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -236,6 +236,16 @@
         listing.told == Some(listing.generation)
     }
 
+    /// The settings say this, from the next configuration on.
+    pub fn set(&mut self, path: &str, value: Value) {
+        self.settings.push((path.trim_start_matches('/').to_owned(), value));
+    }
+
+    /// Writes the configuration as it is now.
+    pub fn write_configuration(&self) {
+        self.configure();
+    }
+
     pub fn play(&mut self, words: &[&str]) -> Done {
         match words {
             [] => Ok(()),
--- a/lab/src/daemon.rs
+++ b/lab/src/daemon.rs
@@ -223,6 +223,12 @@
         Ok(())
     }
 
+    /// A new configuration with other settings, and SIGHUP.
+    pub fn reload_settings(&mut self, settings: Value) -> Result<(), String> {
+        self.settings = settings;
+        self.reload(self.discovery)
+    }
+
     /// A configuration that cannot be read, and SIGHUP.
     pub fn reload_broken(&self) -> Result<(), String> {
         write(&self.folder.join("config.json"), "{\"name\": ")?;
--- a/lab/src/soak/clients.rs
+++ b/lab/src/soak/clients.rs
@@ -16,7 +16,12 @@
 const BAD_PATIENCE_S: f64 = 3.0;
 const LEAVES_EARLY: f64 = 0.02;
 const IS_BAD: f64 = 0.02;
+const UNKNOWN_CLASS: Heard = Heard::Status(400);
 const KEEPS_CONNECTION: f64 = 0.6;
+/// A class that settings may add and drop, and its time.
+pub const ADDED_CLASS: (&str, f64) = ("rush", 3.0);
+/// Of the messages, while that class holds.
+const ADDED_SHARE: f64 = 0.3;
 /// Names and times of the classes; see `settings` of the experiment.
 const CLASSES: [(Class, &str, f64); 3] =
     [(Class::Safe, "status", 3.0), (Class::Keyed, "booking", 5.0), (Class::Unsafe, "payment", 5.0)];
@@ -27,6 +32,8 @@
     pub at: Cell<Option<SocketAddr>>,
     /// A process that ends: connections to it are used for as long as they stay open.
     pub ending: Cell<Option<SocketAddr>>,
+    /// The added class holds.
+    pub added_class: Cell<bool>,
     /// No more is handed in.
     pub over: Cell<bool>,
     destinations: u64,
@@ -47,6 +54,7 @@
             daemon,
             at: Cell::new(None),
             ending: Cell::new(None),
+            added_class: Cell::new(false),
             over: Cell::new(false),
             destinations,
             kept: RefCell::default(),
@@ -115,7 +123,7 @@
 
     /// Over a connection that was kept, or over a new one where that may be opened.
     async fn hand_in(&self, at: SocketAddr, n: u64, may_open: bool) {
-        let (class, name, left) = CLASSES[self.rng.borrow_mut().random_range(0..CLASSES.len())];
+        let (class, name, left) = self.class();
         let destination = self.rng.borrow_mut().random_range(1..=self.destinations);
         let id = id_of(self.daemon, n);
         let kept = self.kept.borrow_mut().pop().filter(|(to, _)| *to == at);
@@ -151,6 +159,11 @@
             return;
         }
         let heard = self.answer(&mut stream).await;
+        // It may have been dropped meanwhile.
+        if name == ADDED_CLASS.0 && heard == UNKNOWN_CLASS && self.added_class.get() {
+            self.ledger
+                .with(|seen| seen.settings_wrong.push(format!("{id}: its class holds, and is unknown")));
+        }
         self.ledger.with(|seen| {
             if let Some(message) = seen.messages.get_mut(&id) {
                 message.heard = Some(heard);
@@ -161,6 +174,32 @@
         }
     }
 
+    /// That of the next message.
+    fn class(&self) -> (Class, &'static str, f64) {
+        let (name, left) = ADDED_CLASS;
+        if self.added_class.get() && self.draw() < ADDED_SHARE {
+            return (Class::Safe, name, left);
+        }
+        CLASSES[self.rng.borrow_mut().random_range(0..CLASSES.len())]
+    }
+
+    /// A message of a class that was dropped: it is taken on no more.
+    pub async fn of_dropped_class(&self) {
+        let Some(at) = self.at.get() else { return };
+        let Ok(mut stream) = Async::<TcpStream>::connect(at).await else { return };
+        let (name, left) = ADDED_CLASS;
+        let id = format!("dropped-{}-{}", self.daemon, self.world.now());
+        let request = format!(
+            "POST /{name} HTTP/1.1\r\nHost: app\r\nX-Request-Id: {id}\r\nX-Class: {name}\r\nX-Deadline: {left:.3}\r\n\
+             X-Envelope: dest=1\r\nContent-Length: 2\r\n\r\nhi"
+        );
+        if stream.write_all(request.as_bytes()).await.is_ok()
+            && self.answer(&mut stream).await == Heard::Status(202)
+        {
+            self.ledger.with(|seen| seen.settings_wrong.push(format!("{id}: its class was dropped")));
+        }
+    }
+
     async fn answer(&self, stream: &mut Async<TcpStream>) -> Heard {
         let answer = async {
             let mut bytes = [0; 512];
--- a/lab/src/soak/discovery.rs
+++ b/lab/src/soak/discovery.rs
@@ -168,6 +168,15 @@
         self.last_told.borrow().get(&daemon).cloned()
     }
 
+    /// The list that a daemon was told last names a server.
+    pub fn told(&self, daemon: usize, server: &str) -> bool {
+        let names = |list: &Value| {
+            let instances = list["instances"].as_array();
+            instances.is_some_and(|all| all.iter().any(|one| one["instanceId"] == server))
+        };
+        self.last_told.borrow().get(&daemon).is_some_and(names)
+    }
+
     async fn serve(self: Rc<Discovery>, daemon: usize, open: Rc<Cell<bool>>, mut connection: Connection) {
         while let Ok(Some(request)) = connection.next().await {
             let lasts = if request.method == "POST" {
--- a/lab/src/soak/faults.rs
+++ b/lab/src/soak/faults.rs
@@ -71,6 +71,10 @@
         daemon: usize,
         server: usize,
     },
+    /// New settings, with a class that is added and later dropped.
+    Settings {
+        daemon: usize,
+    },
     /// Clients that connect and say nothing, or half a request.
     Crowd {
         daemon: usize,
@@ -124,6 +128,7 @@
             Fault::Upgrade { .. } => "daemon_upgraded",
             Fault::HangUps { .. } => "signals_in_series",
             Fault::Maintenance { .. } => "operators_called",
+            Fault::Settings { .. } => "settings_changed",
             Fault::Crowd { .. } => "crowd",
             Fault::Stall { .. } => "daemon_stalled",
             Fault::Reloads { .. } => "discovery_moved",
@@ -189,7 +194,7 @@
     }
 }
 
-const KINDS: usize = 32;
+const KINDS: usize = 33;
 /// More connections than a daemon keeps, of the descriptors that it has.
 const CROWD: usize = 600;
 /// Steps of the wall clock, in seconds.
@@ -229,6 +234,7 @@
         28 if share < 0.5 => Fault::Upgrade { daemon, ends: UpgradeEnds::OldKilled },
         28 => Fault::Upgrade { daemon, ends: UpgradeEnds::NewKilled },
         29 => Fault::HangUps { daemon, count: rng.random_range(2..9) },
+        31 => Fault::Settings { daemon },
         30 => Fault::Crowd { daemon, clients: CROWD },
         _ => Fault::Replace { server },
     }
--- a/lab/src/soak/judge.rs
+++ b/lab/src/soak/judge.rs
@@ -37,8 +37,8 @@
 }
 
 /// The rules that are judged.
-pub const RULES: [&str; 8] =
-    ["drain", "duplicate", "overlap", "lost", "unanswered", "wait", "maintenance", "operators"];
+pub const RULES: [&str; 9] =
+    ["drain", "duplicate", "overlap", "lost", "unanswered", "wait", "maintenance", "operators", "settings"];
 
 impl Verdict {
     fn add(&mut self, rule: &'static str, line: String) {
@@ -166,6 +166,9 @@
     for wrong in &seen.operators_wrong {
         verdict.add("operators", wrong.clone());
     }
+    for wrong in &seen.settings_wrong {
+        verdict.add("settings", wrong.clone());
+    }
 }
 
 fn ends(seen: &Seen, terms: Terms, verdict: &mut Verdict) {
--- a/lab/src/soak/ledger.rs
+++ b/lab/src/soak/ledger.rs
@@ -122,6 +122,8 @@
     /// Calls of operators that were answered late, wrongly or not at all.
     pub operators_wrong: Vec<String>,
     pub upgrades: Vec<Upgrade>,
+    /// Messages that were answered by other settings than those that held.
+    pub settings_wrong: Vec<String>,
     /// Spans in which a crowd was at a daemon: new connections may be shut unread then.
     pub crowds: Vec<(usize, f64, f64)>,
     /// Spans in which discovery could not be reached by a daemon.
--- a/lab/src/soak/operators.rs
+++ b/lab/src/soak/operators.rs
@@ -19,6 +19,10 @@
 impl Run {
     pub(super) async fn maintenance(&self, i: usize, server: usize, lasts: f64) {
         let server_name = self.servers.borrow()[server].name.clone();
+        // What the daemon was not told yet is unknown there.
+        if !self.discovery.told(i, &server_name) {
+            return;
+        }
         let out = &self.nodes[i].out;
         if !out.borrow_mut().insert(server_name.clone()) {
             return;
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -6,7 +6,7 @@
 use super::judge::{Terms, Verdict, judge};
 use super::ledger::{Ledger, Restart};
 use super::server::{self, Server};
-use super::settings::{WINDOW_S, settings};
+use super::settings::{WINDOW_S, settings, with_added_class};
 use crate::daemon::{Daemon, Preload};
 use crate::experiments::Setup;
 use crate::http::ask;
@@ -48,6 +48,8 @@
 pub(super) const FRONT_S: f64 = 0.3;
 pub(super) const KILL_AFTER_S: f64 = 3.7;
 const START_AFTER_S: f64 = 0.6;
+/// New settings bind so long after their signal.
+const SETTINGS_BIND_S: f64 = 1.2;
 /// Between two new configurations in quick succession.
 const RELOAD_EVERY_S: f64 = 0.4;
 /// The old address of discovery goes on for so long.
@@ -168,6 +170,7 @@
             Fault::Upgrade { daemon, ends } => self.upgrade(daemon, ends).await,
             Fault::HangUps { daemon, count } => self.hang_up(daemon, count).await,
             Fault::Maintenance { daemon, server } => self.maintenance(daemon, server, planned.lasts).await,
+            Fault::Settings { daemon } => self.change_settings(daemon, planned.lasts).await,
             Fault::Crowd { daemon, clients } => {
                 if let Some(at) = self.nodes[daemon].clients.at.get() {
                     self.ledger.met("crowd");
@@ -295,6 +298,41 @@
         }
     }
 
+    /// A class is added, used for a while, and dropped.
+    async fn change_settings(&self, i: usize, lasts: f64) {
+        let clients = &self.nodes[i].clients;
+        if clients.added_class.get() || !self.reload_settings(i, true).await {
+            return;
+        }
+        self.ledger.met("settings_changed");
+        sleep(SETTINGS_BIND_S).await;
+        clients.added_class.set(true);
+        sleep(lasts).await;
+        clients.added_class.set(false);
+        if self.reload_settings(i, false).await {
+            sleep(SETTINGS_BIND_S).await;
+            // Another configuration may have come meanwhile.
+            if !clients.added_class.get() {
+                clients.of_dropped_class().await;
+            }
+        }
+    }
+
+    /// Tries until the daemon is up, or the run is over.
+    async fn reload_settings(&self, i: usize, added: bool) -> bool {
+        while !self.is_over() {
+            let reloaded = self.with(i, |d| {
+                let settings = with_added_class(d.settings.clone(), added);
+                d.reload_settings(settings).is_ok()
+            });
+            if reloaded == Some(true) {
+                return true;
+            }
+            sleep(LOOK_S).await;
+        }
+        false
+    }
+
     async fn trouble_discovery(&self, mode: discovery::Mode, lasts: f64) {
         let from = self.world.now();
         self.discovery.mode.set(mode);
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -1,5 +1,6 @@
 //! The requests that are held, and the module that decides on them.
 
+use super::classes::Classes;
 use super::record::{CallEnd, End, Record, Taken};
 use super::recovery::Owed;
 use super::{Ids, Names};
@@ -133,9 +134,9 @@
 pub struct Desk {
     policy: PolicyEngine,
     names: Names,
-    /// Destinations that drop no repeats, and where the class of a keyed message stands for them.
-    plain: BTreeSet<DestinationId>,
-    unsafe_class: BTreeMap<usize, usize>,
+    classes: Classes,
+    /// The class that each request was taken on under.
+    class_of: BTreeMap<u64, ClassId>,
     owed: BTreeMap<u64, Owed>,
     /// Attempts that each request had, as the module counts them.
     attempts: BTreeMap<u64, u32>,
@@ -144,9 +145,6 @@
     /// Attempts of one request that may be out at once.
     most_out: usize,
     cancel: bool,
-    give_up: Vec<Micros>,
-    /// What a repeat of each class does.
-    effects: Vec<Effect>,
     /// Ids of hand-ins.
     ids: Ids,
     given: usize,
@@ -172,28 +170,17 @@
     ///
     /// The `plain` destinations drop no repeat of a keyed message: there it is treated as an unsafe one.
     pub fn new(mut settings: Settings, names: Names, plain: BTreeSet<DestinationId>, seed: u64) -> Desk {
-        let mut unsafe_class = BTreeMap::new();
-        for i in (0..settings.classes.len()).filter(|_| !plain.is_empty()) {
-            if matches!(settings.classes[i].effect, Effect::Keyed { .. }) {
-                unsafe_class.insert(i, settings.classes.len());
-                settings
-                    .classes
-                    .push(ClassSettings { effect: Effect::Unsafe, ..settings.classes[i].clone() });
-            }
-        }
+        let classes = Classes::new(settings.classes, names.classes.clone(), plain);
+        settings.classes = classes.all().to_vec();
         Desk {
             most: settings.max_held as usize,
             cancel: settings.cancel,
             most_out: if settings.second_copies { 2 } else { 1 },
-            ids: Ids::new(
-                settings.classes.iter().map(|c| c.give_up).max().unwrap_or_default().after(ID_REST),
-            ),
-            effects: settings.classes.iter().map(|c| c.effect).collect(),
-            give_up: settings.classes.iter().map(|c| c.give_up).collect(),
+            ids: Ids::new(classes.longest().after(ID_REST)),
+            classes,
+            class_of: BTreeMap::new(),
             policy: PolicyEngine::new(settings, seed),
             names,
-            plain,
-            unsafe_class,
             owed: BTreeMap::new(),
             attempts: BTreeMap::new(),
             next: 1,
@@ -290,7 +277,7 @@
     }
     /// The class and tenant by these names; an empty tenant is none.
     pub fn known(&self, class: &str, tenant: &str) -> bool {
-        self.names.classes.contains_key(class)
+        self.classes.is_named(class)
             && (tenant.is_empty() || self.names.tenants.is_empty() || self.names.tenants.contains_key(tenant))
     }
     /// The number of a zone; one that no settings name has none that anything else has.
@@ -304,13 +291,19 @@
     }
     /// When a request of this class is given up at the latest.
     pub fn latest(&self, now: Micros, class: &str) -> Micros {
-        let give_up = self.names.classes.get(class).and_then(|i| self.give_up.get(*i));
-        now.after(give_up.copied().unwrap_or(Micros(u64::MAX)))
+        now.after(self.classes.give_up(class).unwrap_or(Micros(u64::MAX)))
     }
-    /// A request of this class that may have run is lost: it must not be repeated.
-    pub fn harmful(&self, class: &str) -> bool {
-        let i = self.names.classes.get(class);
-        i.and_then(|i| self.effects.get(*i)).is_none_or(|effect| *effect == Effect::Unsafe)
+    /// This request is lost once it may have run: it must not be repeated.
+    pub fn harmful(&self, n: u64) -> bool {
+        self.effect(n) == Effect::Unsafe
+    }
+    /// The settings have changed. What is held keeps the class and the attempts that it was taken on under.
+    pub fn reconfigure(&mut self, settings: &Settings, names: &Names) {
+        self.classes.replace(&settings.classes, &names.classes);
+        self.ids.keep_for(self.classes.longest().after(ID_REST));
+        self.most = settings.max_held as usize;
+        let all = self.classes.all().to_vec();
+        self.policy.reconfigure(all, settings.max_attempts, settings.max_held);
     }
     /// A number for the next request.
     pub fn number(&mut self) -> u64 {
@@ -319,12 +312,9 @@
     }
 
     fn message(&self, now: Micros, t: &Taken) -> Option<Message> {
-        let class = *self.names.classes.get(&t.class)?;
-        let stricter = self.unsafe_class.get(&class);
-        let stricter = stricter.filter(|_| self.plain.contains(&DestinationId(t.destination)));
         Some(Message {
             id: MessageId(t.n),
-            class: ClassId(stricter.copied().unwrap_or(class)),
+            class: self.classes.number(&t.class, t.destination)?,
             tenant: self.names.tenants.get(&t.tenant).map(|i| TenantId(*i)),
             key: None,
             destination: DestinationId(t.destination),
@@ -336,6 +326,7 @@
     pub fn take(&mut self, now: Micros, taken: Taken) {
         let Some(m) = self.message(now, &taken) else { return };
         self.next = self.next.max(taken.n + 1);
+        self.class_of.insert(taken.n, m.class);
         self.owed.insert(taken.n, Owed { taken, ..Owed::default() });
         self.policy.on_event(now, Event::Submit(m), &mut self.actions);
     }
@@ -356,6 +347,7 @@
         self.next = self.next.max(n + 1);
         let owed = self.bounded(now, owed);
         let message = self.message(now, &owed.taken);
+        self.class_of.extend(message.as_ref().map(|m| (n, m.class)));
         self.ids.fresh(now, &owed.taken.id);
         let maybe_ran = owed.maybe_ran.as_ref().map(|(at, z)| (*at, self.zone(z)));
         let past = Past { attempts: owed.attempts, maybe_ran };
@@ -422,7 +414,7 @@
         let Some((sent, first_zone)) = o.out.values().chain(&o.maybe_ran).min_by_key(|a| a.0) else {
             return true;
         };
-        match self.effect(&o.taken) {
+        match self.effect(o.taken.n) {
             Effect::Safe => true,
             Effect::Unsafe => false,
             Effect::Keyed { group, window } => {
@@ -432,12 +424,8 @@
     }
 
     /// What a repeat of this request does.
-    fn effect(&self, t: &Taken) -> Effect {
-        let effect = self.names.classes.get(&t.class).and_then(|i| self.effects.get(*i));
-        match effect.copied().unwrap_or_default() {
-            Effect::Keyed { .. } if self.plain.contains(&DestinationId(t.destination)) => Effect::Unsafe,
-            effect => effect,
-        }
+    fn effect(&self, n: u64) -> Effect {
+        self.classes.effect(self.class_of.get(&n).copied())
     }
 
     /// Until when the rules let an attempt go that the module has decided on.
@@ -492,6 +480,7 @@
         self.given -= usize::from(o.given.is_some());
         self.untried.remove(&n);
         self.attempts.remove(&n);
+        self.class_of.remove(&n);
         Some(Record::Over(n))
     }
 
--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -23,6 +23,10 @@
     pub fn new(span: Micros) -> Ids {
         Ids { span, ..Ids::default() }
     }
+    /// From now on each id is kept for this span, if that is longer than before.
+    pub fn keep_for(&mut self, span: Micros) {
+        self.span = self.span.max(span);
+    }
     /// Takes note of an id. False if it is one that is remembered.
     pub fn fresh(&mut self, now: Micros, id: &str) -> bool {
         let over = |t: Micros| now.since(t) > self.span;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The life of a request around the module: taken on, attempted, ended, and carried over a restart. No I/O,
 //! no clock and no wire: a front hands requests in, a caller carries out [`Step`]s and keeps [`Record`]s.
 
+mod classes;
 mod desk;
 mod ids;
 mod record;
--- a/src/policy/intake.rs
+++ b/src/policy/intake.rs
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Settings that may change while it runs. `classes` begins with all that there were: what is held keeps its own.
+    pub fn reconfigure(&mut self, classes: Vec<ClassSettings>, max_attempts: u32, max_held: u32) {
+        self.set.classes = classes;
+        (self.set.max_attempts, self.set.max_held) = (max_attempts, max_held);
+    }
+
     /// Takes note of something that happened at `now`. Call [`PolicyEngine::decide`] after the last of a moment.
     pub fn on_event(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.list_refresh.heard(&event);
@@ -160,7 +166,9 @@
         d.waiting.insert(m.id);
         self.agenda.look(m.destination, now);
         let (class, destination) = (m.class, m.destination);
-        let held = Held { class, key, destination, over_share, deadline, aim_at, ..Held::default() };
+        let max_attempts = self.set.max_attempts;
+        let held =
+            Held { class, key, destination, over_share, deadline, aim_at, max_attempts, ..Held::default() };
         self.held.insert(m.id, held);
     }
 
@@ -172,7 +180,7 @@
         (held.attempts, held.number, held.maybe_ran) = (past.attempts, past.attempts, past.maybe_ran);
         held.untried = past.attempts == 0;
         let lost = past.maybe_ran.is_some() && self.set.classes[held.class.0].effect == Effect::Unsafe;
-        if lost || past.attempts >= self.set.max_attempts {
+        if lost || past.attempts >= held.max_attempts {
             self.end(now, id, None, actions);
         }
     }
--- a/src/policy/learning.rs
+++ b/src/policy/learning.rs
@@ -73,7 +73,7 @@
             m.not_before = now.after(Micros::from_secs(pause * doubled));
         }
         let lost = may_have_run && self.set.classes[m.class.0].effect == Effect::Unsafe;
-        let spent = m.attempts >= self.set.max_attempts;
+        let spent = m.attempts >= m.max_attempts;
         let over = m.ended || o.finished || o.verdict == Verdict::Delivered;
         let alone = m.out.is_empty();
         let full_before = self.table_full(o.receiver);
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -60,8 +60,7 @@
     pub(super) fn try_send(&mut self, now: Micros, id: MessageId, actions: &mut Vec<Action>) -> Gate<()> {
         let m = self.held.get(&id).ok_or(NEVER)?;
         let class = &self.set.classes[m.class.0];
-        if m.ended || m.attempts >= self.set.max_attempts || now >= m.sends_end(&self.set, None).since(MARGIN)
-        {
+        if m.ended || m.attempts >= m.max_attempts || now >= m.sends_end(&self.set, None).since(MARGIN) {
             return Err(NEVER);
         }
         not_before(now, m.not_before)?;
--- a/src/state.rs
+++ b/src/state.rs
@@ -436,6 +436,8 @@
     pub aim_at: Micros,
     /// Attempts that count: not those that were held back.
     pub attempts: u32,
+    /// So many it may have, by the settings of when it was taken on.
+    pub max_attempts: u32,
     /// The number of the next one.
     pub number: u32,
     /// Two where a second copy has gone.
