--- /dev/null
+++ b/daemon/src/wal/tests.rs
@@ -0,0 +1,111 @@
+//! The log over a folder that fails, is full, or was left by a process that died.
+
+use super::*;
+use onyxrock::core::{CallEnd, Taken, recover};
+use onyxrock::interface::Micros;
+use rustix::fs::{MemfdFlags, SealFlags, fcntl_add_seals, memfd_create};
+use std::collections::BTreeMap;
+use std::os::unix::fs::FileExt;
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("onyxrock-wal-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+    /// Every file in whole blocks of 512 bytes, as the platform counts.
+    fn used(&self) -> u64 {
+        let files = std::fs::read_dir(&self.0).unwrap();
+        files.map(|f| f.unwrap().metadata().unwrap().len().div_ceil(512) * 512).sum()
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn put(wal: &mut Wal, owed: &mut BTreeMap<u64, Owed>, record: &Record) -> bool {
+    if wal.append(std::slice::from_ref(record), || Box::new(owed.values())).is_err() {
+        return false;
+    }
+    match record {
+        Record::Taken(t) => drop(owed.insert(t.n, Owed { taken: t.clone(), ..Owed::default() })),
+        other if owed.get_mut(&other.n()).is_some_and(|o| !o.apply(other)) => drop(owed.remove(&other.n())),
+        _ => {}
+    }
+    true
+}
+
+#[test]
+fn a_long_life_stays_inside_the_bound_and_forgets_nothing() {
+    const BOUND: u64 = 500_000;
+    let folder = Folder::new("life");
+    let (mut wal, _) = Wal::open(&folder.0, BOUND).unwrap();
+    let (mut owed, mut refused) = (BTreeMap::new(), 0);
+    for n in 1..4000u64 {
+        let body = vec![n as u8; if n % 50 == 0 { 60_000 } else { 300 }];
+        let taken = Taken { n, id: format!("{n}"), deadline: Micros(n), body, ..Taken::default() };
+        if !put(&mut wal, &mut owed, &Record::Taken(taken)) {
+            refused += 1;
+            continue;
+        }
+        let at = Micros(n);
+        // Whatever was taken on, its other records find room: a day that cannot log them is lost.
+        assert!(put(
+            &mut wal,
+            &mut owed,
+            &Record::Attempt { n, attempt: 0, endpoint: "e".into(), zone: "z".into(), at }
+        ));
+        assert!(put(&mut wal, &mut owed, &Record::Outcome { n, attempt: 0, end: CallEnd::MayHaveRun }));
+        if n > 200 {
+            assert!(put(&mut wal, &mut owed, &Record::Over(n - 200)));
+        }
+        assert!(folder.used() <= BOUND);
+    }
+    assert!(refused > 0 && wal.compactions > 0, "{refused} refused, {} rewritten", wal.compactions);
+    let (_, scan) = Wal::open(&folder.0, BOUND).unwrap();
+    assert_eq!((scan.damaged, recover(scan.records)), (0, owed));
+}
+
+#[test]
+fn a_rewrite_that_death_cut_short_changes_nothing() {
+    let folder = Folder::new("cut");
+    let (mut wal, _) = Wal::open(&folder.0, 1_000_000).unwrap();
+    let taken = Record::Taken(Taken { n: 7, ..Taken::default() });
+    assert!(put(&mut wal, &mut BTreeMap::new(), &taken));
+    std::fs::write(folder.0.join(PLACES[0].new), b"half of a rec").unwrap();
+    let (mut wal, scan) = Wal::open(&folder.0, 1_000_000).unwrap();
+    assert_eq!(scan.records, [taken]);
+    wal.compact(recover(scan.records).values()).unwrap();
+    assert_eq!(recover(Wal::open(&folder.0, 1_000_000).unwrap().1.records).len(), 1);
+}
+
+/// A write that was cut short, and could not be cut off: the records behind it stay, whatever fails later.
+#[test]
+fn half_a_record_that_stays_takes_nothing_along() {
+    let folder = Folder::new("half");
+    let (mut wal, _) = Wal::open(&folder.0, 1_000_000).unwrap();
+    // A file that cannot be made shorter.
+    let sealed = memfd_create("log", MemfdFlags::ALLOW_SEALING).unwrap();
+    fcntl_add_seals(&sealed, SealFlags::SHRINK).unwrap();
+    wal.file = File::from(sealed);
+    let mut owed = BTreeMap::new();
+    let taken = |n: u64| Record::Taken(Taken { n, deadline: Micros(n), ..Taken::default() });
+    assert!(put(&mut wal, &mut owed, &taken(1)));
+    let mut half = Vec::new();
+    taken(2).write(&mut half);
+    half.truncate(half.len() / 2);
+    wal.file.write_all(&half).unwrap();
+    wal.cut_back(half.len() as u64 * 2);
+    assert!(put(&mut wal, &mut owed, &taken(3)));
+    let length = wal.file.metadata().unwrap().len();
+    assert_eq!(wal.size(), length, "the next cut is behind what has been written since");
+    let mut bytes = vec![0; length as usize];
+    wal.file.read_exact_at(&mut bytes, 0).unwrap();
+    let scan = frames(&bytes);
+    assert_eq!((scan.records, scan.damaged), (vec![taken(1), taken(3)], half.len()));
+}
--- a/lab/src/soak/judge.rs
+++ b/lab/src/soak/judge.rs
@@ -186,7 +186,8 @@
                 let end = end.fold(f64::INFINITY, f64::min);
                 let due = due(message, &restarts, &upgrades) + slack(terms);
                 if end > due {
-                    verdict.add("lost", format!("{id} ends at {end:.3} and not by {due:.3}"));
+                    let history = history(seen, id, message);
+                    verdict.add("lost", format!("{id} ends at {end:.3} and not by {due:.3}; {history}"));
                 }
             }
             Some(Heard::Closed) if may_be_closed(seen, message, &restarts) => {}
@@ -198,6 +199,25 @@
     }
 }
 
+/// What the stand-ins saw of a message, for whoever traces it.
+fn history(seen: &Seen, id: &str, message: &Message) -> String {
+    let Message { class, handed_in, deadline, .. } = message;
+    let mut text = format!("{class:?}, handed in at {handed_in:.3}, deadline {deadline:.3}");
+    for call in seen.calls.iter().filter(|c| c.id == id) {
+        let Call { server, began, over, status, .. } = call;
+        text += &format!("; called {server} at {began:.3}, over {over:?}, status {status:?}");
+    }
+    for restart in seen.restarts.iter().filter(|r| r.daemon == message.daemon) {
+        let Restart { from, down, ready, .. } = restart;
+        text += &format!("; restart from {from:.3}, down {down:?}, ready {ready:?}");
+    }
+    for upgrade in seen.upgrades.iter().filter(|u| u.daemon == message.daemon) {
+        let Upgrade { from, ready, killed, .. } = upgrade;
+        text += &format!("; upgrade from {from:.3}, ready {ready:?}, killed {killed:?}");
+    }
+    text
+}
+
 /// Its process had ended, or a crowd had taken all places: its connection may have been shut unread.
 fn may_be_closed(seen: &Seen, message: &Message, restarts: &[&Restart]) -> bool {
     let at = message.handed_in;
