A message keeps the class of its hand-in over a kill, whatever the next file says

Change: the hand-in's record ends with the class as it was (ClassThen); older programs read past it, and logs without it mean the name, as before.

--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -494,6 +494,7 @@
         front: FRONT,
         id: id.to_owned(),
         class: class.to_owned(),
+        class_then: None,
         tenant: named(h, "x-tenant")?.unwrap_or("").to_owned(),
         destination,
         key: key.to_owned(),
--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -325,6 +325,7 @@
             front: FRONT,
             id,
             class: class.to_owned(),
+            class_then: None,
             tenant: smpp.clients.get(system_id).cloned().unwrap_or_default(),
             destination,
             key: String::new(),
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -101,3 +101,29 @@
     play(&mut stage, &["send c1 status id=s1 dest=1 deadline=9", "expect c1 202", "expect e1 s1"]);
     play(&mut stage, &["send c2 rush id=r1 dest=1 deadline=9", "expect c2 400"]);
 }
+
+/// Killed, and started with a file in which its class is another one or gone: a message keeps the class of its hand-in.
+#[rstest]
+#[case::its_effect_has_changed(Some("repeatable"))]
+#[case::it_was_dropped(None)]
+fn a_kill_does_not_change_the_class_of_a_message(#[case] after: Option<&str>) {
+    let mut stage = start(&[class("rush", "once"), class("status", "repeatable")]);
+    play(&mut stage, &["send c1 rush id=out dest=1 deadline=15", "expect c1 202", "expect e1 out"]);
+    play(&mut stage, &["send daemon KILL"]);
+    let rush = after.map(|effect| class("rush", effect));
+    let classes: Vec<_> = rush.into_iter().chain([class("status", "repeatable")]).collect();
+    given_classes(&mut stage, &classes);
+    play(&mut stage, &["send daemon start", "expect platform out failed", "expect e1 nothing 300"]);
+}
+
+#[test]
+fn what_may_be_repeated_is_delivered_after_a_kill_though_its_class_was_dropped() {
+    let mut stage = start(&[class("rush", "repeatable"), class("status", "repeatable")]);
+    play(&mut stage, &["send c1 rush id=out dest=1 deadline=15", "expect c1 202", "expect e1 out"]);
+    play(&mut stage, &["send daemon KILL"]);
+    given_classes(&mut stage, &[class("status", "repeatable")]);
+    play(
+        &mut stage,
+        &["send daemon start", "expect e1 out", "send e1 out 200", "expect counter delivered=1"],
+    );
+}
--- a/src/core/classes.rs
+++ b/src/core/classes.rs
@@ -1,6 +1,7 @@
 //! Classes of messages by name, which may change while an instance runs. A message keeps the class that it was taken on
 //! under: a class that changes is another one from then on, and one that is dropped stays for the messages that have it.
 
+use super::record::{ClassThen, Taken};
 use crate::interface::{ClassId, ClassSettings, DestinationId, Effect, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -68,11 +69,19 @@
         self.names.contains_key(name)
     }
 
-    /// What a message of this name has at a destination, if it is taken on now.
-    pub fn number(&self, name: &str, destination: u64) -> Option<ClassId> {
-        let number = *self.names.get(name)?;
-        let stricter =
-            self.stricter.get(&number).filter(|_| self.plain.contains(&DestinationId(destination)));
+    /// The class by this name, as it is now.
+    pub fn now(&self, name: &str) -> Option<ClassThen> {
+        self.names.get(name).map(|number| ClassThen::from(&self.all[*number]))
+    }
+
+    /// That of a message: as it was when that was taken on, or what its name stands for now where the log does not say.
+    pub fn of(&mut self, taken: &Taken) -> Option<ClassId> {
+        let number = match taken.class_then {
+            Some(then) => self.version(&taken.class, &ClassSettings::from(then)),
+            None => *self.names.get(&taken.class)?,
+        };
+        let is_plain = self.plain.contains(&DestinationId(taken.destination));
+        let stricter = self.stricter.get(&number).filter(|_| is_plain);
         Some(ClassId(stricter.copied().unwrap_or(number)))
     }
 
--- a/src/core/desk.rs
+++ b/src/core/desk.rs
@@ -1,7 +1,7 @@
 //! The requests that are held, and the module that decides on them.
 
 use super::classes::Classes;
-use super::record::{CallEnd, End, Record, Taken};
+use super::record::{CallEnd, ClassThen, End, Record, Taken};
 use super::recovery::Owed;
 use super::{Ids, Names};
 use crate::PolicyEngine;
@@ -302,8 +302,8 @@
         self.classes.replace(&settings.classes, &names.classes);
         self.ids.keep_for(self.classes.longest().after(ID_REST));
         self.most = settings.max_held as usize;
-        let all = self.classes.all().to_vec();
-        self.policy.reconfigure(all, settings.max_attempts, settings.max_held);
+        self.policy.set_classes(self.classes.all());
+        self.policy.set_bounds(settings.max_attempts, settings.max_held);
     }
     /// A number for the next request.
     pub fn number(&mut self) -> u64 {
@@ -311,10 +311,20 @@
         self.next - 1
     }
 
-    fn message(&self, now: Micros, t: &Taken) -> Option<Message> {
+    /// The class by this name as it is now, for the record of a hand-in.
+    pub fn class_now(&self, name: &str) -> Option<ClassThen> {
+        self.classes.now(name)
+    }
+
+    fn message(&mut self, now: Micros, t: &Taken) -> Option<Message> {
+        let known = self.classes.all().len();
+        let class = self.classes.of(t)?;
+        if self.classes.all().len() > known {
+            self.policy.set_classes(self.classes.all());
+        }
         Some(Message {
             id: MessageId(t.n),
-            class: self.classes.number(&t.class, t.destination)?,
+            class,
             tenant: self.names.tenants.get(&t.tenant).map(|i| TenantId(*i)),
             key: None,
             destination: DestinationId(t.destination),
@@ -334,7 +344,9 @@
     /// The times in the log are those of a wall clock, which may have been set back since: nothing has longer than its class
     /// gives from now on, and an attempt of the future was made at no known time, so that no window is open for it.
     fn bounded(&self, now: Micros, mut owed: Owed) -> Owed {
-        owed.taken.deadline = owed.taken.deadline.min(self.latest(now, &owed.taken.class));
+        let then = owed.taken.class_then.map(|class| now.after(ClassSettings::from(class).give_up));
+        let latest = then.unwrap_or_else(|| self.latest(now, &owed.taken.class));
+        owed.taken.deadline = owed.taken.deadline.min(latest);
         if let Some((at, _)) = owed.maybe_ran.as_mut().filter(|(at, _)| *at > now) {
             *at = Micros(0);
         }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,7 +9,7 @@
 
 pub use desk::{Answered, AttemptRefused, Desk, Found, Step, probes};
 pub use ids::Ids;
-pub use record::{CallEnd, End, Record, Scan, Taken, frames};
+pub use record::{CallEnd, ClassThen, End, Record, Scan, Taken, frames};
 pub use recovery::{Owed, recover};
 
 use std::collections::BTreeMap;
--- a/src/core/record.rs
+++ b/src/core/record.rs
@@ -1,6 +1,6 @@
 //! Log records, as bytes: a frame is a mark, a length, a checksum and a payload.
 
-use crate::interface::{Micros, Verdict};
+use crate::interface::{ClassSettings, Effect, Group, Micros, Verdict};
 
 const MARK: [u8; 2] = [0xa7, 0x1e];
 const HEAD: usize = 10;
@@ -18,6 +18,8 @@
     pub id: String,
     /// Name of its class.
     pub class: String,
+    /// That class as it was then: its name may stand for another one later. None in logs of before this was kept.
+    pub class_then: Option<ClassThen>,
     /// Name of its tenant; empty if it has none.
     pub tenant: String,
     /// Number of its destination.
@@ -34,6 +36,59 @@
     pub body: Vec<u8>,
 }
 
+/// The settings of a class at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClassThen {
+    aim: Micros,
+    give_up: Micros,
+    effect: Effect,
+    in_order: bool,
+    /// Bits of the numbers, so that what is read is what was written.
+    worth: u64,
+    late_share: u64,
+}
+
+impl From<&ClassSettings> for ClassThen {
+    fn from(class: &ClassSettings) -> ClassThen {
+        let ClassSettings { aim, give_up, effect, in_order, .. } = *class;
+        let (worth, late_share) = (class.worth.to_bits(), class.late_share.to_bits());
+        ClassThen { aim, give_up, effect, in_order, worth, late_share }
+    }
+}
+
+impl From<ClassThen> for ClassSettings {
+    fn from(then: ClassThen) -> ClassSettings {
+        let ClassThen { aim, give_up, effect, in_order, .. } = then;
+        let (worth, late_share) = (f64::from_bits(then.worth), f64::from_bits(then.late_share));
+        ClassSettings { aim, give_up, effect, in_order, worth, late_share }
+    }
+}
+
+impl ClassThen {
+    fn write(&self, to: &mut Writer) {
+        let (code, window) = match self.effect {
+            Effect::Safe => (0, Micros(0)),
+            Effect::Keyed { group: Group::All, window } => (1, window),
+            Effect::Keyed { group: Group::Zone, window } => (2, window),
+            Effect::Unsafe => (3, Micros(0)),
+        };
+        to.0.extend([code, u8::from(self.in_order)]);
+        to.num(window.0).num(self.aim.0).num(self.give_up.0).num(self.worth).num(self.late_share);
+    }
+
+    fn read(from: &mut Reader<'_>) -> Option<ClassThen> {
+        let (code, in_order, window) = (from.byte()?, from.byte()? != 0, Micros(from.num()?));
+        let effect = match code {
+            0 => Effect::Safe,
+            1 => Effect::Keyed { group: Group::All, window },
+            2 => Effect::Keyed { group: Group::Zone, window },
+            _ => Effect::Unsafe,
+        };
+        let (aim, give_up) = (Micros(from.num()?), Micros(from.num()?));
+        Some(ClassThen { aim, give_up, effect, in_order, worth: from.num()?, late_share: from.num()? })
+    }
+}
+
 /// How an attempt ended, as far as a restart needs to know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -175,6 +230,10 @@
                 w.0.extend([b'T', t.front, u8::from(t.receipt)]);
                 w.num(t.n).num(t.destination).num(t.deadline.0);
                 w.text(&t.id).text(&t.class).text(&t.tenant).text(&t.key).text(&t.note).bytes(&t.body);
+                // Behind all that older programs read.
+                if let Some(class) = &t.class_then {
+                    class.write(&mut w);
+                }
             }
             Record::Attempt { n, attempt, endpoint, zone, at } => {
                 w.0.push(b'A');
@@ -214,19 +273,23 @@
     fn parse(payload: &[u8]) -> Option<Record> {
         let mut r = Reader(payload);
         Some(match r.byte()? {
-            b'T' => Record::Taken(Taken {
-                front: r.byte()?,
-                receipt: r.byte()? != 0,
-                n: r.num()?,
-                destination: r.num()?,
-                deadline: Micros(r.num()?),
-                id: r.text()?,
-                class: r.text()?,
-                tenant: r.text()?,
-                key: r.text()?,
-                note: r.text()?,
-                body: r.bytes()?.to_vec(),
-            }),
+            b'T' => {
+                let taken = Taken {
+                    front: r.byte()?,
+                    receipt: r.byte()? != 0,
+                    n: r.num()?,
+                    destination: r.num()?,
+                    deadline: Micros(r.num()?),
+                    id: r.text()?,
+                    class: r.text()?,
+                    class_then: None,
+                    tenant: r.text()?,
+                    key: r.text()?,
+                    note: r.text()?,
+                    body: r.bytes()?.to_vec(),
+                };
+                Record::Taken(Taken { class_then: ClassThen::read(&mut r), ..taken })
+            }
             b'A' => {
                 let (n, at) = (r.num()?, Micros(r.num()?));
                 Record::Attempt { n, at, endpoint: r.text()?, zone: r.text()?, attempt: r.attempt() }
--- a/src/policy/intake.rs
+++ b/src/policy/intake.rs
@@ -69,9 +69,13 @@
         }
     }
 
-    /// Settings that may change while it runs. `classes` begins with all that there were: what is held keeps its own.
-    pub fn reconfigure(&mut self, classes: Vec<ClassSettings>, max_attempts: u32, max_held: u32) {
-        self.set.classes = classes;
+    /// All classes that a message may have from now on. They begin with those that there were: what is held keeps its own.
+    pub fn set_classes(&mut self, classes: &[ClassSettings]) {
+        self.set.classes = classes.to_vec();
+    }
+
+    /// What may change of the settings beside classes.
+    pub fn set_bounds(&mut self, max_attempts: u32, max_held: u32) {
         (self.set.max_attempts, self.set.max_held) = (max_attempts, max_held);
     }
 
