--- a/daemon/src/beside.rs
+++ b/daemon/src/beside.rs
@@ -1,7 +1,7 @@
 //! Looks whether another process of this forwarder is beside this one: what it tells of waits, and what it owes once it is
 //! gone.
 
-use crate::folder::{Claim, Left, Other};
+use crate::folder::{Claim, Left, Other, remove};
 use crate::module::ToModule;
 use crate::net::Shared;
 use crate::shared_waits::WaitReader;
@@ -64,6 +64,11 @@
             tracing::info!("another process of this forwarder is there");
             let _ = self.shared.module.send(ToModule::Beside(Some(own))).await;
         }
+        self.hear().await;
+    }
+
+    /// Passes on what the other process has told since the last look.
+    async fn hear(&mut self) {
         let Some(reader) = &mut self.waits else { return };
         match reader.read(&self.shared.clock) {
             Ok(told) => {
@@ -77,7 +82,11 @@
 
     /// A process that ends itself leaves what the other one owed to the next.
     async fn is_gone(&mut self, left: Left) {
+        // What it told before it was killed still binds.
+        self.hear().await;
         if self.waits.take().is_some() {
+            let [_, others] = self.claim.waits();
+            let _ = remove(&others);
             let _ = self.shared.module.send(ToModule::Beside(None)).await;
         }
         if left.is_there() && !self.shared.stopping.get() {
--- a/daemon/src/net/mgmt.rs
+++ b/daemon/src/net/mgmt.rs
@@ -85,6 +85,7 @@
     let words: Vec<&str> = line.split_whitespace().collect();
     match words[..] {
         ["status"] if shared.stopping.get() => "400 it ends".into(),
+        ["status"] if shared.taking_over.get() => "400 it learns what the process beside it knows".into(),
         ["status"] => match &*shared.list.borrow() {
             Held::None => "400 no list yet".into(),
             Held::Current => "200 ready".into(),
--- a/daemon/src/net/mgmt/tests.rs
+++ b/daemon/src/net/mgmt/tests.rs
@@ -40,6 +40,9 @@
     assert_eq!(ask(&shared, at, b"status\r\nstatus\n"), "200 ready\n", "one call to a connection");
     *shared.list.borrow_mut() = Held::Old("down\n200 x".into());
     assert_eq!(ask(&shared, at, b"status\n"), "200 ready, with an old list: down 200 x\n");
+    shared.taking_over.set(true);
+    assert_eq!(ask(&shared, at, b"status\n"), "400 it learns what the process beside it knows\n");
+    shared.taking_over.set(false);
     shared.stopping.set(true);
     assert_eq!(ask(&shared, at, b"status\n"), "400 it ends\n");
     assert_eq!(ask(&shared, at, b"\n"), "400 an empty call\n");
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -36,6 +36,8 @@
     /// The inbound connections that may be closed to make room.
     pub crowd: crowd::Crowd,
     pub stopping: Cell<bool>,
+    /// What another process of this forwarder knows has not been taken over yet.
+    pub taking_over: Cell<bool>,
     /// The list that is held.
     pub list: std::cell::RefCell<Held>,
     /// When discovery last answered, or the process began.
@@ -79,6 +81,7 @@
             crowd: Default::default(),
             reuse: Default::default(),
             stopping: Cell::new(false),
+            taking_over: Cell::new(false),
             list: Default::default(),
             list_answered_at: Cell::default(),
             discovery: Cell::new(([127, 0, 0, 1], 1).into()),
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -97,6 +97,7 @@
         reuse: Default::default(),
         serials: Cell::new(0),
         stopping: Cell::new(false),
+        taking_over: Cell::new(false),
         list: Default::default(),
         list_answered_at: Cell::default(),
         discovery: Cell::new(config.discovery),
@@ -207,6 +208,7 @@
     if other_is_there {
         let [waits, _] = claim.waits();
         module.beside = Some(Beside::newcomer(now, waits));
+        shared.taking_over.set(true);
     }
     if let Other::Free(left) = other {
         module.adopt(&left);
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -48,3 +48,21 @@
     messages(&stage);
     play(&mut stage, &[LOOK]);
 }
+
+/// The new process says that it is ready once it knows what the old one was told: from then on that may be killed.
+#[test]
+fn a_wait_outlives_the_process_that_was_told_it() {
+    let mut stage = Stage::default();
+    play(&mut stage, &["given operators", "given endpoint e1 dest=1", "send daemon start"]);
+    told_a_wait(&mut stage);
+    play(&mut stage, &["expect counter full=1", "send daemon beside"]);
+    loop {
+        play(&mut stage, &["send operator status"]);
+        if stage.play(&["expect", "operator", "200"]).is_ok() {
+            break;
+        }
+    }
+    play(&mut stage, &["send old KILL", "expect log messages of another process are taken over"]);
+    messages(&stage);
+    play(&mut stage, &[LOOK]);
+}
--- a/lab/src/soak/judge.rs
+++ b/lab/src/soak/judge.rs
@@ -1,6 +1,6 @@
 //! The rules, judged by what the stand-ins saw.
 
-use super::ledger::{Call, Class, Drained, Heard, Message, Restart, Seen, Upgrade};
+use super::ledger::{Call, Class, Drained, Heard, Message, Restart, Seen, Upgrade, Wait};
 use std::collections::BTreeMap;
 
 /// The stand-ins may see things late by this, beside what they measured of their own lateness.
@@ -255,6 +255,12 @@
     restarts.iter().copied().filter(down).any(|r| r.ready.is_none_or(|at| at > message.handed_in))
 }
 
+/// A process that is killed right behind an answer may not have read it.
+fn told_to_the_dying(seen: &Seen, wait: &Wait) -> bool {
+    let killed = seen.upgrades.iter().filter(|u| u.daemon == wait.daemon).filter_map(|u| u.killed);
+    killed.into_iter().any(|killed| (killed - SLACK_S..=killed).contains(&wait.told))
+}
+
 fn waits(seen: &Seen, terms: Terms, verdict: &mut Verdict) {
     let destinations: BTreeMap<&str, u64> =
         seen.waits.iter().map(|w| (w.server.as_str(), w.destination)).collect();
@@ -267,6 +273,7 @@
                 && c.began > from
                 && c.began < until
                 && !restarted(seen, wait.daemon, wait.told, c.began)
+                && !told_to_the_dying(seen, wait)
         });
         if let Some(call) = hit {
             let (id, after) = (&call.id, call.began - wait.told);
