--- a/daemon/src/module/beside.rs
+++ b/daemon/src/module/beside.rs
@@ -69,7 +69,7 @@
         }
         let Some(to) = self.directory.number_of(&wait.endpoint) else { return };
         self.shared.counters.waits_told_beside.up();
-        self.desk.wait(now, to, wait.until);
+        self.ledger.wait(now, to, wait.until);
         self.directory.told(to, wait.until);
         self.shared.invariants.told_wait(now, to, wait.until);
     }
--- a/daemon/src/module/calls.rs
+++ b/daemon/src/module/calls.rs
@@ -4,20 +4,20 @@
 
 impl Module {
     pub(super) fn call(&mut self, now: Micros, n: u64, attempt: u32, to: ReceiverId, patience: Micros) {
-        let Some(o) = self.desk.get(n) else { return };
+        let Some(o) = self.ledger.get(n) else { return };
         let t = &o.taken;
         if o.attempts > 0 {
             self.shared.counters.retried.up();
         }
         tracing::debug!(id = t.id, attempt, to = to.0, earlier = o.attempts, "attempt decided");
-        let called_off = self.desk.calls_off().then(|| {
+        let called_off = self.ledger.calls_off().then(|| {
             let (wanted, called_off) = bounded(1);
             self.out.insert((n, attempt), wanted);
             called_off
         });
         self.hand(OutboundCall {
             called_off,
-            harmful: self.desk.harmful(n),
+            harmful: self.ledger.harmful(n),
             n,
             attempt,
             to,
@@ -69,7 +69,7 @@
     }
 
     pub(super) fn tell(&mut self, n: u64, end: End) {
-        let Some(o) = self.desk.get(n) else { return };
+        let Some(o) = self.ledger.get(n) else { return };
         match end {
             End::Failed => self.shared.counters.failed.up(),
             End::Returned(_) => self.shared.counters.returned.up(),
@@ -83,7 +83,7 @@
     }
 
     pub(super) fn pass(&mut self, ending: Ending) -> bool {
-        let front = self.desk.get(ending.n).map_or(0, |o| o.taken.front);
+        let front = self.ledger.get(ending.n).map_or(0, |o| o.taken.front);
         match self.fronts.get(&front).map(|f| f.try_send(ending)) {
             Some(Err(TrySendError::Full(ending))) => {
                 self.waiting.push_front(ending);
@@ -117,7 +117,7 @@
         if a.told > Micros(0) {
             c.waits_told.up();
         }
-        if let Some(o) = self.desk.get(a.n) {
+        if let Some(o) = self.ledger.get(a.n) {
             let (id, attempt, elapsed_ms) = (&o.taken.id, a.attempt, a.elapsed.0 / 1000);
             tracing::debug!(id, attempt, to = a.to.0, elapsed_ms, "attempt ended: {:?}", a.verdict);
         }
@@ -125,7 +125,7 @@
         self.shared.invariants.told_wait(now, a.to, a.told);
         self.share_wait(now, a.to, a.told);
         self.directory.ended(a.to);
-        let record = self.desk.answered(now, a);
+        let record = self.ledger.answered(now, a);
         self.keep_later(record);
     }
 }
--- a/daemon/src/module/guard.rs
+++ b/daemon/src/module/guard.rs
@@ -52,17 +52,17 @@
                 if in_maintenance { &counters.held_back_maintenance } else { &counters.held_back_drain };
             return held_back(why);
         }
-        match self.desk.leave(now, asks.n, asks.attempt, asks.to) {
+        match self.ledger.leave(now, asks.n, asks.attempt, asks.to) {
             Leave::Wait => return held_back(&counters.held_back_wait),
             Leave::Late => return held_back(&counters.held_back_late),
             Leave::Over => return Err(Verdict::Moot),
             Leave::Go => {}
         }
-        let valid_until = self.desk.sends_end(asks.n, asks.attempt).unwrap_or(Micros(u64::MAX));
+        let valid_until = self.ledger.sends_end(asks.n, asks.attempt).unwrap_or(Micros(u64::MAX));
         if asks.begun {
             return Ok(Permit { epoch: 0, valid_until, repeat: false, logged: true });
         }
-        if self.desk.probing(asks.n) {
+        if self.ledger.probing(asks.n) {
             return self.probe_may_go(now, asks.n, valid_until);
         }
         self.attempt_may_go(now, asks, valid_until)
@@ -80,8 +80,8 @@
     /// An attempt that is not in the log could be made again after a restart.
     fn attempt_may_go(&mut self, now: Micros, asks: Asks, valid_until: Micros) -> Gate {
         let Some(peer) = self.directory.peer(asks.to) else { return Err(Verdict::Moot) };
-        let repeat = self.desk.get(asks.n).is_some_and(|o| o.maybe_ran.is_some() || !o.out.is_empty());
-        let record = match self.desk.attempt(asks.n, asks.attempt, &peer.name, &peer.zone, now) {
+        let repeat = self.ledger.get(asks.n).is_some_and(|o| o.maybe_ran.is_some() || !o.out.is_empty());
+        let record = match self.ledger.attempt(asks.n, asks.attempt, &peer.name, &peer.zone, now) {
             Ok(record) => record,
             Err(AttemptRefused::Over) => return Err(Verdict::Moot),
             Err(AttemptRefused::Repeat) => {
@@ -91,7 +91,7 @@
             }
         };
         if !self.keep_now(std::slice::from_ref(&record)) {
-            self.desk.unsent(asks.n, asks.attempt);
+            self.ledger.unsent(asks.n, asks.attempt);
             return Err(Verdict::Moot);
         }
         Ok(Permit { epoch: 0, valid_until, repeat, logged: true })
--- a/daemon/src/module/listing.rs
+++ b/daemon/src/module/listing.rs
@@ -18,7 +18,7 @@
                 listing: Listing::Ready,
             },
         );
-        self.desk.list(now, Event::Known(vec![entry]));
+        self.ledger.list(now, Event::Known(vec![entry]));
         let mailbox = gateway::start(&self.shared, g, self.room());
         self.mailboxes.insert(to, mailbox);
     }
@@ -35,13 +35,13 @@
         self.shared.counters.wakes.up();
         self.order(follows.orders);
         match self.assumed {
-            Some(assumed) => self.desk.wake(now, destination, woken.whole, woken.each, assumed),
+            Some(assumed) => self.ledger.wake(now, destination, woken.whole, woken.each, assumed),
             None => {
                 let (entries, known): (Vec<_>, Vec<_>) = woken.each.into_iter().unzip();
                 let numbers: Vec<_> = entries.iter().map(|e| e.receiver).collect();
-                self.desk.list(now, Event::Known(entries));
+                self.ledger.list(now, Event::Known(entries));
                 for (to, repute) in numbers.into_iter().zip(known) {
-                    self.desk.recall(now, to, repute);
+                    self.ledger.recall(now, to, repute);
                 }
             }
         }
@@ -79,12 +79,12 @@
             }
         }
         if !follows.entries.is_empty() {
-            self.desk.list(now, Event::Known(follows.entries));
+            self.ledger.list(now, Event::Known(follows.entries));
         }
         for (to, repute) in follows.recalled {
-            self.desk.recall(now, to, repute);
+            self.ledger.recall(now, to, repute);
         }
-        follows.restarted.into_iter().for_each(|to| self.desk.restarted(now, to));
+        follows.restarted.into_iter().for_each(|to| self.ledger.restarted(now, to));
     }
 
     pub(super) fn put(&mut self, now: Micros, e: Endpoint<'_>, follows: &mut Follows) {
@@ -140,7 +140,7 @@
         self.shared.counters.list_old.set(0);
         self.shared.counters.listed.set(self.directory.listed());
         *self.shared.list.borrow_mut() = Held::Current;
-        self.desk.list(now, Event::ListChanges(Vec::new()));
+        self.ledger.list(now, Event::ListChanges(Vec::new()));
     }
 
     /// Lets endpoints go that are gone, and destinations rest that nobody uses.
@@ -148,7 +148,7 @@
         let mut follows = Follows::default();
         self.directory.tidy(now, &mut follows);
         while let Some(destination) = self.directory.tired(now) {
-            let Some((whole, each)) = self.desk.rest(now, destination) else { continue };
+            let Some((whole, each)) = self.ledger.rest(now, destination) else { continue };
             self.shared.counters.rests.up();
             self.directory.rested(now, destination, whole, &each, &mut follows);
         }
--- a/daemon/src/module/records.rs
+++ b/daemon/src/module/records.rs
@@ -54,7 +54,7 @@
             return true;
         }
         let written = if self.unwritten.records.len() > WAITING_MOST {
-            self.wal.compact(self.desk.owed()).is_ok()
+            self.wal.compact(self.ledger.owed()).is_ok()
         } else {
             let waiting: Vec<_> = self.unwritten.records.iter().cloned().collect();
             self.append(&waiting)
@@ -68,8 +68,8 @@
     }
 
     fn append(&mut self, records: &[Record]) -> bool {
-        let (desk, before) = (&self.desk, self.wal.compactions);
-        let owed = || -> Box<dyn Iterator<Item = &Owed>> { Box::new(desk.owed()) };
+        let (ledger, before) = (&self.ledger, self.wal.compactions);
+        let owed = || -> Box<dyn Iterator<Item = &Owed>> { Box::new(ledger.owed()) };
         let kept = self.wal.append(records, owed);
         if self.wal.compactions != before {
             self.shared.counters.wal_compactions.up();
--- a/daemon/src/module/takeover.rs
+++ b/daemon/src/module/takeover.rs
@@ -18,7 +18,7 @@
             let now = self.shared.clock.now();
             let (n, given) = (o.taken.n, o.given);
             self.used(now, o.taken.destination);
-            if self.desk.resume(now, o)
+            if self.ledger.resume(now, o)
                 && let Some(end) = given
             {
                 self.tell(n, end);
@@ -33,10 +33,10 @@
         if scan.damaged > 0 {
             tracing::warn!("log: {} bytes of another process belong to no whole record", scan.damaged);
         }
-        let known: BTreeSet<_> = self.desk.owed().map(|o| whose(&o.taken)).collect();
+        let known: BTreeSet<_> = self.ledger.owed().map(|o| whose(&o.taken)).collect();
         let mut owed: Vec<_> = recover(scan.records).into_values().collect();
         owed.retain(|o| !known.contains(&whose(&o.taken)) && !self.seen.contains(&whose(&o.taken)));
-        owed.iter_mut().for_each(|o| o.taken.n = self.desk.number());
+        owed.iter_mut().for_each(|o| o.taken.n = self.ledger.number());
         let records: Vec<_> = owed.iter().flat_map(Owed::records).collect();
         if !records.is_empty() && !self.keep_now(&records) {
             return Err(std::io::ErrorKind::StorageFull.into());
--- a/daemon/src/module/tests.rs
+++ b/daemon/src/module/tests.rs
@@ -20,10 +20,10 @@
     };
     let classes = [("a".to_owned(), 0)].into_iter().collect();
     let names = onyxrock::core::Names { classes, ..Default::default() };
-    let desk = Desk::new(settings, names, Default::default(), 1);
+    let ledger = Ledger::new(settings, names, Default::default(), 1);
     let wal = Wal::open(folder, 1_000_000).unwrap().0;
     let rules = Rules { most: 100, rest: None, terms: Terms::default(), zones: BTreeMap::new() };
-    Module::new(shared, desk, wal, bounded(1).0, BTreeMap::new(), 4, Directory::new(rules))
+    Module::new(shared, ledger, wal, bounded(1).0, BTreeMap::new(), 4, Directory::new(rules))
 }
 
 /// An attempt of message 1 at the one endpoint.
@@ -42,7 +42,7 @@
     let deadline = now.after(Micros(5_000_000));
     let taken = Taken { n: 1, class: "a".into(), destination: 1, deadline, ..Taken::default() };
     assert!(m.keep_now(&[Record::Taken(taken.clone())]));
-    m.desk.take(now, taken);
+    m.ledger.take(now, taken);
     (folder, m, now)
 }
 
@@ -76,9 +76,9 @@
         deadline: now.after(Micros(5_000_000)),
         ..Taken::default()
     };
-    m.desk.take(now, taken);
+    m.ledger.take(now, taken);
     let mut steps = Vec::new();
-    m.desk.decide(now, true, &mut steps);
+    m.ledger.decide(now, true, &mut steps);
     assert!(matches!(steps[0], Step::Call { n: 1, .. }));
     assert_eq!(m.writing(now, asks(1, false)), Err(Verdict::Moot), "no such attempt");
     m.hold = true;
@@ -94,13 +94,13 @@
 #[rstest]
 fn what_has_begun_is_not_taken_back(#[values(false, true)] begun: bool) {
     let (folder, mut m, now) = busy(&format!("back-{begun}"));
-    m.desk.decide(now, true, &mut Vec::new());
+    m.ledger.decide(now, true, &mut Vec::new());
     if begun {
         assert!(m.writing(now, asks(0, false)).is_ok());
     }
     let (reply, back) = bounded(1);
     m.take(ToModule::TakeBack(1, reply));
-    assert_eq!((back.try_recv(), m.desk.get(1).is_some()), (Ok(!begun), begun));
+    assert_eq!((back.try_recv(), m.ledger.get(1).is_some()), (Ok(!begun), begun));
     let logged = recover(Wal::open(&folder, 1_000_000).unwrap().1.records);
     assert_eq!(logged.contains_key(&1), begun, "the next process knows it, too");
     if !begun {
@@ -124,7 +124,7 @@
     m.first_list = Some(FirstList::new(now));
     m.used(now, 1);
     let deadline = now.after(Micros(5_000_000));
-    m.desk.take(now, Taken { n: 1, class: "a".into(), destination: 1, deadline, ..Taken::default() });
+    m.ledger.take(now, Taken { n: 1, class: "a".into(), destination: 1, deadline, ..Taken::default() });
     m.settle();
     let queued = |m: &Module| m.mailboxes.values().map(Sender::len).sum::<usize>();
     assert_eq!(queued(&m), 0);
@@ -144,7 +144,7 @@
 fn a_call_is_not_written_to_where_its_endpoint_was() {
     let (folder, mut m, now) = busy("moved");
     let at = list(Listing::Ready).entries[0].address;
-    m.desk.decide(now, true, &mut Vec::new());
+    m.ledger.decide(now, true, &mut Vec::new());
     let mut moved = list(Listing::Ready);
     moved.entries[0].address = "127.0.0.1:2".parse().unwrap();
     let there = moved.entries[0].address;
@@ -165,7 +165,7 @@
 fn a_call_that_was_decided_before_a_wait_was_told_is_not_written_within_it() {
     let (folder, mut m, now) = busy("wait");
     let mut steps = Vec::new();
-    m.desk.decide(now, true, &mut steps);
+    m.ledger.decide(now, true, &mut steps);
     let to = ReceiverId(1);
     let (told, late) = (now.after(Micros(300_000)), now.after(Micros(900_000)));
     assert!(m.writing(told, asks(0, false)).is_ok(), "nothing was told yet");
@@ -176,14 +176,14 @@
     let (finished, limit) = (false, (None, None));
     let held_back = Answered { n: 1, attempt: 0, to, verdict, elapsed, finished, limit, told: Micros(0) };
     m.answered(late, &held_back);
-    assert_eq!(m.desk.get(1).map(|o| (o.attempts, o.out.len())), Some((0, 0)));
-    m.desk.decide(late, true, &mut steps);
+    assert_eq!(m.ledger.get(1).map(|o| (o.attempts, o.out.len())), Some((0, 0)));
+    m.ledger.decide(late, true, &mut steps);
     assert_eq!(steps.len(), 1, "nor is it decided on again");
     let over = told.after(Micros(2_000_000));
-    m.desk.decide(over, true, &mut steps);
+    m.ledger.decide(over, true, &mut steps);
     assert!(matches!(steps[1..], [Step::Call { n: 1, attempt: 1, .. }]), "{steps:?}");
     assert!(m.writing(over, asks(1, false)).is_ok());
-    assert_eq!(m.desk.get(1).map(|o| o.attempts), Some(1));
+    assert_eq!(m.ledger.get(1).map(|o| o.attempts), Some(1));
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
@@ -204,15 +204,15 @@
     std::fs::write(&claim.beside()[0], &log).unwrap();
     let Ok(crate::folder::Other::Free(left)) = claim.other() else { panic!("nobody is there") };
     m.copy(&left).unwrap();
-    let n = m.desk.owed().next().expect("it is taken over").taken.n;
+    let n = m.ledger.owed().next().expect("it is taken over").taken.n;
     m.take(ToModule::Told(n));
     m.copy(&left).unwrap();
-    assert_eq!(m.desk.owed().count(), 0, "its log is still there");
+    assert_eq!(m.ledger.owed().count(), 0, "its log is still there");
     let scan = Wal::open(&folder, 1_000_000).unwrap().1;
     let mut next = module(&folder);
     next.knows(&scan.records);
     next.copy(&left).unwrap();
-    assert_eq!(next.desk.owed().count(), 0, "killed before it could be cleared");
+    assert_eq!(next.ledger.owed().count(), 0, "killed before it could be cleared");
     next.take_over(&left).unwrap();
     assert!(!left.is_there() && next.seen.is_empty());
     std::fs::remove_dir_all(&folder).unwrap();
@@ -241,7 +241,7 @@
     Record::Taken(taken(1)).write(&mut log);
     Record::Taken(taken(2)).write(&mut log);
     Record::Attempt { n: 2, attempt: 0, endpoint, zone, at: now }.write(&mut log);
-    m.desk.take(now, Taken { n: 1, id: "ours".into(), ..taken(1) });
+    m.ledger.take(now, Taken { n: 1, id: "ours".into(), ..taken(1) });
     for _ in 0..2 {
         std::fs::write(&claim.beside()[0], &log).unwrap();
         let Ok(crate::folder::Other::Free(left)) = claim.other() else { panic!("nobody is there") };
@@ -249,10 +249,10 @@
         assert!(!left.is_there());
     }
     let owed: Vec<_> =
-        m.desk.owed().map(|o| (o.taken.n, o.taken.id.as_str(), o.maybe_ran.is_some())).collect();
+        m.ledger.owed().map(|o| (o.taken.n, o.taken.id.as_str(), o.maybe_ran.is_some())).collect();
     assert_eq!(owed, [(1, "ours", false), (2, "id-1", false), (3, "id-2", true)]);
     let mut steps = Vec::new();
-    m.desk.decide(now, true, &mut steps);
+    m.ledger.decide(now, true, &mut steps);
     let ended = |s: &Step| matches!(s, Step::End { n: 3, end: End::Failed });
     assert_eq!(steps.iter().filter(|s| ended(s)).count(), 1, "unsafe: not repeated");
     std::fs::remove_dir_all(&folder).unwrap();
@@ -279,7 +279,7 @@
 fn what_could_not_be_written_is_written_later_and_in_order() {
     let (folder, mut m, now) = busy("unwritten");
     let log = folder.join(crate::folder::PLACES[0].log);
-    m.desk.decide(now, true, &mut Vec::new());
+    m.ledger.decide(now, true, &mut Vec::new());
     assert!(m.writing(now, asks(0, false)).is_ok());
     let logged = || recover(Wal::open(&folder, 1_000_000).unwrap().1.records);
     let before = std::fs::read(&log).unwrap();
@@ -321,7 +321,7 @@
 #[test]
 fn a_queued_call_is_not_written_once_operators_have_taken_its_endpoint_out() {
     let (folder, mut m, now) = busy("maintenance");
-    m.desk.decide(now, true, &mut Vec::new());
+    m.ledger.decide(now, true, &mut Vec::new());
     let change = |endpoint: &str, out| crate::maintenance::Change { endpoint: endpoint.into(), out };
     assert_eq!(m.maintenance_call(now, change("nobody", true)), MaintenanceAnswer::Unknown);
     assert_eq!(m.maintenance_call(now, change("e", true)), MaintenanceAnswer::Done);
@@ -357,12 +357,12 @@
 #[case::may_have_run(true, End::Failed)]
 fn a_process_that_ends_tells_ends_in_time(#[case] called: bool, #[case] end: End) {
     let (folder, mut m, now) = busy(&format!("expiry-{called}"));
-    m.desk.decide(now, true, &mut Vec::new());
+    m.ledger.decide(now, true, &mut Vec::new());
     if called {
         assert!(m.writing(now, asks(0, false)).is_ok());
     }
     m.take(ToModule::Hold);
-    let deadline = m.desk.get(1).expect("it is owed").taken.deadline;
+    let deadline = m.ledger.get(1).expect("it is owed").taken.deadline;
     assert_eq!(m.due(now), (!called).then_some(deadline), "a call that is out is waited for");
     let verdict = if called { Verdict::TimedOut } else { Verdict::HeldBack };
     let (finished, limit, told) = (false, (None, None), Micros(0));
@@ -373,9 +373,9 @@
     );
     assert_eq!(m.due(now), Some(deadline));
     let mut steps = Vec::new();
-    m.desk.expire(Micros(deadline.0 - 1), &mut steps);
+    m.ledger.expire(Micros(deadline.0 - 1), &mut steps);
     assert_eq!(steps, []);
-    m.desk.expire(deadline, &mut steps);
+    m.ledger.expire(deadline, &mut steps);
     assert_eq!(steps, [Step::End { n: 1, end }]);
     assert_eq!(m.due(now), None);
     std::fs::remove_dir_all(&folder).unwrap();
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -19,7 +19,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
-use onyxrock::core::{Desk, Record, probes, recover};
+use onyxrock::core::{Ledger, Record, probes, recover};
 use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::Config;
 use onyxrock_config::product::Product;
@@ -132,11 +132,11 @@
         let hold_back = if shared { Micros(d.lease.0 * 3) } else { Micros(0) };
         probes(&mut settings, Micros(d.probe.patience.0 * 2), hold_back)
     });
-    let desk = Desk::new(settings, config.names.clone(), plain, config.seed);
+    let ledger = Ledger::new(settings, config.names.clone(), plain, config.seed);
     let terms = resting.map(|i| Terms { half_life: i.half_life, forget: i.forget }).unwrap_or_default();
     let zones = config.names.zones.clone();
     let rules = Rules { most: bounds.entries.0 as usize, rest: resting.map(|i| i.rest), terms, zones };
-    let mut module = Module::new(shared.clone(), desk, wal, follow, fronts, slots, Directory::new(rules));
+    let mut module = Module::new(shared.clone(), ledger, wal, follow, fronts, slots, Directory::new(rules));
     module.assumed = resting.map(|i| i.assumed_per_s);
     if kept > 0 {
         let now = shared.clock.now();
@@ -192,7 +192,7 @@
         if let Record::Taken(t) = record
             && t.deadline > now
         {
-            module.desk.fresh(now, &t.id);
+            module.ledger.fresh(now, &t.id);
         }
     }
     module.knows(&scan.records);
@@ -217,7 +217,7 @@
     }
     // The new log says what is owed as this process knows it, and nothing of the damage. Of what is over it says nothing
     // either, so it comes after the look at the other log.
-    if let Err(e) = module.wal.compact(module.desk.owed()) {
+    if let Err(e) = module.wal.compact(module.ledger.owed()) {
         tracing::error!("log: {e}");
     }
     let wait = if ask_every > Micros(0) { Micros(ask_every.0 / 2) } else { Micros(5_000_000) };
--- a/lab/src/capacity/cost.rs
+++ b/lab/src/capacity/cost.rs
@@ -60,7 +60,7 @@
     /// A message in the policy engine alone.
     HeldMemory, "message held", "bytes", "onyxrock::PolicyEngine";
     /// A message in the policy engine and the outstanding messages, with its body.
-    BacklogMemory, "message of backlog", "bytes", "core::Desk";
+    BacklogMemory, "message of backlog", "bytes", "core::Ledger";
     /// The same in the log.
     BacklogDisk, "message of backlog", "bytes", "daemon::wal::Wal";
     /// Reading it back at a start.
--- a/lab/src/capacity/roles.rs
+++ b/lab/src/capacity/roles.rs
@@ -312,7 +312,7 @@
         let messages = d.size.backlog_per_forwarder();
         self.add(role, "messages owed", Quantity::Memory, Cost::BacklogMemory, (messages, 1.0));
         let events = d.size.events_per_forwarder();
-        self.messages(role, "events taken on", events, "core::Desk");
+        self.messages(role, "events taken on", events, "core::Ledger");
         self.add(role, "messages owed", Quantity::Disk, Cost::BacklogDisk, (messages, 1.0));
         let read_back = (messages, 1e-6);
         self.add(role, "reading them back at a start", Quantity::Delay, Cost::BacklogRestartCpu, read_back);
--- a/lab/src/experiments/scale.rs
+++ b/lab/src/experiments/scale.rs
@@ -198,7 +198,7 @@
         "real": ["onyxrock-membership: failure detector, gossip, sealed datagrams",
             "onyxrock-duties: leases, voters, epochs", "onyxrock-sharing: Probing, its messages and roles",
             "onyxrock-roster: Directory and its tables", "onyxrock-config: the list's parser",
-            "onyxrock: Desk and the policy engine with its discovery refresh"],
+            "onyxrock: Ledger and the policy engine with its discovery refresh"],
         "not_real": ["sockets, timers and the runtime: in-memory links and a virtual clock",
             "the daemon's list actor: its decisions are rewritten in the follower, without connections",
             "the encoding of onyxrock-sharing's actor: rewritten, the same bytes",
--- a/lab/src/experiments/slopes/engine.rs
+++ b/lab/src/experiments/slopes/engine.rs
@@ -6,7 +6,7 @@
 use super::{Plan, least_of};
 use crate::capacity::cost::Cost;
 use crate::capacity::fit::Point;
-use onyxrock::core::{Answered, CallEnd, Desk, Owed, Record, Step, Taken, recover};
+use onyxrock::core::{Answered, CallEnd, Ledger, Owed, Record, Step, Taken, recover};
 use onyxrock::interface::*;
 use onyxrock::{PolicyEngine, interface::Settings};
 use onyxrock_daemon::wal::Wal;
@@ -58,8 +58,8 @@
     }
 }
 
-fn desk(plan: &Plan) -> Desk {
-    Desk::new(settings(), names(), Default::default(), plan.seed)
+fn ledger(plan: &Plan) -> Ledger {
+    Ledger::new(settings(), names(), Default::default(), plan.seed)
 }
 
 fn taken(n: u64, destination: u64) -> Taken {
@@ -76,21 +76,21 @@
 }
 
 /// Brings a destination into use, as the daemon's module does at the first message for it.
-fn wake(desk: &mut Desk, directory: &mut Directory, now: Micros, destination: u64, sick: bool) {
+fn wake(ledger: &mut Ledger, directory: &mut Directory, now: Micros, destination: u64, sick: bool) {
     let mut follows = Follows::default();
     let Some(mut woken) = directory.touch(now, destination, &mut follows) else { return };
     woken.each.iter_mut().for_each(|(_, repute)| repute.sick = sick);
-    desk.wake(now, destination, woken.whole, woken.each, 10.0);
+    ledger.wake(now, destination, woken.whole, woken.each, 10.0);
 }
 
 /// One message to it, delivered at once.
-fn deliver(desk: &mut Desk, now: Micros, n: u64, destination: u64) {
-    desk.take(now, taken(n, destination));
+fn deliver(ledger: &mut Ledger, now: Micros, n: u64, destination: u64) {
+    ledger.take(now, taken(n, destination));
     let mut steps = Vec::new();
-    desk.decide(now, true, &mut steps);
+    ledger.decide(now, true, &mut steps);
     for step in steps {
         let Step::Call { n, attempt, to, .. } = step else { continue };
-        desk.attempt(n, attempt, "club-endpoint", "floor-2", now).expect("the first attempt");
+        ledger.attempt(n, attempt, "club-endpoint", "floor-2", now).expect("the first attempt");
         let answered = Answered {
             n,
             attempt,
@@ -101,26 +101,26 @@
             limit: (None, None),
             told: Micros(0),
         };
-        desk.answered(now, &answered);
+        ledger.answered(now, &answered);
     }
 }
 
-fn in_use(plan: &Plan, directory: &mut Directory, n: u64, sick: bool) -> Desk {
-    let mut desk = desk(plan);
+fn in_use(plan: &Plan, directory: &mut Directory, n: u64, sick: bool) -> Ledger {
+    let mut ledger = ledger(plan);
     let at = |destination| Micros(1_000_000 + destination);
     for destination in 0..n {
         let now = at(destination);
-        wake(&mut desk, directory, now, destination, sick);
+        wake(&mut ledger, directory, now, destination, sick);
         if !sick {
-            deliver(&mut desk, now, destination + 1, destination);
+            deliver(&mut ledger, now, destination + 1, destination);
         }
     }
     // One that wakes is in doubt until it is served again once it must be warm.
     for destination in (0..n).filter(|_| !sick) {
         let now = at(destination).after(WARM);
-        deliver(&mut desk, now, n + destination + 1, destination);
+        deliver(&mut ledger, now, n + destination + 1, destination);
     }
-    desk
+    ledger
 }
 
 /// Destinations in use, well and out of order, and looking through them.
@@ -129,16 +129,16 @@
     for n in plan.sizes(plan.size.destinations / 4.0) {
         for (sick, points) in [(false, &mut well), (true, &mut down)] {
             let mut directory = full(n);
-            let (bytes, desk) = memory_of(|| in_use(plan, &mut directory, n, sick));
+            let (bytes, ledger) = memory_of(|| in_use(plan, &mut directory, n, sick));
             points.push(Point { x: n as f64, y: bytes });
-            let doubted = desk.in_question().count() as u64;
+            let doubted = ledger.in_question().count() as u64;
             if sick != (doubted == n) {
                 return Err(format!("{doubted} of {n} destinations are doubted"));
             }
             if !sick {
                 let us = least_of(plan.repeats, || {
                     let mut watch = Stopwatch::default();
-                    watch.time(|| std::hint::black_box(desk.in_question().count()));
+                    watch.time(|| std::hint::black_box(ledger.in_question().count()));
                     Ok::<_, String>(watch.us)
                 })?;
                 look.push(Point { x: n as f64, y: us / LEASE.renew().secs() });
@@ -165,14 +165,14 @@
     policy
 }
 
-fn owed(plan: &Plan, n: u64) -> Desk {
-    let mut desk = desk(plan);
+fn owed(plan: &Plan, n: u64) -> Ledger {
+    let mut ledger = ledger(plan);
     for i in 0..n {
         let taken = taken(i + 1, i % BACKLOG_DESTINATIONS);
-        desk.fresh(Micros(1_000_000), &taken.id);
-        desk.take(Micros(1_000_000), taken);
+        ledger.fresh(Micros(1_000_000), &taken.id);
+        ledger.take(Micros(1_000_000), taken);
     }
-    desk
+    ledger
 }
 
 /// Messages that wait, in memory.
@@ -180,9 +180,9 @@
     let (mut engine, mut all) = (Vec::new(), Vec::new());
     for n in plan.sizes(plan.size.backlog_per_forwarder() / 16.0) {
         engine.push(Point { x: n as f64, y: memory_of(|| held(plan, n)).0 });
-        let (bytes, desk) = memory_of(|| owed(plan, n));
-        if desk.held() as u64 != n {
-            return Err(format!("{} of {n} messages are held", desk.held()));
+        let (bytes, ledger) = memory_of(|| owed(plan, n));
+        if ledger.held() as u64 != n {
+            return Err(format!("{} of {n} messages are held", ledger.held()));
         }
         all.push(Point { x: n as f64, y: bytes });
     }
--- a/lab/src/scale/forwarder.rs
+++ b/lab/src/scale/forwarder.rs
@@ -6,7 +6,7 @@
 use super::meter::{Reading, Usage};
 use super::wire::{self, Audience};
 use async_channel::{Receiver, bounded};
-use onyxrock::core::{Desk, Names, Step, probes};
+use onyxrock::core::{Ledger, Names, Step, probes};
 use onyxrock::interface::{ClassSettings, Effect, Event, KindSettings, Micros, Settings};
 use onyxrock_config::duties::Duties;
 use onyxrock_config::list::{List, Listed};
@@ -75,7 +75,7 @@
     names: Names,
     membership: Membership,
     probing: Probing,
-    desk: Desk,
+    ledger: Ledger,
     directory: Directory,
     follower: Follower,
     to_peers: Receiver<ToPeers>,
@@ -156,7 +156,7 @@
         let mut settings = settings(members, member);
         let hold_back = Micros(duties.lease.0 * 3);
         let class = probes(&mut settings, Micros(duties.probe.patience.0 * 2), hold_back);
-        let mut desk = Desk::new(settings, Names::default(), Default::default(), entropy);
+        let mut ledger = Ledger::new(settings, Names::default(), Default::default(), entropy);
         let (peers, to_peers) = bounded((4 * usize::from(members)).max(1024));
         let (list, to_list) = bounded(64);
         let memory = match kept.get() {
@@ -171,17 +171,28 @@
         let probing = Probing::new(duties, member, boot, now, class, peers, list, memory, keep);
         let mut directory = directory();
         take(&mut directory, now, &setup.known);
-        desk.list(now, Event::ListChanges(Vec::new()));
+        ledger.list(now, Event::ListChanges(Vec::new()));
         let follower = Follower::new(member, WATCH, setup.known.generation);
         let (names, usage) = (Names::default(), Usage::default());
-        Forwarder { member, names, membership, probing, desk, directory, follower, to_peers, to_list, usage }
+        Forwarder {
+            member,
+            names,
+            membership,
+            probing,
+            ledger,
+            directory,
+            follower,
+            to_peers,
+            to_list,
+            usage,
+        }
     }
 
     /// When [`Input::Timer`] is due.
     #[must_use]
     pub fn due(&self) -> Micros {
         let fixed = [self.membership.due(), self.probing.due()];
-        let open = self.desk.due().into_iter().chain(self.follower.due());
+        let open = self.ledger.due().into_iter().chain(self.follower.due());
         fixed.into_iter().chain(open).min().unwrap_or(Micros(u64::MAX))
     }
 
@@ -286,7 +297,7 @@
                 Action::Take(list) => self.take(now, &list, results),
                 Action::Failed => {
                     self.probing.listed(None);
-                    self.desk.list(now, Event::ListFailed);
+                    self.ledger.list(now, Event::ListFailed);
                 }
             }
         }
@@ -297,10 +308,10 @@
     fn take(&mut self, now: Micros, list: &List, results: &mut Results) {
         let follows = take(&mut self.directory, now, list);
         if !follows.entries.is_empty() {
-            self.desk.list(now, Event::Known(follows.entries));
+            self.ledger.list(now, Event::Known(follows.entries));
         }
         self.probing.listed(Some(list.generation));
-        self.desk.list(now, Event::ListChanges(Vec::new()));
+        self.ledger.list(now, Event::ListChanges(Vec::new()));
         let (name, destination) = added_by(list.generation);
         if self.directory.destination_of(&name) == Some(destination) {
             results.adopted.push(Adopted { at: now, member: self.member, generation: list.generation });
@@ -309,9 +320,9 @@
 
     /// One turn of the actor round the core. True if it wants the list followed.
     fn decide(&mut self, now: Micros) -> bool {
-        self.probing.settle(now, &mut self.desk);
+        self.probing.settle(now, &mut self.ledger);
         let mut steps = Vec::new();
-        self.desk.decide(now, true, &mut steps);
+        self.ledger.decide(now, true, &mut steps);
         let follow = steps.iter().any(|step| matches!(step, Step::Follow));
         if follow {
             self.follower.follow();
--- a/sharing/src/probing.rs
+++ b/sharing/src/probing.rs
@@ -6,7 +6,7 @@
 
 use crate::letters::{FromPeers, ListNews, Role, ToList, ToPeers};
 use async_channel::Sender;
-use onyxrock::core::Desk;
+use onyxrock::core::Ledger;
 use onyxrock::interface::{ClassId, DestinationId, Micros};
 use onyxrock_config::duties::{Duties, Member as Named};
 use onyxrock_duties::{Book, Duty, Epoch, Fence, Kind, Member, Memory, Output, Terms};
@@ -222,7 +222,7 @@
 
     /// Wants, asks, renews, and hands probes that may go to the module. The leases that were won since the last time.
     /// Costs next to nothing between the times at which something is due.
-    pub fn settle(&mut self, now: Micros, desk: &mut Desk) -> u64 {
+    pub fn settle(&mut self, now: Micros, ledger: &mut Ledger) -> u64 {
         if now < self.due {
             return 0;
         }
@@ -231,7 +231,7 @@
             let terms = self.book.terms();
             self.look_at = now.after(terms.renew());
             let probe = |d: DestinationId| Duty { kind: Kind::Probe, of: d.0 };
-            let doubted: Vec<_> = desk.in_question().map(probe).collect();
+            let doubted: Vec<_> = ledger.in_question().map(probe).collect();
             for duty in self.book.wanted(now).into_iter().filter(|d| d.kind == Kind::Probe) {
                 if doubted.binary_search(&duty).is_err() {
                     self.book.unwant(now, duty);
@@ -257,7 +257,7 @@
             if let Some(p) = self.probes.remove(&n) {
                 tracing::debug!(of = p.duty.of, "duties: the module did not let a probe go in time");
             }
-            desk.call_off(now, n);
+            ledger.call_off(now, n);
         }
         for duty in self.book.ready(now).into_iter().filter(|d| d.kind == Kind::Probe) {
             if self.probes.values().any(|p| p.duty == duty) {
@@ -265,7 +265,7 @@
             }
             let patience = self.book.terms().patience;
             let left = Micros(patience.0 * 2);
-            let n = desk.probe(now, self.class, DestinationId(duty.of), left);
+            let n = ledger.probe(now, self.class, DestinationId(duty.of), left);
             self.probes.insert(n, Probe { duty, by: now.after(patience), begun: false });
         }
         let by = self.probes.values().filter(|p| !p.begun).map(|p| p.by);
@@ -349,7 +349,7 @@
 
     struct Rig {
         probing: Probing,
-        desk: Desk,
+        ledger: Ledger,
         now: Micros,
         out: Receiver<ToPeers>,
         list: Receiver<ToList>,
@@ -376,12 +376,12 @@
         };
         let mut settings = Settings { slots: 4, max_held: 9, max_attempts: 3, ..Settings::default() };
         let class = probes(&mut settings, Micros(500_000), Micros(0));
-        let desk = Desk::new(settings, Names::default(), Default::default(), 1);
+        let ledger = Ledger::new(settings, Names::default(), Default::default(), 1);
         let ((to_peers, out), (to_list, list)) = (bounded(64), bounded(64));
         let now = Micros(1_000_000);
         let (memory, keep) = (Memory::Kept(kept), Box::new(|_| true));
         let probing = Probing::new(&duties, Member(0), 5, now, class, to_peers, to_list, memory, keep);
-        Rig { probing, desk, now, out, list }
+        Rig { probing, ledger, now, out, list }
     }
 
     impl Rig {
@@ -389,7 +389,7 @@
         fn run(&mut self, ms: u64) -> (Vec<u64>, Vec<ToList>) {
             for _ in 0..ms / 50 {
                 self.now = self.now.after(Micros(50_000));
-                self.probing.settle(self.now, &mut self.desk);
+                self.probing.settle(self.now, &mut self.ledger);
             }
             let news = |m| match m {
                 ToPeers::List(news) => Some(news.generation),
--- a/src/core/desk.rs
+++ b/src/core/ledger.rs
@@ -1,4 +1,4 @@
-//! The requests that are held, and the module that decides on them.
+//! The ledger: requests that are outstanding, and the policy engine that decides on them.
 
 use super::classes::Classes;
 use super::record::{CallEnd, ClassThen, End, Record, Taken};
@@ -38,7 +38,7 @@
         /// How long to wait for the answer.
         patience: Micros,
     },
-    /// Send these bytes to all other senders, who take them as [`Desk::note`]. They name the endpoint by its number here.
+    /// Send these bytes to all other senders, who take them as [`Ledger::note`]. They name the endpoint by its number here.
     Tell(ReceiverId, Vec<u8>),
     /// Tell the client that the request has ended undelivered.
     End {
@@ -131,7 +131,7 @@
 /// All requests between being taken on and being over. One clock serves it: wall-clock microseconds that never
 /// run backwards while it lives.
 #[derive(Debug)]
-pub struct Desk {
+pub struct Ledger {
     policy: PolicyEngine,
     names: Names,
     classes: Classes,
@@ -165,14 +165,14 @@
     }
 }
 
-impl Desk {
-    /// A desk with nothing on it.
+impl Ledger {
+    /// A ledger with nothing in it.
     ///
     /// The `plain` destinations drop no repeat of a keyed message: there it is treated as an unsafe one.
-    pub fn new(mut settings: Settings, names: Names, plain: BTreeSet<DestinationId>, seed: u64) -> Desk {
+    pub fn new(mut settings: Settings, names: Names, plain: BTreeSet<DestinationId>, seed: u64) -> Ledger {
         let classes = Classes::new(settings.classes, names.classes.clone(), plain);
         settings.classes = classes.all().to_vec();
-        Desk {
+        Ledger {
             most: settings.max_held as usize,
             cancel: settings.cancel,
             most_out: if settings.second_copies { 2 } else { 1 },
@@ -502,7 +502,7 @@
         self.over(n)
     }
 
-    /// When [`Desk::decide`] is due at the latest.
+    /// When [`Ledger::decide`] is due at the latest.
     pub fn due(&self) -> Option<Micros> {
         self.wakes.first().copied()
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -2,13 +2,13 @@
 //! no clock and no wire: a front hands requests in, a caller carries out [`Step`]s and keeps [`Record`]s.
 
 mod classes;
-mod desk;
 mod ids;
+mod ledger;
 mod record;
 mod recovery;
 
-pub use desk::{Answered, AttemptRefused, Desk, Found, Step, probes};
 pub use ids::Ids;
+pub use ledger::{Answered, AttemptRefused, Found, Ledger, Step, probes};
 pub use record::{CallEnd, ClassThen, End, Record, Scan, Taken, frames};
 pub use recovery::{Owed, recover};
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 
 struct Table {
-    desk: Desk,
+    ledger: Ledger,
     now: Micros,
     log: Vec<Record>,
 }
@@ -21,13 +21,13 @@
 impl Table {
     fn new(plain: &[u64]) -> Table {
         let plain = plain.iter().map(|d| DestinationId(*d)).collect();
-        let mut desk = Desk::new(settings(), names(), plain, 5);
+        let mut ledger = Ledger::new(settings(), names(), plain, 5);
         let list = vec![entry(1, 1, 0, 0), entry(2, 1, 0, 1)];
-        desk.list(ms(1000), Event::FullList(list));
-        Table { desk, now: ms(1000), log: Vec::new() }
+        ledger.list(ms(1000), Event::FullList(list));
+        Table { ledger, now: ms(1000), log: Vec::new() }
     }
     fn take(&mut self, class: &str, left: u64) -> u64 {
-        let n = self.desk.number();
+        let n = self.ledger.number();
         let deadline = self.now.after(ms(left));
         let taken = Taken {
             n,
@@ -38,12 +38,12 @@
             ..Taken::default()
         };
         self.log.push(Record::Taken(taken.clone()));
-        self.desk.take(self.now, taken);
+        self.ledger.take(self.now, taken);
         n
     }
     fn steps(&mut self) -> Vec<Step> {
         let mut steps = Vec::new();
-        self.desk.decide(self.now, true, &mut steps);
+        self.ledger.decide(self.now, true, &mut steps);
         steps.retain(|s| !matches!(s, Step::Sick { .. }));
         for s in &steps {
             if let Step::End { n, end } = s {
@@ -60,7 +60,7 @@
         });
         let call = call.expect("a call is asked for");
         let zone = if call.2 == ReceiverId(1) { "a" } else { "b" };
-        self.log.extend(self.desk.attempt(call.0, call.1, "e", zone, self.now));
+        self.log.extend(self.ledger.attempt(call.0, call.1, "e", zone, self.now));
         call
     }
     fn answer(&mut self, (n, attempt, to): (u64, u32, ReceiverId), verdict: Verdict) {
@@ -76,7 +76,7 @@
             limit: (None, None),
             told: Micros(0),
         };
-        self.log.extend(self.desk.answered(self.now, &a));
+        self.log.extend(self.ledger.answered(self.now, &a));
     }
     /// Another process, from what the log holds.
     fn restart(&mut self, pause: u64, plain: &[u64]) -> usize {
@@ -87,7 +87,7 @@
         *self = Table { now, log, ..Table::new(plain) };
         let count = owed.len();
         for o in owed.into_values() {
-            self.desk.resume(now, o);
+            self.ledger.resume(now, o);
         }
         count
     }
@@ -111,7 +111,7 @@
     t.take("safe", 5000);
     let call = t.call();
     t.answer(call, Verdict::Delivered);
-    assert_eq!((t.desk.held(), t.desk.owed().count()), (0, 0));
+    assert_eq!((t.ledger.held(), t.ledger.owed().count()), (0, 0));
     assert_eq!(t.restart(100, &[]), 0);
 }
 
@@ -170,9 +170,9 @@
     let owed = recover(frames(&bytes).records);
     assert_eq!(owed[&n].given, Some(End::Failed));
     t.restart(10, &[]);
-    assert_eq!((t.ends(3000), t.desk.held()), (vec![], 0), "it is not decided on again");
-    t.desk.over(n);
-    assert_eq!(t.desk.owed().count(), 0);
+    assert_eq!((t.ends(3000), t.ledger.held()), (vec![], 0), "it is not decided on again");
+    t.ledger.over(n);
+    assert_eq!(t.ledger.owed().count(), 0);
 }
 
 #[test]
@@ -180,8 +180,8 @@
     let mut t = Table::new(&[]);
     let n = t.take("safe", 5000);
     let Some(Record::Taken(taken)) = t.log.first().cloned() else { panic!("it is in the log") };
-    t.desk.withdraw(t.now, n);
-    t.desk.take(t.now, Taken { receipt: true, n: n + 1, ..taken });
+    t.ledger.withdraw(t.now, n);
+    t.ledger.take(t.now, Taken { receipt: true, n: n + 1, ..taken });
     let call = (n + 1, 0, t.call().2);
     t.answer(call, Verdict::Delivered);
     assert_eq!(t.ends(10), [(n + 1, End::Delivered)]);
@@ -193,8 +193,8 @@
     let n = t.take("safe", 5000);
     let steps = t.steps();
     assert!(matches!(steps[0], Step::Call { .. }));
-    t.desk.withdraw(t.now, n);
-    assert_eq!(t.desk.attempt(n, 0, "e", "a", t.now), Err(AttemptRefused::Over));
+    t.ledger.withdraw(t.now, n);
+    assert_eq!(t.ledger.attempt(n, 0, "e", "a", t.now), Err(AttemptRefused::Over));
 }
 
 /// Whatever the module decides, an attempt that the class does not allow to be repeated is refused by what the log knows.
@@ -212,7 +212,7 @@
     let (_, attempt, to) = t.call();
     t.answer((n, attempt, to), Verdict::Reset);
     let at = t.now.after(ms(later));
-    let again = t.desk.attempt(n, 1, "e", zone, at).map(drop);
+    let again = t.ledger.attempt(n, 1, "e", zone, at).map(drop);
     assert_eq!(again, says);
 }
 
@@ -229,12 +229,12 @@
     let owed = recover(before.log).remove(&n).expect("it is owed");
     let mut after = Table::new(&[]);
     after.now = after.now.after(hour);
-    after.desk.resume(after.now, owed);
+    after.ledger.resume(after.now, owed);
     let steps = after.steps();
     assert!(!steps.iter().any(|s| matches!(s, Step::Call { .. })), "{steps:?}");
-    let owed = after.desk.get(n).expect("it is owed still");
-    assert!(owed.taken.deadline <= after.desk.latest(after.now, "zoned"));
-    assert!(after.desk.attempt(n, 1, "e", "a", after.now).is_err());
+    let owed = after.ledger.get(n).expect("it is owed still");
+    assert!(owed.taken.deadline <= after.ledger.latest(after.now, "zoned"));
+    assert!(after.ledger.attempt(n, 1, "e", "a", after.now).is_err());
 }
 
 #[test]
@@ -275,9 +275,9 @@
         records.iter().for_each(|r| r.write(&mut bytes));
         recover(frames(&bytes).records)
     };
-    let compact: Vec<Record> = t.desk.owed().flat_map(Owed::records).collect();
+    let compact: Vec<Record> = t.ledger.owed().flat_map(Owed::records).collect();
     assert_eq!(read(&t.log), read(&compact));
-    assert_eq!(t.desk.owed().count(), 4);
+    assert_eq!(t.ledger.owed().count(), 4);
 }
 
 /// An id is refused for as long as its request could still run, and no longer: what is kept of ids has a bound.
--- a/tests/fleet_restart.rs
+++ b/tests/fleet_restart.rs
@@ -79,7 +79,7 @@
 }
 
 struct Sender {
-    desk: Option<Desk>,
+    ledger: Option<Ledger>,
     log: Vec<Record>,
     /// Calls out: their answer, when it comes, and the verdict.
     out: BTreeMap<(u64, u32), (Micros, ReceiverId, Verdict, Micros)>,
@@ -118,7 +118,7 @@
 impl Fleet {
     fn new(fix: Fixture) -> Fleet {
         let senders = (0..SENDERS).map(|_| Sender {
-            desk: None,
+            ledger: None,
             log: vec![],
             out: BTreeMap::new(),
             started: Micros(0),
@@ -140,28 +140,28 @@
     /// A new process of sender `s`, from what its log holds.
     fn start(&mut self, s: usize) {
         let f = &self.fix;
-        let mut desk = Desk::new(f.settings.clone(), f.names.clone(), BTreeSet::new(), 11 + s as u64);
-        desk.list(self.now, list());
+        let mut ledger = Ledger::new(f.settings.clone(), f.names.clone(), BTreeSet::new(), 11 + s as u64);
+        ledger.list(self.now, list());
         let mut bytes = Vec::new();
         self.senders[s].log.iter().for_each(|r| r.write(&mut bytes));
         for owed in recover(frames(&bytes).records).into_values() {
             self.resumed += 1;
-            assert!(!desk.resume(self.now, owed), "ends are told in the breath they are given");
+            assert!(!ledger.resume(self.now, owed), "ends are told in the breath they are given");
         }
         let sender = &mut self.senders[s];
-        (sender.desk, sender.started) = (Some(desk), self.now);
+        (sender.ledger, sender.started) = (Some(ledger), self.now);
     }
 
     /// SIGKILL: what it had out runs on at the receivers, unheard.
     fn kill(&mut self, s: usize) {
         let sender = &mut self.senders[s];
         self.cut_off += sender.out.len();
-        sender.desk = None;
+        sender.ledger = None;
         sender.out.clear();
     }
 
     fn hand_in(&mut self, i: u64) {
-        let live: Vec<usize> = (0..SENDERS).filter(|s| self.senders[*s].desk.is_some()).collect();
+        let live: Vec<usize> = (0..SENDERS).filter(|s| self.senders[*s].ledger.is_some()).collect();
         let Some(&s) = live.get(i as usize % live.len().max(1)) else { return };
         let pick = i * 37 % 100;
         let mut share = 0;
@@ -172,8 +172,8 @@
         let (class, name) = (class.unwrap_or(0), self.fix.mix[class.unwrap_or(0)].0);
         let give_up = self.fix.settings.classes[class].give_up;
         let sender = &mut self.senders[s];
-        let desk = sender.desk.as_mut().expect("live");
-        if desk.full() {
+        let ledger = sender.ledger.as_mut().expect("live");
+        if ledger.full() {
             return;
         }
         // Numbers are the fleet's here, so that the receivers can tell a repeat from another message.
@@ -184,7 +184,7 @@
         let t =
             Taken { n, id: format!("m{n}"), class: name.into(), destination, deadline, ..Taken::default() };
         sender.log.push(Record::Taken(t.clone()));
-        desk.take(self.now, t);
+        ledger.take(self.now, t);
         self.taken.insert(n, (s, class, deadline, vec![]));
     }
 
@@ -253,7 +253,7 @@
                 limit: (None, None),
                 told: Micros(0),
             };
-            let record = self.senders[s].desk.as_mut().expect("live").answered(now, &a);
+            let record = self.senders[s].ledger.as_mut().expect("live").answered(now, &a);
             if let Some(record) = record {
                 let over = matches!(record, Record::Over(_));
                 self.senders[s].log.push(record);
@@ -263,13 +263,13 @@
             }
         }
         let mut steps = Vec::new();
-        self.senders[s].desk.as_mut().expect("live").decide(now, true, &mut steps);
+        self.senders[s].ledger.as_mut().expect("live").decide(now, true, &mut steps);
         for step in steps {
             match step {
                 Step::Call { n, attempt, to, patience } => {
                     let zone = if to.0 % 2 == 0 { "a" } else { "b" };
-                    let desk = self.senders[s].desk.as_mut().expect("live");
-                    let Ok(record) = desk.attempt(n, attempt, &format!("e{}", to.0), zone, now) else {
+                    let ledger = self.senders[s].ledger.as_mut().expect("live");
+                    let Ok(record) = ledger.attempt(n, attempt, &format!("e{}", to.0), zone, now) else {
                         continue;
                     };
                     self.senders[s].log.push(record);
@@ -280,7 +280,7 @@
                 Step::End { n, end } => {
                     let sender = &mut self.senders[s];
                     sender.log.push(Record::Given { n, end });
-                    let over = sender.desk.as_mut().expect("live").over(n);
+                    let over = sender.ledger.as_mut().expect("live").over(n);
                     sender.log.extend(over);
                     self.end(s, n, if end == End::Failed { "failed" } else { "returned" });
                 }
@@ -301,7 +301,7 @@
                 handed += 1;
             }
             for s in 0..SENDERS {
-                if self.senders[s].desk.is_some() {
+                if self.senders[s].ledger.is_some() {
                     self.step(s);
                 }
             }
@@ -351,7 +351,11 @@
             delivered += usize::from(ends[0].1 == "delivered");
         }
         for sender in &fleet.senders {
-            assert_eq!(sender.desk.as_ref().map(Desk::held), Some(0), "{name}: nothing is held at the end");
+            assert_eq!(
+                sender.ledger.as_ref().map(Ledger::held),
+                Some(0),
+                "{name}: nothing is held at the end"
+            );
         }
         // The play did what it says: calls were cut off by the kills, taken over, and most messages got through.
         let taken = fleet.taken.len();
--- a/tests/probes.rs
+++ b/tests/probes.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use onyxrock::core::{Answered, Desk, Names, Step, probes};
+use onyxrock::core::{Answered, Ledger, Names, Step, probes};
 use onyxrock::interface::*;
 
 const PROBE: usize = 4;
@@ -87,22 +87,22 @@
 }
 
 struct Table {
-    desk: Desk,
+    ledger: Ledger,
     now: Micros,
 }
 
 impl Table {
     fn new() -> Table {
-        let mut desk = Desk::new(probed(0), Names::default(), Default::default(), 5);
-        desk.list(ms(1000), Event::FullList(vec![entry(1, 1, 0, 0)]));
-        Table { desk, now: ms(1000) }
+        let mut ledger = Ledger::new(probed(0), Names::default(), Default::default(), 5);
+        ledger.list(ms(1000), Event::FullList(vec![entry(1, 1, 0, 0)]));
+        Table { ledger, now: ms(1000) }
     }
     fn probe(&mut self) -> u64 {
-        self.desk.probe(self.now, ClassId(PROBE), DestinationId(1), ms(2000))
+        self.ledger.probe(self.now, ClassId(PROBE), DestinationId(1), ms(2000))
     }
     fn steps(&mut self) -> Vec<Step> {
         let mut steps = Vec::new();
-        self.desk.decide(self.now, true, &mut steps);
+        self.ledger.decide(self.now, true, &mut steps);
         steps.retain(|s| matches!(s, Step::Probe { .. } | Step::Call { .. } | Step::End { .. }));
         steps
     }
@@ -111,7 +111,7 @@
         let (to, limit) = (ReceiverId(1), (None, None));
         let a =
             Answered { n, attempt: 0, to, verdict, elapsed: ms(50), finished: false, limit, told: Micros(0) };
-        assert_eq!(self.desk.answered(self.now, &a), None, "no log has it");
+        assert_eq!(self.ledger.answered(self.now, &a), None, "no log has it");
     }
 }
 
@@ -123,13 +123,13 @@
         let n = t.probe();
         let steps = t.steps();
         assert!(matches!(steps[..], [Step::Probe { n: m, to: ReceiverId(1), .. }] if m == n), "{steps:?}");
-        assert_eq!((t.desk.held(), t.desk.owed().count(), t.desk.out()), (0, 0, 0));
+        assert_eq!((t.ledger.held(), t.ledger.owed().count(), t.ledger.out()), (0, 0, 0));
         t.answer(n, verdict);
         for _ in 0..40 {
             t.now = t.now.after(ms(100));
             assert_eq!(t.steps(), [], "{verdict:?}: it is not repeated and has no end to tell");
         }
-        assert!(!t.desk.probing(n));
+        assert!(!t.ledger.probing(n));
     }
 }
 
@@ -141,17 +141,17 @@
     t.answer(first, Verdict::Full(Some(ms(10_000))));
     let (late, off) = (t.probe(), t.probe());
     assert_eq!(t.steps(), [], "the told wait holds for probes too");
-    t.desk.call_off(t.now, off);
+    t.ledger.call_off(t.now, off);
     for _ in 0..30 {
         t.now = t.now.after(ms(100));
         assert_eq!(t.steps(), []);
     }
-    assert!(!t.desk.probing(late) && !t.desk.probing(off));
+    assert!(!t.ledger.probing(late) && !t.ledger.probing(off));
     // One that is out is called off too; its end is still taken.
     t.now = t.now.after(ms(20_000));
     let out = t.probe();
     assert_eq!(t.steps().len(), 1);
-    t.desk.call_off(t.now, out);
+    t.ledger.call_off(t.now, out);
     t.answer(out, Verdict::Error);
     assert_eq!(t.steps(), []);
 }
@@ -160,10 +160,10 @@
 fn what_drains_is_not_probed() {
     let mut t = Table::new();
     let drains = Entry { listing: Listing::Draining, ..entry(1, 1, 0, 0) };
-    t.desk.list(t.now, Event::ListChanges(vec![drains]));
+    t.ledger.list(t.now, Event::ListChanges(vec![drains]));
     let n = t.probe();
     assert_eq!(t.steps(), []);
     t.now = t.now.after(ms(2500));
     assert_eq!(t.steps(), []);
-    assert!(!t.desk.probing(n) && t.desk.in_question().next().is_none());
+    assert!(!t.ledger.probing(n) && t.ledger.in_question().next().is_none());
 }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -32,7 +32,7 @@
     }
 }
 
-/// A desk full to its mark loses nothing by a restart, and all go ahead of what comes in. What comes in beyond the mark costs
+/// A ledger full to its mark loses nothing by a restart, and all go ahead of what comes in. What comes in beyond the mark costs
 /// the least worth of all, one for one, and nothing else.
 #[test]
 fn a_full_desk_loses_only_what_newcomers_take() {
