Fleets that discovery serves four times over ask again at once after a lost call

Ruled out: the guard (nothing went there once the list was told). Change: where four calls of each fit into the 6 s (up to 25 senders) a lost call is made again as a refused one is, within 0.75 s.

--- a/tests/list_refresh.rs
+++ b/tests/list_refresh.rs
@@ -90,6 +90,15 @@
 }
 
 /// The first call was lost after a while, with those of all others, and then discovery is crowded.
+/// A call that was lost took its time already. Where the service can serve all four times over before a change counts as known,
+/// nobody waits for the others beside.
+#[rstest]
+fn a_fleet_that_fits_four_times_asks_again_at_once_after_a_lost_call(#[values(9, 16, 24, 25)] senders: u32) {
+    let pause = longest_pause(senders, ms(10_000), true);
+    assert!(pause <= ms(750), "{pause:?}");
+    assert!(longest_pause(26, ms(10_000), true) > ms(750), "a larger one spreads its calls");
+}
+
 #[test]
 fn after_a_lost_call_three_refused_ones_fit_into_the_time_of_a_change() {
     let failure = |n| if n % 4 == 0 { Event::ListFailed } else { Event::ListRefused };
