--- a/lab/src/daemon.rs
+++ b/lab/src/daemon.rs
@@ -1,23 +1,27 @@
 //! Real daemons, as processes.
 
+mod operators;
+mod preload;
+mod settings;
+
+pub use operators::call_operator;
+pub use preload::Preload;
+
 use crate::http::ask;
 use async_channel::{Receiver, Sender, unbounded};
-use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::{Value, json};
+use settings::settings;
 use std::cell::Cell;
 use std::fs::File;
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
 /// Descriptors that a daemon may have, as its configuration says.
 const DESCRIPTORS: u64 = 1024;
-/// Operators wait so long for an answer.
-const OPERATORS_WAIT: Duration = Duration::from_secs(1);
 /// Far more than a start takes.
 const START: Duration = Duration::from_secs(10);
 
@@ -48,38 +52,6 @@
     stopped: Cell<bool>,
 }
 
-/// Faults of system calls inside a daemon's process.
-#[derive(Clone, Debug)]
-pub struct Preload {
-    library: PathBuf,
-    plan: PathBuf,
-    /// How far the next process's wall clock is off.
-    pub clock_step_s: i64,
-}
-
-impl Preload {
-    /// With the library beside this program, as one build makes both, and a plan in a daemon's folder.
-    pub fn beside(plan: PathBuf) -> Result<Preload, String> {
-        let me = std::env::current_exe().map_err(|e| e.to_string())?;
-        let library = me.with_file_name("libonyxrock_preload.so");
-        if !library.exists() {
-            return Err(format!("no library at {}", library.display()));
-        }
-        Ok(Preload { library, plan, clock_step_s: 0 })
-    }
-
-    /// From now on this fails.
-    pub fn write(&self, plan: &str) -> Result<(), String> {
-        write(&self.plan, plan)
-    }
-
-    /// How often a fault of this name was met.
-    pub fn hits(&self, what: &str) -> usize {
-        let file = format!("{}.hits", self.plan.display());
-        std::fs::read_to_string(file).unwrap_or_default().lines().filter(|line| *line == what).count()
-    }
-}
-
 impl Drop for Daemon {
     fn drop(&mut self) {
         self.kill();
@@ -421,23 +393,7 @@
     Ok(listening)
 }
 
-/// One line to a connection, and one line back.
-pub async fn call_operator(at: SocketAddr, line: &str) -> Option<String> {
-    let call = async {
-        let mut stream = Async::<TcpStream>::connect(at).await.ok()?;
-        stream.write_all(format!("{line}\n").as_bytes()).await.ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).await.ok()?;
-        Some(answer.trim_end().to_owned())
-    };
-    let late = async {
-        async_io::Timer::after(OPERATORS_WAIT).await;
-        None
-    };
-    futures_lite::future::or(call, late).await.filter(|answer| !answer.is_empty())
-}
-
-fn write(file: &Path, text: &str) -> Result<(), String> {
+pub(crate) fn write(file: &Path, text: &str) -> Result<(), String> {
     std::fs::write(file, text).map_err(|e| format!("cannot write {}: {e}", file.display()))
 }
 
@@ -447,23 +403,3 @@
         let _ = tx.send_blocking(line);
     }
 }
-
-/// The settings object of an instance: one class that may be repeated, one partner kind.
-fn settings(senders: usize) -> Value {
-    json!({
-        "azs": ["floor-2"],
-        "classes": [{"name": "status", "effect": "repeatable", "group": "all", "giveUpUs": 5_000_000,
-            "targetUs": 800_000, "windowUs": 5_000_000, "lateShare": 0.1, "worth": 1.0}],
-        "hostTypes": ["club"],
-        "discovery": "subscribe",
-        "extra": {"fades": "line", "feeByZone": [0], "kindApart": [false], "perCall": [1], "slots": 24},
-        "limits": {"connIdleUs": 60_000_000, "connectTimeoutUs": 1_000_000, "maxAttempts": 12, "maxOpen": 450,
-            "maxRetryAfterUs": 3_000_000, "peerMessages": false, "probes": true, "retryAfter": false},
-        "overShareWorth": 0.05,
-        "replicasOfMe": senders,
-        "rules": {"askEveryUs": 10_000_000, "coldFrom": 0.17, "fallMultiple": 2.0, "fallUs": 3_000_000,
-            "stopSendingWithinUs": 1_000_000, "warmWithinUs": 12_000_000},
-        "tenants": [],
-        "weightSource": "rough",
-    })
-}
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -15,5 +15,6 @@
 mod run;
 pub mod server;
 mod settings;
+mod surroundings;
 
 pub use run::{Soak, play};
--- a/lab/tests/soak.rs
+++ b/lab/tests/soak.rs
@@ -3,7 +3,9 @@
 
 use onyxrock_lab::soak::faults::{Extent, draw};
 use onyxrock_lab::soak::judge::{RULES, Terms, judge};
-use onyxrock_lab::soak::ledger::{Call, Class, Drained, Heard, Message, Restart, Seen, Wait};
+use onyxrock_lab::soak::ledger::{
+    Call, Class, Drained, Heard, Maintenance, Message, Restart, Seen, Upgrade, Wait,
+};
 
 const TERMS: Terms = Terms { window_s: 1.0, lateness_s: 0.0 };
 const START: f64 = 100.0;
@@ -135,6 +137,86 @@
     assert!(waited("a", 1.0).is_empty());
 }
 
+#[test]
+fn a_call_to_a_server_that_is_out_is_seen_from_a_second_on_until_it_is_put_back() {
+    let out = |daemon: usize, began: f64| {
+        let mut seen = seen(Class::Safe, vec![call("a", START + began)]);
+        seen.messages.get_mut("d0-1").unwrap().deadline = START + 9.0;
+        let (server, from, until) = ("a".to_owned(), START, START + 5.0);
+        seen.maintenance.push(Maintenance { daemon, server, from, until });
+        broken(&seen)
+    };
+    assert!(out(0, 1.04).is_empty());
+    assert_eq!(out(0, 1.06), ["maintenance"]);
+    assert!(out(0, 4.96).is_empty());
+    assert!(out(1, 2.0).is_empty(), "it is out for another daemon alone");
+}
+
+#[test]
+fn wrong_answers_to_operators_and_by_old_settings_are_seen() {
+    let mut wrong = seen(Class::Safe, vec![call("a", START)]);
+    wrong.operators_wrong.push("n0: maint-on a: 400".into());
+    assert_eq!(broken(&wrong), ["operators"]);
+    wrong.settings_wrong.push("d0-1: its class holds, and is unknown".into());
+    assert_eq!(broken(&wrong), ["operators", "settings"]);
+}
+
+fn upgrade(ready: Option<f64>, killed: Option<f64>) -> Upgrade {
+    Upgrade { daemon: 0, from: START, ready: ready.map(|t| START + t), killed: killed.map(|t| START + t) }
+}
+
+/// To the rules two processes are one: what discovery told the first binds the second from two seconds behind its yes.
+#[test]
+fn a_drain_binds_a_second_process_from_two_seconds_on() {
+    let drained = |upgrade: Upgrade, began: f64| {
+        let mut seen = seen(Class::Safe, vec![call("a", START + began)]);
+        seen.messages.get_mut("d0-1").unwrap().deadline = START + 9.0;
+        seen.drained.push(Drained { server: "a".into(), at: START, generation: 2 });
+        seen.told.push((START + 0.3, 0, 2));
+        seen.upgrades.push(upgrade);
+        broken(&seen)
+    };
+    assert!(drained(upgrade(Some(0.2), None), 3.24).is_empty());
+    assert_eq!(drained(upgrade(Some(0.2), None), 3.26), ["drain"]);
+    assert_eq!(drained(upgrade(None, Some(0.1)), 1.4), ["drain"], "the second one is gone again");
+}
+
+#[test]
+fn an_end_waits_for_a_process_that_was_killed_beside_another_and_no_longer() {
+    let mut late = seen(Class::Safe, Vec::new());
+    late.messages.get_mut("d0-1").unwrap().noticed = Some(START + 4.4);
+    late.upgrades.push(upgrade(Some(0.2), None));
+    assert_eq!(broken(&late), ["lost"], "a planned upgrade delays no end");
+    late.upgrades[0].killed = Some(START + 2.95);
+    assert!(broken(&late).is_empty());
+    late.messages.get_mut("d0-1").unwrap().noticed = Some(START + 4.52);
+    assert_eq!(broken(&late), ["lost"]);
+}
+
+#[test]
+fn a_wait_binds_over_an_upgrade_but_for_one_that_a_dying_process_was_told() {
+    let waited = |killed: Option<f64>| {
+        let mut seen = seen(Class::Safe, vec![call("a", START + 0.5)]);
+        let (server, told, until) = ("a".to_owned(), START, START + 1.0);
+        seen.waits.push(Wait { server, destination: 1, daemon: 0, told, until });
+        seen.upgrades.push(upgrade(Some(0.0), killed));
+        broken(&seen)
+    };
+    assert_eq!(waited(None), ["wait"]);
+    assert_eq!(waited(Some(0.2)), ["wait"]);
+    assert!(waited(Some(0.03)).is_empty());
+}
+
+#[test]
+fn a_crowd_may_have_a_new_connection_shut_unread() {
+    let mut closed = seen(Class::Safe, Vec::new());
+    closed.messages.get_mut("d0-1").unwrap().heard = Some(Heard::Closed);
+    closed.crowds.push((1, START - 1.0, START + 1.0));
+    assert_eq!(broken(&closed), ["unanswered"], "it is at another daemon");
+    closed.crowds.push((0, START - 1.0, START + 1.0));
+    assert!(broken(&closed).is_empty());
+}
+
 #[test]
 fn a_seed_draws_the_same_faults_again_and_a_long_run_has_every_kind() {
     let extent = Extent { daemons: 24, servers: 12, seconds: 30.0 };
@@ -144,7 +226,7 @@
         let mut kinds: Vec<_> = plan.iter().map(|p| p.fault.name()).collect();
         kinds.sort_unstable();
         kinds.dedup();
-        assert_eq!(kinds.len(), 25, "seed {seed}: {kinds:?}");
+        assert_eq!(kinds.len(), 30, "seed {seed}: {kinds:?}");
         assert!(plan.iter().all(|p| p.at <= extent.seconds && p.lasts > 0.0));
     }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,11 +6,13 @@
 mod ledger;
 mod record;
 mod recovery;
+mod step;
 
 pub use ids::Ids;
-pub use ledger::{Answered, AttemptRefused, Found, Ledger, Step, probes};
+pub use ledger::{Ledger, probes};
 pub use record::{CallEnd, ClassThen, End, Record, Scan, Taken, frames};
 pub use recovery::{Owed, recover};
+pub use step::{Answered, AttemptRefused, Found, Step};
 
 use std::collections::BTreeMap;
 
