A start removes the waits that a killed process left at its place

Cause: found on reading the change again: where both processes of an upgrade are killed at one moment a file of waits stays, and who starts beside the next process at that place would take its end mark for that one's. Change: start.rs removes it, as it does a new log.

--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -1,6 +1,6 @@
 //! The folder that lasts, at a start.
 
-use crate::folder::{Claim, NoPlace};
+use crate::folder::{Claim, NoPlace, remove};
 use crate::maintenance::MaintenanceFile;
 use crate::wal::Wal;
 use async_io::Timer;
@@ -53,6 +53,9 @@
 fn open(claim: Claim, log_bytes: u64) -> io::Result<Opened> {
     let (wal, scan) = Wal::of(&claim, log_bytes)?;
     let maintenance = MaintenanceFile::of(&claim.folder).load()?;
+    // What a process told that was killed at this place is no word of this one.
+    let [waits, _] = claim.waits();
+    remove(&waits)?;
     Ok(Opened { claim, wal, scan, maintenance })
 }
 
