A drain that one process of a forwarder is told binds the one beside it, too

Change: drains go the way of told waits, with the version of their list; they hold in the other process until its own list is as late, and not beyond the end of the process that told them and the next list.

--- a/daemon/src/module/beside.rs
+++ b/daemon/src/module/beside.rs
@@ -1,8 +1,10 @@
 //! Another process of this forwarder beside this one: what endpoints tell one of them binds both.
 
 use super::Module;
-use crate::shared_waits::{Shared, ToldWait, WaitWriter};
+use crate::shared_waits::{Shared, ToldDrain, ToldWait, WaitWriter};
 use onyxrock::interface::{Micros, ReceiverId};
+use onyxrock_roster::Follows;
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 
 /// The other process sees this one within a twentieth of a second and tells what it knows at once. One that does not is not
@@ -15,6 +17,8 @@
 #[derive(Debug)]
 pub struct Beside {
     waits: WaitWriter,
+    /// Endpoints of which it was told that they drain.
+    drains: BTreeSet<String>,
     again_at: Micros,
     /// Nothing new goes out before, unless it has told what it knows.
     silent_until: Micros,
@@ -28,7 +32,8 @@
 
     /// Another process has started beside this one.
     pub fn first(waits: PathBuf) -> Beside {
-        Beside { waits: WaitWriter::at(waits), again_at: Micros(0), silent_until: Micros(0) }
+        let waits = WaitWriter::at(waits);
+        Beside { waits, drains: BTreeSet::new(), again_at: Micros(0), silent_until: Micros(0) }
     }
 
     /// Nothing new may go out now.
@@ -47,7 +52,7 @@
     /// Another process is beside this one, or is gone.
     pub(super) fn set_beside(&mut self, waits: Option<PathBuf>) {
         self.beside = waits.map(Beside::first);
-        self.share_all_waits(self.shared.clock.now());
+        self.share_all(self.shared.clock.now());
     }
 
     /// What the process beside this one has told.
@@ -59,9 +64,45 @@
                 }
             }
             Shared::Wait(wait) => self.told_beside(now, &wait),
+            Shared::Drain(drain) => self.drains_beside(now, &drain),
         }
     }
 
+    /// A drain that the own list tells as well is no news.
+    fn drains_beside(&mut self, now: Micros, drain: &ToldDrain) {
+        if self.generation.is_some_and(|own| own >= drain.generation) {
+            return;
+        }
+        let mut follows = Follows::default();
+        self.directory.drains_elsewhere(now, &drain.endpoint, drain.generation, &mut follows);
+        tracing::info!(endpoint = drain.endpoint, "list: drains, as the other process was told");
+        self.follow_up(now, follows);
+    }
+
+    /// A list has been taken, or its source is another one. What it says of drains is told to the other process.
+    pub(super) fn list_of(&mut self, now: Micros, generation: Option<u64>) {
+        self.generation = generation;
+        let mut follows = Follows::default();
+        // Of a process that is gone nothing is to be waited for.
+        let as_late_as = generation.filter(|_| self.beside.is_some());
+        self.directory.list_is_as_late_as(now, as_late_as, &mut follows);
+        self.follow_up(now, follows);
+        let drains = self.drains();
+        let Some(beside) = &mut self.beside else { return };
+        for drain in drains {
+            if beside.drains.insert(drain.endpoint.clone()) && beside.waits.add_drain(&drain).is_err() {
+                beside.again_at = now.after(AGAIN);
+            }
+        }
+    }
+
+    /// Endpoints that drain by the list that is held.
+    fn drains(&self) -> Vec<ToldDrain> {
+        let Some(generation) = self.generation else { return Vec::new() };
+        let told = |endpoint: &str| ToldDrain { endpoint: endpoint.to_owned(), generation };
+        self.directory.draining().map(told).collect()
+    }
+
     fn told_beside(&mut self, now: Micros, wait: &ToldWait) {
         // It holds for what rests here, too.
         if let Some(destination) = self.directory.destination_of(&wait.endpoint) {
@@ -86,7 +127,8 @@
     }
 
     /// Begins the file anew, if it has to be and it is time.
-    pub(super) fn share_all_waits(&mut self, now: Micros) {
+    pub(super) fn share_all(&mut self, now: Micros) {
+        let drains = if self.beside.is_some() { self.drains() } else { Vec::new() };
         let Some(beside) = &mut self.beside else { return };
         if !beside.waits.wants_snapshot() || now < beside.again_at {
             return;
@@ -96,7 +138,7 @@
             .waits(now)
             .map(|(endpoint, until)| ToldWait { endpoint: endpoint.to_owned(), until })
             .collect();
-        if beside.waits.snapshot(&self.shared.clock, &waits).is_err() {
+        if beside.waits.snapshot(&self.shared.clock, &waits, &drains).is_err() {
             beside.again_at = now.after(AGAIN);
         }
     }
--- a/daemon/src/module/listing.rs
+++ b/daemon/src/module/listing.rs
@@ -141,6 +141,7 @@
         self.shared.counters.listed.set(self.directory.listed());
         *self.shared.list.borrow_mut() = Held::Current;
         self.ledger.list(now, Event::ListChanges(Vec::new()));
+        self.list_of(now, Some(generation));
     }
 
     /// Lets endpoints go that are gone, and destinations rest that nobody uses.
@@ -162,6 +163,8 @@
     pub fn known(&mut self, list: List) {
         let now = self.shared.clock.now();
         self.list(now, List { whole: true, ..list });
+        // Its version may be that of another discovery.
+        self.generation = None;
     }
 
     /// Has what is remembered kept, if that is another thing than was kept last.
--- a/daemon/src/shared_waits.rs
+++ b/daemon/src/shared_waits.rs
@@ -1,7 +1,7 @@
-//! Waits that endpoints have told one process of a forwarder, for the other one beside it: to the endpoints both are one
-//! sender, and a wait binds whichever of them was told it.
+//! Waits that endpoints have told one process of a forwarder, and drains that discovery has, for the other one beside it: to
+//! the rules both are one sender, and what one was told binds both.
 //!
-//! While there are two, each appends what it is told to a file at its own place in the folder, after all waits that it knew
+//! While there are two, each appends what it is told to a file at its own place in the folder, after all that it knew
 //! before, and reads the other's. Times are those of the boot-time clock, which both read alike whatever the wall clock does.
 
 use crate::clock::Clock;
@@ -13,6 +13,8 @@
 
 /// Behind all waits that a process knew when the other one came.
 const END_OF_SNAPSHOT: &str = ".";
+/// The first word of a line that tells of a drain.
+const DRAINS: &str = "drains";
 /// A longer file is begun anew.
 const BYTES_MOST: u64 = 64 * 1024;
 
@@ -24,10 +26,19 @@
     pub until: Micros,
 }
 
+/// A list said that an endpoint drains or is gone.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct ToldDrain {
+    pub endpoint: String,
+    /// The version of the list.
+    pub generation: u64,
+}
+
 /// What is read of the other process's file.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Shared {
     Wait(ToldWait),
+    Drain(ToldDrain),
     /// All that it knew before has been read.
     EndOfSnapshot,
 }
@@ -50,10 +61,11 @@
         self.file.is_none() || self.bytes > BYTES_MOST
     }
 
-    /// Begins the file anew, with all waits that are known.
-    pub fn snapshot(&mut self, clock: &Clock, waits: &[ToldWait]) -> io::Result<()> {
+    /// Begins the file anew, with all that is known.
+    pub fn snapshot(&mut self, clock: &Clock, waits: &[ToldWait], drains: &[ToldDrain]) -> io::Result<()> {
         self.file = None;
         let mut text: String = waits.iter().map(|wait| line(clock, wait)).collect();
+        text.extend(drains.iter().map(drain_line));
         text += &format!("{END_OF_SNAPSHOT}\n");
         let mut file = File::create(&self.path)?;
         file.write_all(text.as_bytes())?;
@@ -61,10 +73,18 @@
         Ok(())
     }
 
-    /// Adds one.
+    /// Adds a wait.
     pub fn add(&mut self, clock: &Clock, wait: &ToldWait) -> io::Result<()> {
+        self.append(&line(clock, wait))
+    }
+
+    /// Adds a drain.
+    pub fn add_drain(&mut self, drain: &ToldDrain) -> io::Result<()> {
+        self.append(&drain_line(drain))
+    }
+
+    fn append(&mut self, text: &str) -> io::Result<()> {
         let Some(file) = &mut self.file else { return Ok(()) };
-        let text = line(clock, wait);
         if let Err(e) = file.write_all(text.as_bytes()) {
             self.file = None;
             return Err(e);
@@ -85,6 +105,10 @@
     format!("{} {}\n", Clock::boot_time().after(left).0, wait.endpoint)
 }
 
+fn drain_line(drain: &ToldDrain) -> String {
+    format!("{DRAINS} {} {}\n", drain.generation, drain.endpoint)
+}
+
 /// The file of the other process, as far as it has been read.
 #[derive(Debug)]
 pub struct WaitReader {
@@ -128,6 +152,11 @@
         return Some(Shared::EndOfSnapshot);
     }
     let (until, endpoint) = line.split_once(' ')?;
+    if until == DRAINS {
+        let (generation, endpoint) = endpoint.split_once(' ')?;
+        let (endpoint, generation) = (endpoint.to_owned(), generation.parse().ok()?);
+        return Some(Shared::Drain(ToldDrain { endpoint, generation }));
+    }
     let left = Micros(until.parse().ok()?).since(Clock::boot_time());
     let until = clock.now().after(left);
     (left > Micros(0)).then(|| Shared::Wait(ToldWait { endpoint: endpoint.to_owned(), until }))
--- a/daemon/src/shared_waits/tests.rs
+++ b/daemon/src/shared_waits/tests.rs
@@ -14,6 +14,7 @@
 fn names(told: &[Shared]) -> Vec<&str> {
     let name = |one: &Shared| match one {
         Shared::Wait(wait) => wait.endpoint.clone(),
+        Shared::Drain(drain) => format!("{} drains by {}", drain.endpoint, drain.generation),
         Shared::EndOfSnapshot => END_OF_SNAPSHOT.to_owned(),
     };
     told.iter().map(name).map(|name| &*name.leak()).collect()
@@ -26,7 +27,7 @@
     assert_eq!(reader.read(&clock).unwrap(), [], "there is no file yet");
     assert!(writer.wants_snapshot());
     let known = [wait(&clock, "a", 900), wait(&clock, "over", 0)];
-    writer.snapshot(&clock, &known).unwrap();
+    writer.snapshot(&clock, &known, &[]).unwrap();
     let told = reader.read(&clock).unwrap();
     assert_eq!(names(&told), ["a", "."], "a wait that is over is none");
     let Shared::Wait(heard) = &told[0] else { panic!("{told:?}") };
@@ -44,7 +45,7 @@
     let (clock, path) = (Clock::default(), path("half"));
     let mut writer = WaitWriter::at(path.clone());
     let mut reader = WaitReader::at(path.clone());
-    writer.snapshot(&clock, &[]).unwrap();
+    writer.snapshot(&clock, &[], &[]).unwrap();
     let mut file = OpenOptions::new().append(true).open(&path).unwrap();
     let whole = line(&clock, &wait(&clock, "a", 900));
     file.write_all(b"noise\n\xff \n").unwrap();
@@ -59,11 +60,21 @@
     let (clock, path) = (Clock::default(), path("long"));
     let mut writer = WaitWriter::at(path.clone());
     let mut reader = WaitReader::at(path);
-    writer.snapshot(&clock, &[]).unwrap();
+    writer.snapshot(&clock, &[], &[]).unwrap();
     while !writer.wants_snapshot() {
         writer.add(&clock, &wait(&clock, "s-00000000", 900)).unwrap();
     }
     assert!(reader.read(&clock).unwrap().len() > 1000);
-    writer.snapshot(&clock, &[wait(&clock, "a", 900)]).unwrap();
+    writer.snapshot(&clock, &[wait(&clock, "a", 900)], &[]).unwrap();
     assert_eq!(names(&reader.read(&clock).unwrap()), ["a", "."]);
 }
+
+#[test]
+fn drains_are_told_with_the_version_of_their_list() {
+    let (clock, path) = (Clock::default(), path("drains"));
+    let (mut writer, mut reader) = (WaitWriter::at(path.clone()), WaitReader::at(path));
+    let drain = |endpoint: &str, generation| ToldDrain { endpoint: endpoint.into(), generation };
+    writer.snapshot(&clock, &[], &[drain("a", 7)]).unwrap();
+    writer.add_drain(&drain("b", 8)).unwrap();
+    assert_eq!(names(&reader.read(&clock).unwrap()), ["a drains by 7", ".", "b drains by 8"]);
+}
--- a/daemon/tests/operators.rs
+++ b/daemon/tests/operators.rs
@@ -5,7 +5,7 @@
 mod stage;
 
 use stage::Stage;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,17 +22,20 @@
 
 struct Forwarder {
     stage: Stage,
-    /// Where the calls of the endpoint `e1` are noted.
+    /// Where the calls of the endpoints `e1` and `e2` are noted.
     arrivals: Arrivals,
+    others: Arrivals,
+    handed_in: Arc<AtomicUsize>,
     over: Arc<AtomicBool>,
 }
 
 impl Forwarder {
     fn start() -> Forwarder {
-        let (mut stage, arrivals) = (Stage::default(), Arrivals::default());
+        let (mut stage, arrivals, others) = (Stage::default(), Arrivals::default(), Arrivals::default());
         stage.ready_server("e1", arrivals.clone());
-        stage.ready_server("e2", Arrivals::default());
-        let mut forwarder = Forwarder { stage, arrivals, over: Arc::default() };
+        stage.ready_server("e2", others.clone());
+        let (over, handed_in) = Default::default();
+        let mut forwarder = Forwarder { stage, arrivals, others, handed_in, over };
         forwarder.play(&["given operators", "send daemon start", "expect counter list_answers=1"]);
         forwarder.traffic();
         forwarder
@@ -49,16 +52,24 @@
     fn traffic(&mut self) {
         self.over.store(true, Ordering::Relaxed);
         self.over = Arc::default();
-        let (client, over) = (self.stage.client(), self.over.clone());
+        let (client, over, handed_in) = (self.stage.client(), self.over.clone(), self.handed_in.clone());
         thread::spawn(move || {
             let begin = Instant::now();
             while !over.load(Ordering::Relaxed) {
                 client.try_hand_in(&format!("m{}", begin.elapsed().as_nanos()));
+                handed_in.fetch_add(1, Ordering::Relaxed);
                 thread::sleep(SEND_EVERY);
             }
         });
     }
 
+    /// What the stand-ins saw, for whoever traces a failure.
+    fn seen(&self) -> String {
+        let (e1, e2) = (self.arrivals.lock().unwrap().len(), self.others.lock().unwrap().len());
+        let handed_in = self.handed_in.load(Ordering::Relaxed);
+        format!("{handed_in} handed in, {e1} calls of e1, {e2} of e2\n{}", self.stage.log())
+    }
+
     fn calls_after(&self, from: Instant) -> usize {
         self.arrivals.lock().unwrap().iter().filter(|at| **at > from).count()
     }
@@ -66,7 +77,7 @@
     fn gets_calls(&self, why: &str) {
         let from = Instant::now();
         while self.calls_after(from) == 0 {
-            assert!(from.elapsed() < BACK_WITHIN, "no call {why}\n{}", self.stage.log());
+            assert!(from.elapsed() < BACK_WITHIN, "no call {why}; {}", self.seen());
             thread::sleep(SEND_EVERY);
         }
     }
@@ -74,7 +85,7 @@
     fn gets_nothing(&self, why: &str) {
         let from = Instant::now();
         thread::sleep(LOOK);
-        assert_eq!(self.calls_after(from), 0, "calls {why}\n{}", self.stage.log());
+        assert_eq!(self.calls_after(from), 0, "calls {why}; {}", self.seen());
     }
 }
 
@@ -143,3 +154,21 @@
     forwarder.play(&["send operator maint-off e1", "expect operator 200"]);
     forwarder.gets_calls("once it is back");
 }
+
+/// The old process's watch is open and tells it of a drain, while discovery refuses all calls of the new one.
+#[test]
+fn a_drain_that_one_process_is_told_binds_the_one_beside_it() {
+    let mut forwarder = Forwarder::start();
+    forwarder.gets_calls("while it is ready");
+    forwarder.stage.refuse_list_calls(u32::MAX);
+    forwarder.play(&["send daemon beside", "expect log another process of this forwarder is there"]);
+    forwarder.play(&["send list e1 Terminating", "expect log drains, as the other process was told"]);
+    thread::sleep(GRACE);
+    forwarder.gets_nothing("though the old process knows that it drains");
+    forwarder.play(&["send old KILL"]);
+    forwarder.gets_nothing("though the old process is gone");
+    forwarder.play(&["send list e1 Ready"]);
+    forwarder.stage.refuse_list_calls(0);
+    forwarder.play(&["send operator maint-on e2", "expect operator 200"]);
+    forwarder.gets_calls("once the own list says that it is ready");
+}
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -57,6 +57,8 @@
     pub(super) address: RefCell<Address>,
     /// It is being ended, started or upgraded: nothing else ends or starts it meanwhile.
     pub(super) changing: Cell<bool>,
+    /// A class is being added there, used and dropped.
+    pub(super) settings_change: Cell<bool>,
     /// Servers that an operator has taken out there.
     pub(super) out: RefCell<BTreeSet<String>>,
 }
@@ -125,6 +127,7 @@
                 clients,
                 address,
                 changing: Cell::new(false),
+                settings_change: Cell::new(false),
                 out: RefCell::default(),
             }));
         }
--- a/lab/src/soak/surroundings.rs
+++ b/lab/src/soak/surroundings.rs
@@ -79,8 +79,17 @@
 
     /// A class is added, used for a while, and dropped.
     pub(super) async fn change_settings(&self, i: usize, lasts: f64) {
+        // One at a time, to the end.
+        if self.nodes[i].settings_change.replace(true) {
+            return;
+        }
+        self.add_and_drop_class(i, lasts).await;
+        self.nodes[i].settings_change.set(false);
+    }
+
+    async fn add_and_drop_class(&self, i: usize, lasts: f64) {
         let clients = &self.nodes[i].clients;
-        if clients.added_class.get() || !self.reload_settings(i, true).await {
+        if !self.reload_settings(i, true).await {
             return;
         }
         self.ledger.met("settings_changed");
@@ -90,10 +99,7 @@
         clients.added_class.set(false);
         if self.reload_settings(i, false).await {
             sleep(SETTINGS_BIND_S).await;
-            // Another configuration may have come meanwhile.
-            if !clients.added_class.get() {
-                clients.of_dropped_class().await;
-            }
+            clients.of_dropped_class().await;
         }
     }
 
--- a/roster/src/directory.rs
+++ b/roster/src/directory.rs
@@ -45,7 +45,7 @@
     /// The list does not name it any more, or as gone.
     pub(crate) gone: bool,
     /// No list names it, and it stays.
-    fixed: bool,
+    pub(crate) fixed: bool,
     /// Calls that it has and has not told the end of.
     pub out: usize,
     /// It told that nothing may go there before.
@@ -112,6 +112,8 @@
     pub(crate) numbers: HashMap<String, ReceiverId>,
     /// Endpoints that operators have taken out of use, by name: they count as draining, whatever the list says.
     pub(crate) maintenance: BTreeSet<String>,
+    /// Endpoints that drain by a list which another process of this forwarder has had, and its version.
+    pub(crate) drained_elsewhere: BTreeMap<String, u64>,
     /// What is told of the endpoints that no list names.
     pub(crate) fixed_entries: BTreeMap<ReceiverId, Entry>,
     last: u64,
@@ -140,6 +142,7 @@
             peers: BTreeMap::new(),
             numbers: HashMap::new(),
             maintenance: BTreeSet::new(),
+            drained_elsewhere: BTreeMap::new(),
             fixed_entries: BTreeMap::new(),
             last: 0,
             leaving: BTreeSet::new(),
@@ -274,9 +277,10 @@
         self.peers.get(&to).is_some_and(|p| p.fixed)
     }
 
-    /// What the module is told of an endpoint: one that is ready and in maintenance drains.
+    /// What the module is told of an endpoint: one that is ready and in maintenance, or drains elsewhere, drains.
     pub(crate) fn entry(&self, receiver: ReceiverId, e: &Endpoint<'_>) -> Entry {
-        let held_out = e.listing == Listing::Ready && self.maintenance.contains(e.name);
+        let held_out = e.listing == Listing::Ready
+            && (self.maintenance.contains(e.name) || self.drained_elsewhere.contains_key(e.name));
         Entry {
             receiver,
             listing: if held_out { Listing::Draining } else { e.listing },
--- a/roster/src/maintenance.rs
+++ b/roster/src/maintenance.rs
@@ -32,15 +32,49 @@
         let changed =
             if out { self.maintenance.insert(name.to_owned()) } else { self.maintenance.remove(name) };
         let Some(to) = self.number_in_use(name).filter(|_| changed) else { return };
-        let Some(entry) = self.listed_entry(to, name) else { return };
-        if let Some(peer) = self.peers.get_mut(&to) {
-            peer.drains = if entry.listing == Listing::Ready { None } else { peer.drains.or(Some(now)) };
-        }
         // Operators restart what they have taken out.
-        if entry.listing == Listing::Ready {
+        if self.refresh(now, to, name, follows) == Some(Listing::Ready) {
             follows.restarted.push(to);
         }
+    }
+
+    /// Another process of this forwarder was told that an endpoint drains, by a list of this version: it counts as draining
+    /// until the own list is as late.
+    pub fn drains_elsewhere(&mut self, now: Micros, name: &str, generation: u64, follows: &mut Follows) {
+        self.drained_elsewhere.insert(name.to_owned(), generation);
+        if let Some(to) = self.number_in_use(name) {
+            self.refresh(now, to, name, follows);
+        }
+    }
+
+    /// The own list is of this version, or its source is another one, whose versions mean something else.
+    pub fn list_is_as_late_as(&mut self, now: Micros, generation: Option<u64>, follows: &mut Follows) {
+        let later = |told: &u64| generation.is_some_and(|generation| *told > generation);
+        let over: Vec<_> =
+            self.drained_elsewhere.iter().filter(|(_, told)| !later(told)).map(|(n, _)| n.clone()).collect();
+        for name in over {
+            self.drained_elsewhere.remove(&name);
+            if let Some(to) = self.number_in_use(&name) {
+                self.refresh(now, to, &name, follows);
+            }
+        }
+    }
+
+    /// Endpoints in use that drain by the list.
+    pub fn draining(&self) -> impl Iterator<Item = &str> {
+        let drains = self.peers.values().filter(|p| p.drains.is_some() && !p.fixed);
+        drains.map(|p| p.name.as_str()).filter(|name| !self.maintenance.contains(*name))
+    }
+
+    /// Says anew what an endpoint in use is.
+    fn refresh(&mut self, now: Micros, to: ReceiverId, name: &str, follows: &mut Follows) -> Option<Listing> {
+        let entry = self.listed_entry(to, name)?;
+        let listing = entry.listing;
+        if let Some(peer) = self.peers.get_mut(&to) {
+            peer.drains = if listing == Listing::Ready { None } else { peer.drains.or(Some(now)) };
+        }
         follows.entries.push(entry);
+        Some(listing)
     }
 
     /// The number of an endpoint that is in use, a gateway among them.
--- a/roster/tests/maintenance.rs
+++ b/roster/tests/maintenance.rs
@@ -107,3 +107,20 @@
     assert!(d.peer(to).is_some_and(|peer| peer.drains.is_some()));
     assert_eq!(listings(&set(&mut d, false).entries), [Listing::Ready]);
 }
+
+#[test]
+fn one_that_drains_by_another_process_s_list_drains_here_until_the_own_list_is_as_late() {
+    let mut d = in_use();
+    let mut follows = Follows::default();
+    d.drains_elsewhere(NOW, "e", 7, &mut follows);
+    assert_eq!(listings(&follows.entries), [Listing::Draining]);
+    assert!(drains(&d));
+    assert!(listings(&listed(&mut d, endpoint(2, Listing::Ready))) == [Listing::Draining], "an older list");
+    for (generation, after) in [(Some(6), true), (Some(7), false)] {
+        d.list_is_as_late_as(NOW, generation, &mut Follows::default());
+        assert_eq!(drains(&d), after, "{generation:?}");
+    }
+    d.drains_elsewhere(NOW, "e", 9, &mut Follows::default());
+    d.list_is_as_late_as(NOW, None, &mut Follows::default());
+    assert!(!drains(&d), "another source has versions of its own");
+}
