Settings whose file cannot be read for a moment are read again

Change: a file that the system does not let be read is read again every 0.05 s, 0.4 s at most; what is wrong in a file is not (ReadError says which).

--- a/config/src/daemon.rs
+++ b/config/src/daemon.rs
@@ -66,11 +66,41 @@
     }
 }
 
+/// Why a configuration cannot be had. Each is one line.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum ReadError {
+    /// The system does not let the file be read, which may pass.
+    Unreadable(String),
+    /// What it says is wrong.
+    Wrong(String),
+}
+
+impl From<String> for ReadError {
+    fn from(why: String) -> ReadError {
+        ReadError::Wrong(why)
+    }
+}
+
+impl From<&str> for ReadError {
+    fn from(why: &str) -> ReadError {
+        ReadError::Wrong(why.to_owned())
+    }
+}
+
+impl From<ReadError> for String {
+    fn from(error: ReadError) -> String {
+        match error {
+            ReadError::Unreadable(why) | ReadError::Wrong(why) => why,
+        }
+    }
+}
+
 /// Reads the file; `var` gives the platform's variables, which stand above it. Only discovery's address stands in
 /// the file first: the file may be replaced while the variables stay.
-pub fn read(path: &Path, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+pub fn read(path: &Path, var: impl Fn(&str) -> Option<String>) -> Result<Config, ReadError> {
     let shown = path.display();
-    let text = std::fs::read(path).map_err(|e| format!("cannot read {shown}: {e}"))?;
+    let unreadable = |e| ReadError::Unreadable(format!("cannot read {shown}: {e}"));
+    let text = std::fs::read(path).map_err(unreadable)?;
     let v: Value = serde_json::from_slice(&text).map_err(|e| format!("{shown} is not JSON: {e}"))?;
     let text = |name: &str, key: &str| {
         var(name)
@@ -87,7 +117,7 @@
     // Nobody comes here with the list: where it is pushed, too, it is had by a watch.
     let pushed = !std::mem::replace(&mut settings.subscribe, true);
     if settings.classes.is_empty() {
-        return Err(format!("{shown}: the settings name no class"));
+        return Err(format!("{shown}: the settings name no class").into());
     }
     let seed = v.get("seed").and_then(|s| match s {
         Value::String(s) => u64::from_str_radix(s, 16).ok(),
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! The forwarder's command line.
 
 use lexopt::prelude::*;
+use onyxrock_config::daemon::ReadError;
 use onyxrock_config::dns::Dns;
 use onyxrock_config::product;
 use onyxrock_daemon::list::zone::Zone;
@@ -58,7 +59,7 @@
         let config = onyxrock_config::daemon::read(&path.ok_or("no --config and no $GW_CONFIG")?, var)?;
         let members = |d: &Dns, service: &str| Zone::parse(&d.zone, &d.origin)?.members(service);
         let product = line.product.as_ref().map(|f| product::read(f, &config.names, &members)).transpose()?;
-        Ok::<_, String>((config, product.unwrap_or_default()))
+        Ok::<_, ReadError>((config, product.unwrap_or_default()))
     };
     match line.command.as_str() {
         "serve" => {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -21,7 +21,7 @@
 use futures_lite::{StreamExt, future};
 use onyxrock::core::{Ledger, Record, probes, recover};
 use onyxrock::interface::{DestinationId, Micros};
-use onyxrock_config::daemon::Config;
+use onyxrock_config::daemon::{Config, ReadError};
 use onyxrock_config::product::Product;
 use onyxrock_membership::Membership;
 use onyxrock_roster::{Directory, Rules, Terms};
@@ -44,7 +44,12 @@
 /// How often a process that ends looks whether its last connections have ended.
 const LOOK: Duration = Duration::from_millis(50);
 
-type Reread<'a> = &'a dyn Fn() -> Result<(Config, Product), String>;
+type Reread<'a> = &'a dyn Fn() -> Result<(Config, Product), ReadError>;
+
+/// A file that the system does not let be read at the moment of the signal is read again, so often: within the 1.2 s after which
+/// new settings bind, and no longer than a SIGTERM behind it can wait, which leaves `END_BY` and 0.4 s until the kill.
+const REREAD_TRIES: u32 = 8;
+const REREAD_EVERY: Duration = Duration::from_millis(50);
 
 /// Runs a forwarder until it is told to end.
 /// `reread` reads the configuration anew when SIGHUP comes.
@@ -341,10 +346,22 @@
     }
 }
 
+/// Reads the file, over a moment in which the system has no descriptor for it.
+async fn read_again(reread: Reread<'_>) -> Result<(Config, Product), ReadError> {
+    for _ in 0..REREAD_TRIES {
+        match reread() {
+            Err(ReadError::Unreadable(_)) => Timer::after(REREAD_EVERY).await,
+            read => return read,
+        };
+    }
+    reread()
+}
+
 /// Reads the file again, and has all of it hold that can while this process runs. True if discovery has moved. What cannot
 /// be read, or is not whole, changes nothing.
 async fn reload(shared: &Shared, held: &mut Config, ours: &Product, reread: Reread<'_>) -> bool {
-    let read = reread().and_then(|(new, product)| held.check_next(&new).map(|()| (new, product)));
+    let read = read_again(reread).await.map_err(String::from);
+    let read = read.and_then(|(new, product)| held.check_next(&new).map(|()| (new, product)));
     let (new, product) = match read {
         Ok(read) => read,
         Err(e) => {
--- a/daemon/tests/operators.rs
+++ b/daemon/tests/operators.rs
@@ -36,6 +36,8 @@
         stage.ready_server("e2", others.clone());
         let (over, handed_in) = Default::default();
         let mut forwarder = Forwarder { stage, arrivals, others, handed_in, over };
+        // A failure is traced by what became of each attempt.
+        forwarder.play(&["given section log level=\"debug\" lines_per_s=100000"]);
         forwarder.play(&["given operators", "send daemon start", "expect counter list_answers=1"]);
         forwarder.traffic();
         forwarder
