--- a/daemon/src/module/beside.rs
+++ b/daemon/src/module/beside.rs
@@ -87,6 +87,12 @@
         let as_late_as = generation.filter(|_| self.beside.is_some());
         self.directory.list_is_as_late_as(now, as_late_as, &mut follows);
         self.follow_up(now, follows);
+        if self.beside.is_some() {
+            self.share_drains(now);
+        }
+    }
+
+    fn share_drains(&mut self, now: Micros) {
         let drains = self.drains();
         let Some(beside) = &mut self.beside else { return };
         for drain in drains {
