--- a/daemon/src/list/follow.rs
+++ b/daemon/src/list/follow.rs
@@ -56,6 +56,7 @@
         complaint: String::new(),
         silences: 0,
         confirmed: false,
+        answered_once: false,
         calls: 0,
         failures: 0,
         answered_at,
@@ -80,6 +81,8 @@
     silences: u32,
     /// The last call was answered: what is held is the list as it was then, and a watch may wait for changes.
     confirmed: bool,
+    /// A call of this process was answered.
+    answered_once: bool,
     /// Calls made, and those of them that failed since the last answer.
     calls: u64,
     failures: u32,
@@ -171,9 +174,11 @@
     /// How long the next call waits for news. After a start, a failure or a move the first one does not: whether it was
     /// answered shows soon, while a watch that falls silent looks like one without news until its wait is over. Where many
     /// share discovery that is one call more from each at the moment in which all of them come, so a watch has to fall
-    /// silent twice before.
+    /// silent twice before. A start where lists are pushed sends nothing until it is told the first one: that call never
+    /// waits.
     fn wait(&self) -> Micros {
-        let trusts = self.confirmed || self.discovery.shared_by_many && self.silences < 2;
+        let holds_calls = self.discovery.pushed && !self.answered_once;
+        let trusts = self.confirmed || self.discovery.shared_by_many && self.silences < 2 && !holds_calls;
         let waits = trusts && self.role != Role::Told && self.discovery.generation.is_some();
         if waits { self.discovery.wait } else { Micros(0) }
     }
@@ -221,7 +226,7 @@
         self.log_answer(&list);
         let waited = self.wait() > Micros(0);
         (self.behind, self.complaint, self.failures) = (false, String::new(), 0);
-        (self.confirmed, self.silences) = (true, 0);
+        (self.confirmed, self.answered_once, self.silences) = (true, true, 0);
         self.answered_at = self.shared.clock.now();
         self.shared.list_answered_at.set(self.answered_at);
         let at_once = self.answered_at.since(asked) < ANSWERED_AT_ONCE && waited;
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -38,6 +38,8 @@
     pub wait: Micros,
     /// So many forwarders ask that what each asks at one moment adds up.
     pub shared_by_many: bool,
+    /// Lists are pushed: a start holds its calls until it is told the first one.
+    pub pushed: bool,
     pub bounds: Bounds,
 }
 
--- a/daemon/src/list/tests.rs
+++ b/daemon/src/list/tests.rs
@@ -24,17 +24,24 @@
     _roles: Sender<ToList>,
 }
 
+/// A discovery of which nothing is held.
+fn quiet() -> Discovery {
+    let (names, bounds) = (Names::default(), onyxrock_config::idle::Bounds::default());
+    let (shared_by_many, pushed, wait) = (false, false, Micros(10_000));
+    Discovery { names, generation: None, wait, shared_by_many, pushed, bounds }
+}
+
 impl Rig {
     fn new(at: SocketAddr) -> Rig {
         Rig::waiting(at, Micros(10_000))
     }
     fn waiting(at: SocketAddr, wait: Micros) -> Rig {
+        Rig::with(at, Discovery { wait, ..quiet() })
+    }
+    fn with(at: SocketAddr, discovery: Discovery) -> Rig {
         let (module, messages) = bounded(64);
         let shared = Shared::alone(module);
         shared.discovery.set(at);
-        let bounds = onyxrock_config::idle::Bounds::default();
-        let (names, generation, shared_by_many) = (Names::default(), None, false);
-        let discovery = Discovery { names, generation, wait, shared_by_many, bounds };
         let ((wishes, wished), (moves, moved), (_roles, roles)) = (bounded(4), bounded(1), bounded(4));
         shared.executor.spawn(run(shared.clone(), discovery, wished, moved, roles)).detach();
         // That of a start, and the module's own: one answer is what both want.
@@ -191,3 +198,17 @@
     async_io::block_on(rig.shared.executor.run(Timer::after(Duration::from_millis(100))));
     assert!(read(&mut stream).contains("since=7&timeout_ms=20000"));
 }
+
+/// A start that holds an old list, in a fleet whose calls add up: it waits for news, but where lists are pushed, since it sends
+/// nothing until it is told the first one.
+#[rstest]
+#[case::asked_for(false, "since=7&timeout_ms=20000")]
+#[case::pushed(true, "since=7&timeout_ms=0")]
+fn the_first_call_of_a_start_in_a_large_fleet(#[case] pushed: bool, #[case] asks: &str) {
+    let (listener, at) = discovery();
+    let wait = Micros(20_000_000);
+    let held = Discovery { generation: Some(7), shared_by_many: true, pushed, wait, ..quiet() };
+    let rig = Rig::with(at, held);
+    let (_stream, question) = rig.asked(&listener).unwrap();
+    assert!(question.contains(asks), "{question}");
+}
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -230,6 +230,7 @@
         names: config.names,
         generation: since,
         shared_by_many: !asks_twice,
+        pushed: config.pushed,
         bounds,
         wait: wait.clamp(Micros(1_000_000), list::WAIT_MOST),
     };
--- a/src/policy/idle.rs
+++ b/src/policy/idle.rs
@@ -69,8 +69,8 @@
         }
     }
 
-    /// A receiver that is ready again was restarted meanwhile, as operators do: a trial has to show that it is up, and then
-    /// it is cold. All senders learn of it at one moment, so the trial falls anywhere in its gap by chance.
+    /// A receiver that is ready again was restarted meanwhile, as operators do: a trial has to show that it is up, and
+    /// then it is cold. All senders learn of it at one moment, so the trial falls anywhere in its gap by chance.
     pub fn restarted(&mut self, now: Micros, to: ReceiverId) {
         let phase = self.rng.roll();
         let Some(r) = self.receivers.get_mut(&to) else { return };
--- a/src/policy/intake.rs
+++ b/src/policy/intake.rs
@@ -69,7 +69,8 @@
         }
     }
 
-    /// All classes that a message may have from now on. They begin with those that there were: what is held keeps its own.
+    /// All classes that a message may have from now on. They begin with those that there were: what is held keeps
+    /// its own.
     pub fn set_classes(&mut self, classes: &[ClassSettings]) {
         self.set.classes = classes.to_vec();
     }
