A connection that comes back behind the word to close idle ones is closed, too

Failed before (the test was run without the lines: the connection is still open). Callers: at a full table the place of one whose answer had a body stayed taken for the idle limit of 10 s, though the policy had given it back. Cause: a delivery is known from its first line, and the policy may answer with CloseIdle while the rest of the answer is read; the actor closed what was idle then and kept what came back a moment later. Now what comes back is kept again from the next call on.

--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -35,6 +35,7 @@
 async fn run(shared: Rc<Shared>, mut address: SocketAddr, inbox: Receiver<ToEndpoint>, room: usize) {
     let (give_back, given_back) = bounded(room); // connections that have done their call
     let mut idle: Vec<Idle> = Vec::new(); // the longest idle first
+    let mut keeps = true; // what comes back: not after idle ones were given back, until the next call
     loop {
         let oldest = idle.first().and_then(|i| Some(i.since.after(shared.idle_for?)));
         let back = async { (None, given_back.recv().await.ok()) };
@@ -49,7 +50,7 @@
             // Near the bound on descriptors no connection is kept for later; none outlives its address.
             Some(Back::Sound(sound)) => {
                 let (mut conn, to) = *sound;
-                if to != address || shared.counters.outbound_open.get() > shared.outbound_most {
+                if !keeps || to != address || shared.counters.outbound_open.get() > shared.outbound_most {
                     shared.counters.outbound_open.down();
                 } else {
                     conn.rest_buffer();
@@ -66,6 +67,7 @@
             // The endpoint is gone, and nothing is out to it.
             Some(Err(_)) => return close_all(&shared, &mut idle),
             Some(Ok(ToEndpoint::Call(call))) => {
+                keeps = true;
                 retire_idle(&shared, &mut idle, now);
                 // The youngest is the best; one that is not good enough is closed, so that they do not pile up.
                 let conn = idle.pop().filter(|i| {
@@ -80,7 +82,10 @@
                 let executor = shared.executor.clone();
                 executor.spawn(outbound_call(shared, address, *call, conn, give_back)).detach();
             }
-            Some(Ok(ToEndpoint::CloseIdle)) => close_all(&shared, &mut idle),
+            Some(Ok(ToEndpoint::CloseIdle)) => {
+                keeps = false;
+                close_all(&shared, &mut idle);
+            }
             Some(Ok(ToEndpoint::Moved(to))) => {
                 address = *to;
                 close_all(&shared, &mut idle);
--- a/daemon/src/net/http/endpoint/tests.rs
+++ b/daemon/src/net/http/endpoint/tests.rs
@@ -132,6 +132,32 @@
     assert_eq!(rig.answered().verdict, Verdict::ConnectFailed);
 }
 
+/// The delivery is known from the first line; the connection comes back with the rest of the answer, behind the word that
+/// idle ones are given back.
+#[test]
+fn a_connection_that_comes_back_late_is_given_back_too() {
+    let rig = Rig::new();
+    let _wanted = rig.call("m", 0);
+    rig.gate(Ok(PERMIT));
+    let mut stream = rig.accept(&mut Vec::new(), "\r\n\r\n");
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx").unwrap();
+    assert_eq!(rig.answered().verdict, Verdict::Delivered);
+    rig.mailbox.try_send(ToEndpoint::CloseIdle).unwrap();
+    async_io::block_on(rig.shared.executor.run(future::yield_now()));
+    stream.write_all(b"y").unwrap();
+    let read = std::thread::spawn(move || stream.read(&mut [0]));
+    let closed = rig.shared.executor.run(async {
+        while !read.is_finished() {
+            async_io::Timer::after(std::time::Duration::from_millis(1)).await;
+        }
+    });
+    let timeout = async {
+        async_io::Timer::after(std::time::Duration::from_secs(5)).await;
+    };
+    async_io::block_on(future::or(closed, timeout));
+    assert_eq!(rig.shared.counters.outbound_open.get(), 0, "it is still open");
+}
+
 /// More than the system takes at once: its rest asks again, and closed before its last byte it never ran.
 #[test]
 fn a_call_that_waits_for_room_asks_again_before_it_goes_on() {
