--- a/tests/list_refresh.rs
+++ b/tests/list_refresh.rs
@@ -107,6 +107,30 @@
     }
 }
 
+/// A call that a discovery does not answer is given up after this.
+const SILENT: Micros = Micros(3_000_000);
+/// A call that a discovery with too much to do refuses has waited in its queue for this.
+const QUEUED: Micros = Micros(1_000_000);
+
+/// Discovery is silent, and when it can be reached again it is slow, crowded and spoils an answer in a row. A change that it
+/// had while the silent call was out is known in time.
+#[rstest]
+fn a_silent_a_queued_a_refused_and_a_spoilt_call_fit_into_the_time_of_a_change(
+    #[values(1, 6, 9, 16, 24)] senders: u32,
+) {
+    let failure = |n| if n % 4 < 2 { Event::ListFailed } else { Event::ListRefused };
+    for number in 0..senders {
+        let pauses = pauses_after(fleet(senders, number, ms(10_000)), u64::from(number), true, failure);
+        for run in pauses.chunks_exact(4) {
+            let calls = Micros(run.iter().map(|pause| pause.0).sum()).after(SILENT).after(QUEUED);
+            assert!(
+                calls <= KNOWN_WITHIN,
+                "sender {number} of {senders} asks for the fifth time after {calls:?}"
+            );
+        }
+    }
+}
+
 /// Discovery moves while a call is due: it is asked at its new place already, and the pauses do not go on from the old one.
 #[test]
 fn where_discovery_has_moved_nothing_is_due_at_the_old_one() {
