Failing tests: slow start by the operators' bound, ends of a hung process in an upgrade

Two faults that no entry stood for. Not played with real processes yet. The older test, by the middle of a window, stays as it is and holds. - Upgrade: with the old process stopped by a signal, the message that it owes gets no end within its time and 0.3 s.

--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 use stage::Stage;
+use std::time::{Duration, Instant};
 
 /// The endpoint told a wait of this, and nothing may go there meanwhile.
 const WAIT: &str = "Retry-After=2.5";
@@ -66,3 +67,22 @@
     messages(&stage);
     play(&mut stage, &[LOOK]);
 }
+
+/// An end counts as told in time up to so long after its message's time.
+const TOLD_WITHIN: Duration = Duration::from_millis(300);
+
+/// The old process stands still in an upgrade, with a message whose time ends meanwhile.
+#[test]
+fn an_end_that_a_process_owes_which_hangs_in_an_upgrade_is_told_in_time() {
+    let mut stage = Stage::default();
+    play(&mut stage, &["given endpoint e1 dest=1", "send daemon start"]);
+    play(&mut stage, &["send c1 status id=s1 dest=1 deadline=3"]);
+    let time_is_up = Instant::now() + Duration::from_secs(3);
+    play(&mut stage, &["expect c1 202", "expect e1 s1"]);
+    play(&mut stage, &["send daemon beside", "expect log another process of this forwarder is there"]);
+    play(&mut stage, &["send old STOP"]);
+    while stage.play(&["expect", "platform", "s1", "returned"]).is_err() {
+        assert!(Instant::now() < time_is_up + TOLD_WITHIN, "nobody tells its end\n{}", stage.log());
+    }
+    assert!(Instant::now() < time_is_up + TOLD_WITHIN, "it is told late");
+}
--- a/tests/cold_ramp.rs
+++ b/tests/cold_ramp.rs
@@ -70,3 +70,41 @@
         );
     }
 }
+
+/// The operators' bound on a window of the rule: a budget of N calls by what the destination has as the window begins, and
+/// what is put down to chance.
+fn operators_bound(scenario: &Scenario, begin: Micros) -> f64 {
+    let budget = FALL_MULTIPLE * scenario.capacity_per_s() * warmth(begin) * FALL_WINDOW.secs();
+    let chance = if budget < 30.0 { 3.0 * budget.sqrt() + 3.0 } else { 2.0 * budget.sqrt() + 2.0 };
+    budget + chance
+}
+
+/// The window in which those that knew of the outage came closest to the operators' bound, as a part of it.
+fn worst_by_the_begin(scenario: &Scenario, made: &[Made]) -> f64 {
+    let calls: Vec<_> = made.iter().filter(|call| call.at >= RETURNS).collect();
+    let windows = calls.iter().enumerate().filter(|(_, call)| call.at.since(RETURNS) < WARM_WITHIN);
+    let parts = windows.map(|(n, first)| {
+        let within = || calls[n..].iter().take_while(|call| call.at.since(first.at) < FALL_WINDOW);
+        let count = within().count() as f64;
+        let knew = within().filter(|call| call.warned).count() as f64;
+        let blamed = knew > KNEW * count;
+        if blamed { count / operators_bound(scenario, first.at.since(RETURNS)) } else { 0.0 }
+    });
+    parts.fold(0.0, f64::max)
+}
+
+/// A rule of the service: the budget of a window is what the destination has as the window begins.
+#[rstest]
+fn the_ramp_holds_by_what_there_is_as_a_window_begins(
+    #[values(1, 2, 6, 20, 30, 300)] senders: u32, #[values(Weights::Nominal, Weights::Off)] weights: Weights,
+    #[values(10.0, 80.0)] capacity: f64, #[values(0.7, 1.1)] load: f64,
+) {
+    let outage = Some(Outage { from: STOPS, until: Some(RETURNS) });
+    let limit_per_s = Some(capacity);
+    let case = Scenario::new(senders, usize::MAX, load);
+    let case = Scenario { limit_per_s, outage, weights, traffic: TRAFFIC, ..case };
+    let part = |seed| worst_by_the_begin(&case, &Fleet::run(Scenario { seed, ..case.clone() }).calls);
+    let parts: Vec<_> = (1..=5).map(part).collect();
+    println!("senders {senders} {weights:?} capacity {capacity} load {load}: {parts:.2?} of the bound");
+    assert!(parts.iter().all(|part| *part < 1.0), "{parts:.2?} of the bound");
+}
