Tests of operators' endpoints: e1 is the only one that half of the messages may go to

an_endpoint_that_operators_took_out_gets_nothing... and neither_an_outage_of_discovery... passed with maintenance.contains taken out of Directory::entry: the second endpoint was preferred while e1 recovered. Now each endpoint is a destination of its own, and messages go to both in turn. With the line taken out both fail, and so does the one of two processes; with it all four pass. Nothing else of the tests changed.

--- a/daemon/tests/crowded_discovery.rs
+++ b/daemon/tests/crowded_discovery.rs
@@ -44,8 +44,8 @@
 fn a_drain_is_known_in_time_though_discovery_moves_and_refuses_calls() {
     let mut stage = Stage::default();
     let arrivals = Arc::new(Mutex::new(Vec::new()));
-    stage.ready_server("drains", arrivals.clone());
-    stage.ready_server("stays", Arc::default());
+    stage.ready_server("drains", "1", arrivals.clone());
+    stage.ready_server("stays", "1", Arc::default());
     // A handful of forwarders share discovery.
     play(&mut stage, "given setting replicasOfMe=6");
     play(&mut stage, "send daemon start");
--- a/daemon/tests/operators.rs
+++ b/daemon/tests/operators.rs
@@ -32,8 +32,9 @@
 impl Forwarder {
     fn start() -> Forwarder {
         let (mut stage, arrivals, others) = (Stage::default(), Arrivals::default(), Arrivals::default());
-        stage.ready_server("e1", arrivals.clone());
-        stage.ready_server("e2", others.clone());
+        // Each is the only one that its messages may go to: nothing else takes the calls that one may not get.
+        stage.ready_server("e1", "1", arrivals.clone());
+        stage.ready_server("e2", "2", others.clone());
         let (over, handed_in) = Default::default();
         let mut forwarder = Forwarder { stage, arrivals, others, handed_in, over };
         // A failure is traced by what became of each attempt.
@@ -58,8 +59,10 @@
         thread::spawn(move || {
             let begin = Instant::now();
             while !over.load(Ordering::Relaxed) {
-                client.try_hand_in(&format!("m{}", begin.elapsed().as_nanos()));
-                handed_in.fetch_add(1, Ordering::Relaxed);
+                for destination in ["1", "2"] {
+                    client.try_hand_in(&format!("m{}", begin.elapsed().as_nanos()), destination);
+                    handed_in.fetch_add(1, Ordering::Relaxed);
+                }
                 thread::sleep(SEND_EVERY);
             }
         });
--- a/daemon/tests/stage/http.rs
+++ b/daemon/tests/stage/http.rs
@@ -105,12 +105,12 @@
     }
 
     /// The same, where there may be nobody just now.
-    pub fn try_hand_in(&self, id: &str) {
+    pub fn try_hand_in(&self, id: &str, destination: &str) {
         let Ok(stream) = TcpStream::connect(self.0) else { return };
         let (inbox, post) = super::inbox();
         post.keep(id, &stream);
         listen(post, stream);
-        let _ = send(&inbox, id, &["status", &format!("id={id}"), "dest=1"]);
+        let _ = send(&inbox, id, &["status", &format!("id={id}"), &format!("dest={destination}")]);
         let _ = inbox.expect(&["202"]);
     }
 }
--- a/daemon/tests/stage/mod.rs
+++ b/daemon/tests/stage/mod.rs
@@ -214,9 +214,10 @@
     }
 
     /// An endpoint of destination 1 that answers at once and notes when calls come.
-    pub fn ready_server(&mut self, name: &str, arrivals: Arc<Mutex<Vec<Instant>>>) {
+    pub fn ready_server(&mut self, name: &str, destination: &str, arrivals: Arc<Mutex<Vec<Instant>>>) {
         let address = http::server(arrivals);
-        let entry = Entry { name: name.to_owned(), address, words: "dest=1".into(), state: "Ready".into() };
+        let words = format!("dest={destination}");
+        let entry = Entry { name: name.to_owned(), address, words, state: "Ready".into() };
         self.listing.lock().unwrap().entries.push(entry);
     }
 
