--- a/src/list_refresh.rs
+++ b/src/list_refresh.rs
@@ -25,8 +25,8 @@
 const LOST_PAUSE_MOST: Micros = Micros(1_000_000);
 /// ... and come back over this at most: three refused calls fit behind the last of them. Fewer take less of both.
 const LOST_SPREAD_MOST: Micros = Micros(KNOWN_WITHIN.0 - LOST_PAUSE_MOST.0 - 3 * PAUSE_MOST.0 - 250_000);
-/// Where so many calls of each sender fit into the time of a change, one that was lost is made again after `LOST_PAUSE`,
-/// since it took its time: a call that was silent, one that waited in the queue and two that were refused fit into it then.
+/// Where so many calls of each sender fit into the time of a change, one that was lost is made again after `LOST_PAUSE`:
+/// it took its time. A call that was silent, one that waited in the queue and two that were refused fit into it then.
 const ROUNDS_THAT_NEED_NO_SPREAD: u32 = 4;
 const LOST_PAUSE: Micros = Micros(100_000);
 /// The part of a fleet's round that passes before the first of them comes back.
