--- a/tests/list_refresh.rs
+++ b/tests/list_refresh.rs
@@ -131,6 +131,26 @@
     }
 }
 
+/// A watch that has fallen silent shows after this.
+const SILENT_WATCH: Micros = Micros(4_500_000);
+
+/// The same from the moment in which the watch falls silent, with one more refused call (soak, seed 568).
+#[test]
+fn a_silent_watch_a_queued_and_three_refused_calls_fit_into_the_time_of_a_change() {
+    let senders = 24;
+    let failure = |n| if n % 5 < 2 { Event::ListFailed } else { Event::ListRefused };
+    for number in 0..senders {
+        let pauses = pauses_after(fleet(senders, number, ms(10_000)), u64::from(number), true, failure);
+        for run in pauses.chunks_exact(5) {
+            let calls = Micros(run.iter().map(|pause| pause.0).sum()).after(SILENT_WATCH).after(QUEUED);
+            assert!(
+                calls <= KNOWN_WITHIN,
+                "sender {number} of {senders} asks for the sixth time after {calls:?}"
+            );
+        }
+    }
+}
+
 /// Discovery moves while a call is due: it is asked at its new place already, and the pauses do not go on from the old one.
 #[test]
 fn where_discovery_has_moved_nothing_is_due_at_the_old_one() {
