Review case 2: a booking that came in over SMPP takes effect twice at an HTTP partner

Cause: a submission over SMPP gets an empty idempotency key and keeps its keyed class, so it is repeated inside its window like any keyed message, and the call has no Idempotency-Key by which the partner could drop the repeat.

Nothing of the program is changed.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -60,6 +60,7 @@
         limits: "{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":3}".into(),
         settings: settings.text(),
         known: platform.known(),
+        product: String::new(),
     };
 
     let mut current = Forwarder::start(&case, "first", &setup);
--- a/review/harness.rs
+++ b/review/harness.rs
@@ -144,6 +144,8 @@
     pub settings: String,
     /// Text of the `known` list, in discovery's form.
     pub known: String,
+    /// Text of the file of `--product`; empty for none.
+    pub product: String,
 }
 
 pub struct Forwarder {
@@ -177,9 +179,15 @@
         );
         fs::write(&config, text).expect("a configuration");
         let log = File::create(folder.join("log.txt")).expect("a log");
+        let mut command = run_command(&case.root);
+        if !setup.product.is_empty() {
+            let product = folder.join("product.toml");
+            fs::write(&product, &setup.product).expect("a product file");
+            command = format!("{command} --product {}", product.display());
+        }
         let child = Command::new("/bin/sh")
             .arg("-c")
-            .arg(run_command(&case.root))
+            .arg(command)
             .current_dir(&case.root)
             .env("GW_NAME", &setup.name)
             .env("GW_LISTEN", setup.listen.to_string())
@@ -581,7 +589,7 @@
     pub at: Instant,
     pub id: String,
     pub key: String,
-    pub body_bytes: usize,
+    pub body: Vec<u8>,
 }
 
 /// Writes the answer to a call; returns false to close the connection.
@@ -627,12 +635,12 @@
                 at: Instant::now(),
                 id: request.header("x-request-id").to_owned(),
                 key: request.header("idempotency-key").to_owned(),
-                body_bytes: request.body.len(),
+                body: request.body.clone(),
             };
             record.line(&format!(
                 "endpoint {name}: call {} ({} bytes), forwarder waits {}",
                 call.id,
-                call.body_bytes,
+                call.body.len(),
                 request.header("x-deadline")
             ));
             self.calls.lock().unwrap().push(call.clone());
