--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -131,6 +131,23 @@
         case.record.line(&format!("{count} bad clients begin"));
         bad_clients.extend((0..count).filter_map(|number| bad_client(&case, number, setup.listen)));
     }
+    // Operators call as well; an answer is due within a second, whatever the load.
+    let (operators_stop, mgmt, record) = (Flag::default(), setup.mgmt, case.record.clone());
+    let operators = thread::spawn({
+        let stop = operators_stop.clone();
+        move || {
+            let (mut calls, mut late) = (0, 0);
+            while !stop.get() {
+                let called = Instant::now();
+                let answer = operator_call(mgmt, "status").unwrap_or_default();
+                let in_time = answer.starts_with("200") && called.elapsed() < Duration::from_millis(1000);
+                (calls, late) = (calls + 1, late + u32::from(!in_time));
+                record.line(&format!("operators call status: {:?}", answer.trim_end()));
+                sleep_ms(500);
+            }
+            (calls, late)
+        }
+    });
     let begin = Instant::now();
     while begin.elapsed() < Duration::from_secs_f64(FLOOD_S) {
         hand_in(&mut client, &mut taken, &mut unanswered);
@@ -141,6 +158,8 @@
         let _ = sender.join();
     }
     case.record.line("bad clients have ended");
+    operators_stop.set(true);
+    let (calls, late) = operators.join().unwrap_or((0, 0));
     let limit = |sent: Instant| sent + Duration::from_secs_f64(DEADLINE_S + LATE_S);
     let last = taken.values().max().copied().unwrap_or(Instant::now());
     thread::sleep((limit(last) + Duration::from_secs(1)).saturating_duration_since(Instant::now()));
@@ -167,7 +186,8 @@
     forwarder.kill();
     let summary = format!(
         "{} messages taken on, {delivered} delivered, {ended} ended in time, {lost} lost; {unanswered} hand-ins of \
-         the usual client got no answer within 400 ms (process runs: {alive})",
+         the usual client got no answer within 400 ms, {late} of {calls} calls of operators none within 1 s (process \
+         runs: {alive})",
         taken.len()
     );
     case.finish(if lost == 0 { HELD } else { BROKEN }, &summary)
