--- a/review/harness.rs
+++ b/review/harness.rs
@@ -183,7 +183,7 @@
         if !setup.product.is_empty() {
             let product = folder.join("product.toml");
             fs::write(&product, &setup.product).expect("a product file");
-            command = format!("{command} --product {}", product.display());
+            command = format!("{command} --product '{}'", product.display());
         }
         let child = Command::new("/bin/sh")
             .arg("-c")
