--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -49,7 +49,7 @@
         max_open: 60,
         slots: 4,
         second_copies: false,
-        tenants: "[{\"allowancePerS\":41.0,\"fraction\":1.0,\"name\":\"khangai-clubs\"}]",
+        tenants: TENANTS,
     };
     let setup = Setup {
         name: "n1".into(),
@@ -61,6 +61,7 @@
         settings: settings.text(),
         known: platform.known(),
         product: String::new(),
+        beside: false,
     };
 
     let mut current = Forwarder::start(&case, "first", &setup);
@@ -69,7 +70,7 @@
     }
     sleep_ms(500);
     if upgrade {
-        let beside = Setup { mgmt: free_address(), ..setup.clone() };
+        let beside = Setup { mgmt: free_address(), beside: true, ..setup.clone() };
         let newer = Forwarder::start(&case, "second", &beside);
         if !newer.wait_status(Duration::from_secs(6)) {
             case.finish(NOT_RUN, "the second process does not say that it is ready");
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,6 +7,12 @@
     echo "not built: the build of the deploy file and review/build.sh come first" >&2
     exit 2
 fi
-REVIEW_CASE="$here" "$program"
+folder=$(mktemp -d) || exit 2
+# The forwarders die with the program.
+trap 'kill -9 "$pid" 2>/dev/null; rm -rf "$folder"; exit 2' HUP INT TERM
+TMPDIR="$folder" REVIEW_CASE="$here" "$program" &
+pid=$!
+wait "$pid"
 code=$?
+rm -rf "$folder"
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -78,7 +78,7 @@
         max_open: 120,
         slots: 4,
         second_copies: false,
-        tenants: "[{\"allowancePerS\":41.0,\"fraction\":1.0,\"name\":\"khangai-clubs\"}]",
+        tenants: TENANTS,
     };
     let setup = Setup {
         name: "n1".into(),
@@ -90,6 +90,7 @@
         settings: settings.text(),
         known: platform.known(),
         product: String::new(),
+        beside: false,
     };
     let mut forwarder = Forwarder::start(&case, "first", &setup);
     if !forwarder.wait_ready(Duration::from_secs(10)) {
--- a/review/harness.rs
+++ b/review/harness.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -19,8 +20,12 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
 
+/// `prctl`: the signal that a process gets when the one that started it dies.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 /// Exit codes of a script.
 pub const HELD: i32 = 0;
 pub const BROKEN: i32 = 1;
@@ -130,6 +135,9 @@
 
 // --- The forwarder ------------------------------------------------------------------------------------------
 
+/// The seed differs from start to start.
+static SEED: AtomicU64 = AtomicU64::new(1);
+
 /// What a process of the forwarder is started with.
 #[derive(Clone)]
 pub struct Setup {
@@ -146,6 +154,8 @@
     pub known: String,
     /// Text of the file of `--product`; empty for none.
     pub product: String,
+    /// It starts beside the running process: `$TMPDIR` is shared with it and not emptied.
+    pub beside: bool,
 }
 
 pub struct Forwarder {
@@ -155,6 +165,8 @@
     pub mgmt: SocketAddr,
     label: String,
     record: Arc<Record>,
+    /// The processes that run; one that has been waited for is none of them any more.
+    pids: Arc<Mutex<Vec<i32>>>,
 }
 
 /// The command that starts one forwarder, out of `deploy/balancer.toml`.
@@ -168,14 +180,25 @@
 impl Forwarder {
     pub fn start(case: &Case, label: &str, setup: &Setup) -> Forwarder {
         let folder = case.temporary.join(label);
-        let private = folder.join("tmp");
-        fs::create_dir_all(&private).expect("a folder for the forwarder");
+        fs::create_dir_all(&folder).expect("a folder for the configuration");
+        let private = case.temporary.join("tmp");
+        if !setup.beside {
+            let _ = fs::remove_dir_all(&private);
+        }
+        fs::create_dir_all(&private).expect("a private folder");
         fs::create_dir_all(&setup.state).expect("a state folder");
         let config = folder.join("config.json");
         let text = format!(
-            "{{\"name\":\"{}\",\"listen\":\"{}\",\"mgmt\":\"{}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
+            "{{\"name\":\"{}\",\"listen\":\"{}\",\"mgmt\":\"{}\",\"discovery\":\"{}\",\"seed\":\"{:016x}\",\
              \"limits\":{},\"known\":{},\"settings\":{}}}",
-            setup.name, setup.listen, setup.mgmt, setup.discovery, setup.limits, setup.known, setup.settings
+            setup.name,
+            setup.listen,
+            setup.mgmt,
+            setup.discovery,
+            0x8c1f30d27a5b0000 + SEED.fetch_add(1, Ordering::SeqCst),
+            setup.limits,
+            setup.known,
+            setup.settings
         );
         fs::write(&config, text).expect("a configuration");
         let log = File::create(folder.join("log.txt")).expect("a log");
@@ -185,7 +208,16 @@
             fs::write(&product, &setup.product).expect("a product file");
             command = format!("{command} --product '{}'", product.display());
         }
-        let child = Command::new("/bin/sh")
+        let mut shell = Command::new("/bin/sh");
+        // SAFETY: the call between fork and exec is one system call with two integers. A case that is killed
+        // from outside leaves no forwarder behind.
+        unsafe {
+            shell.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = shell
             .arg("-c")
             .arg(command)
             .current_dir(&case.root)
@@ -205,7 +237,7 @@
         case.pids.lock().unwrap().push(pid);
         case.record.line(&format!("forwarder {label} started"));
         let (listen, mgmt, label) = (setup.listen, setup.mgmt, label.to_owned());
-        Forwarder { child, pid, listen, mgmt, label, record: case.record.clone() }
+        Forwarder { child, pid, listen, mgmt, label, record: case.record.clone(), pids: case.pids.clone() }
     }
 
     /// Waits until `GET /ready` is answered with 200.
@@ -234,22 +266,27 @@
         false
     }
 
-    pub fn signal(&self, number: i32) {
-        self.record.line(&format!("signal {number} to forwarder {}", self.label));
-        signal(self.pid, number);
+    /// Sends a signal, unless the process has ended.
+    pub fn signal(&mut self, number: i32) {
+        if self.runs() {
+            self.record.line(&format!("signal {number} to forwarder {}", self.label));
+            signal(self.pid, number);
+        }
     }
 
     /// Sends SIGKILL and waits for the end.
     pub fn kill(&mut self) {
         self.signal(SIGKILL);
+        let mut pids = self.pids.lock().unwrap();
         let _ = self.child.wait();
+        pids.retain(|pid| *pid != self.pid);
     }
 
     /// Waits for the end of the process.
     pub fn wait_end(&mut self, within: Duration) -> bool {
         let end = Instant::now() + within;
         while Instant::now() < end {
-            if matches!(self.child.try_wait(), Ok(Some(_))) {
+            if !self.runs() {
                 self.record.line(&format!("forwarder {} has ended", self.label));
                 return true;
             }
@@ -259,7 +296,13 @@
     }
 
     pub fn runs(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        // The list is held meanwhile, so that nobody signals the number of a process that was waited for.
+        let mut pids = self.pids.lock().unwrap();
+        let runs = matches!(self.child.try_wait(), Ok(None));
+        if !runs {
+            pids.retain(|pid| *pid != self.pid);
+        }
+        runs
     }
 
     /// Copies the lines of the forwarder's log that contain one of the words into the record.
@@ -697,6 +740,9 @@
     thread::sleep(Duration::from_millis(ms));
 }
 
+/// The tenants of the site, as the wire page has them.
+pub const TENANTS: &str = "[{\"allowancePerS\":41.0,\"fraction\":0.51,\"name\":\"khangai-clubs\"},{\"allowancePerS\":24.0,\"fraction\":0.3,\"name\":\"selenge-fit\"},{\"allowancePerS\":15.0,\"fraction\":0.19,\"name\":\"orkhon-gym\"}]";
+
 /// The settings object of a small deployment, in the words of the wire page.
 pub struct Settings {
     pub zones: &'static str,
@@ -713,15 +759,15 @@
     pub fn text(&self) -> String {
         format!(
             "{{\"azs\":{},\"classes\":[{}],\"clientHabits\":{{\"marksRetry\":true}},\"discovery\":\"{}\",\
-             \"extra\":{{\"fades\":\"line\",\"feeByZone\":[0.0,0.0],\"kindApart\":[false],\"notes\":\"-\",\
-             \"perCall\":[1],\"refusedPrice\":0.05,\"slots\":{}}},\
+             \"extra\":{{\"fades\":\"line\",\"feeByZone\":[0.06,0.0],\"kindApart\":[true,false],\"notes\":\"-\",\
+             \"perCall\":[1,1],\"refusedPrice\":0.05,\"slots\":{}}},\
              \"family\":\"deliver\",\"feedback\":{{\"columns\":[],\"how\":\"off\"}},\
              \"goal\":{{\"whole\":0.5,\"worstClass\":0.2,\"worstTenant\":0.1,\"worstWindow\":0.2}},\
-             \"hostTypes\":[\"club\"],\
-             \"limits\":{{\"cancel\":false,\"connIdleUs\":5000000,\"connectTimeoutUs\":1000000,\
+             \"hostTypes\":[\"bank\",\"club\"],\
+             \"limits\":{{\"cancel\":true,\"connIdleUs\":5000000,\"connectTimeoutUs\":1000000,\
              \"cpuUsPerRequest\":0.0,\"cpuUsPerS\":507692,\"maxAttempts\":{},\"maxOpen\":{},\
-             \"maxRetryAfterUs\":3000000,\"multiplex\":1,\"peerMessages\":false,\"probes\":false,\
-             \"retryAfter\":true,\"secondCopies\":{}}},\
+             \"maxRetryAfterUs\":3000000,\"multiplex\":1,\"peerMessages\":false,\"probes\":true,\
+             \"retryAfter\":false,\"secondCopies\":{}}},\
              \"myZone\":\"floor-2\",\"overShareWorth\":0.05,\
              \"prices\":{{\"connection\":0.0,\"crossZone\":0.0,\"discovery\":0.0,\"handshake\":0.02,\
              \"lateFail\":0.02,\"moves\":0.0,\"origin\":0.0,\"peer\":0.0,\"probe\":0.01,\"waste\":0.05}},\
