What a dead process of an upgrade owed always fits into the log of the next one

Cause: a copy of the other process's messages passed for new acceptances in Wal::append, which leave room for a rewritten log and a reserve. So it needed three times what was owed (the other log, the copy, the copy again), where an acceptance leaves room for twice. Each retry met the same sizes. Also, an acceptance looked at the sibling's log only once its own log had passed 256 KiB, and never left room for a copy of it.

Evidence: both tests of upgrade.rs failed on, "resumed is 0" of 20, with "the log has no room for more records" at each check. With the sibling's log left out of the room for a copy, three of the 16 cases of what_two_processes_accept_can_be_taken_over fail.

Why it works: a write says what it is for. An acceptance leaves room for the larger of a rewritten log and a copy of the sibling's log, beside both logs and the reserve; either process checks this at each acceptance, so neither uses up what the other one leaves. Records of accepted messages, copies included, need only to be within the budget itself: that room was left when they were accepted, and the other log goes behind the copy. A copy does not rewrite the log without need: until the other log is gone, this log tells which messages were copied before.

--- a/daemon/src/core_actor/guard.rs
+++ b/daemon/src/core_actor/guard.rs
@@ -3,6 +3,7 @@
 
 use super::CoreActor;
 use crate::counters::Counter;
+use crate::wal::WritePurpose;
 use onyxrock::core::AttemptDenied;
 use onyxrock::interface::{Micros, ReceiverId, SendRecheck, Verdict};
 
@@ -113,7 +114,7 @@
                 return Err(Verdict::HeldBack);
             }
         };
-        if !self.log_now(std::slice::from_ref(&record)) {
+        if !self.log_now(std::slice::from_ref(&record), WritePurpose::FollowUp) {
             self.ledger.undo_attempt(request.number, request.attempt);
             return Err(Verdict::Moot);
         }
--- a/daemon/src/core_actor/records.rs
+++ b/daemon/src/core_actor/records.rs
@@ -2,6 +2,7 @@
 //! of events that have happened are queued and written in order later.
 
 use super::CoreActor;
+use crate::wal::WritePurpose;
 use onyxrock::core::{OpenMessage, Record};
 use onyxrock::interface::Micros;
 use std::collections::VecDeque;
@@ -29,14 +30,16 @@
 impl CoreActor {
     /// Appends records to the log, behind all queued ones. If this returns false they are not logged, and
     /// work that needs them must not begin.
-    pub(super) fn log_now(&mut self, records: &[Record]) -> bool {
-        self.write_queued_records() && self.append(records)
+    pub(super) fn log_now(&mut self, records: &[Record], purpose: WritePurpose) -> bool {
+        self.write_queued_records() && self.append(records, purpose)
     }
 
     /// Appends the record of an event that has happened, or queues it if the write fails.
     pub(super) fn log_or_queue(&mut self, record: Option<Record>) {
         let Some(record) = record else { return };
-        if !self.unwritten.records.is_empty() || !self.append(std::slice::from_ref(&record)) {
+        if !self.unwritten.records.is_empty()
+            || !self.append(std::slice::from_ref(&record), WritePurpose::FollowUp)
+        {
             self.unwritten.records.push_back(record);
             self.unwritten.retry_at = self.shared.clock.now().plus(WRITE_RETRY_INTERVAL);
             self.shared.counters.wal_waiting.set(self.unwritten.records.len());
@@ -59,7 +62,7 @@
             self.wal.compact(self.ledger.open_messages()).is_ok()
         } else {
             let waiting: Vec<_> = self.unwritten.records.iter().cloned().collect();
-            self.append(&waiting)
+            self.append(&waiting, WritePurpose::FollowUp)
         };
         if written {
             tracing::info!(
@@ -72,10 +75,10 @@
         written
     }
 
-    fn append(&mut self, records: &[Record]) -> bool {
+    fn append(&mut self, records: &[Record], purpose: WritePurpose) -> bool {
         let (ledger, compactions_before) = (&self.ledger, self.wal.compactions);
         let open_messages = || -> Box<dyn Iterator<Item = &OpenMessage>> { Box::new(ledger.open_messages()) };
-        let result = self.wal.append(records, open_messages);
+        let result = self.wal.append(records, purpose, open_messages);
         if self.wal.compactions != compactions_before {
             self.shared.counters.wal_compactions.increment();
         }
--- a/daemon/src/core_actor/takeover.rs
+++ b/daemon/src/core_actor/takeover.rs
@@ -1,6 +1,7 @@
 //! Messages that an earlier process of this forwarder, or a sibling that is gone, has left open.
 
 use super::*;
+use crate::wal::WritePurpose;
 
 impl CoreActor {
     /// Notes all messages that this forwarder's own log names, ended ones included.
@@ -49,7 +50,7 @@
         });
         open_messages.iter_mut().for_each(|open| open.accepted.number = self.ledger.allocate_number());
         let records: Vec<_> = open_messages.iter().flat_map(OpenMessage::records).collect();
-        if !records.is_empty() && !self.log_now(&records) {
+        if !records.is_empty() && !self.log_now(&records, WritePurpose::Takeover) {
             return Err(std::io::ErrorKind::StorageFull.into());
         }
         if !open_messages.is_empty() {
--- a/daemon/src/core_actor/tests.rs
+++ b/daemon/src/core_actor/tests.rs
@@ -53,7 +53,7 @@
         deadline,
         ..AcceptedMessage::default()
     };
-    assert!(actor.log_now(&[Record::Accepted(message.clone())]));
+    assert!(actor.log_now(&[Record::Accepted(message.clone())], WritePurpose::Acceptance));
     actor.ledger.accept(now, message);
     (folder, actor, now)
 }
@@ -396,7 +396,10 @@
     assert_eq!(std::fs::read(&log).unwrap(), before, "the full log must not change");
     assert_eq!(actor.shared.counters.wal_waiting.get(), 2);
     assert!(
-        !actor.log_now(&[Record::Accepted(AcceptedMessage { number: 2, ..AcceptedMessage::default() })]),
+        !actor.log_now(
+            &[Record::Accepted(AcceptedMessage { number: 2, ..AcceptedMessage::default() })],
+            WritePurpose::Acceptance
+        ),
         "no message may be accepted"
     );
     assert!(logged().contains_key(&number));
@@ -418,7 +421,7 @@
     actor.wal = Wal::open(&folder, 1_000_000).unwrap().0;
     let message =
         AcceptedMessage { number: 2, deadline: now.plus(Micros(5_000_000)), ..AcceptedMessage::default() };
-    assert!(actor.log_now(&[Record::Accepted(message)]));
+    assert!(actor.log_now(&[Record::Accepted(message)], WritePurpose::Acceptance));
     let records = Wal::open(&folder, 1_000_000).unwrap().1.records;
     assert!(
         matches!(
--- a/daemon/src/wal.rs
+++ b/daemon/src/wal.rs
@@ -13,6 +13,19 @@
 /// The log is rewritten once it exceeds twice the size of the open messages by this many bytes.
 const COMPACTION_SLACK_BYTES: u64 = 256 * 1024;
 
+/// What a write is for, which decides how much room it must leave.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum WritePurpose {
+    /// A message that can still be refused. Room is left for the later records of all accepted messages, for
+    /// a rewritten log, and for a copy of what the sibling owes.
+    Acceptance,
+    /// A later record of an accepted message: it is written as long as the budget holds it.
+    FollowUp,
+    /// A copy of the messages of a process that is gone, whose log is removed behind this write. Until then
+    /// this log is not rewritten without need, since it tells which of the messages were copied before.
+    Takeover,
+}
+
 /// The write-ahead log of this process.
 #[derive(Debug)]
 pub struct Wal {
@@ -23,8 +36,11 @@
     /// Bytes that the log and its rewritten copy may take, together with the sibling's logs and the
     /// maintenance files.
     budget: u64,
-    /// The other files that count against the budget.
-    other_files: Vec<PathBuf>,
+    /// The logs of the sibling, which count against the budget. If the sibling dies, this process copies what
+    /// it owes before its log is removed.
+    sibling_logs: Vec<PathBuf>,
+    /// The maintenance files, which count against the budget as well.
+    maintenance_files: Vec<PathBuf>,
     /// Size at which the open messages are measured next, which requires a pass over all of them.
     measure_at_size: u64,
     /// How often the log has been rewritten.
@@ -35,8 +51,9 @@
     /// Opens the log that this process has claimed.
     pub fn open_claimed(claim: &Claim, budget: u64) -> io::Result<(Wal, LogScan)> {
         let (wal, scan) = Wal::open_files(&claim.folder, claim.files, budget)?;
-        let other_files = claim.other_logs().into_iter().chain(maintenance::files(&claim.folder)).collect();
-        Ok((Wal { other_files, ..wal }, scan))
+        let sibling_logs = claim.other_logs().into();
+        let maintenance_files = maintenance::files(&claim.folder).into();
+        Ok((Wal { sibling_logs, maintenance_files, ..wal }, scan))
     }
 
     /// Opens the log of a folder that no other process uses.
@@ -62,7 +79,8 @@
                 file,
                 size,
                 budget,
-                other_files: Vec::new(),
+                sibling_logs: Vec::new(),
+                maintenance_files: Vec::new(),
                 measure_at_size: COMPACTION_SLACK_BYTES,
                 compactions: 0,
             },
@@ -70,11 +88,6 @@
         ))
     }
 
-    /// Bytes that the other files take.
-    fn other_files_bytes(&self) -> u64 {
-        self.other_files.iter().filter_map(|p| Some(p.metadata().ok()?.len())).sum()
-    }
-
     /// The state folder.
     pub fn folder(&self) -> &Path {
         &self.folder
@@ -86,32 +99,18 @@
     }
 
     /// Appends records in one write. `open_messages` yields all messages that are open before these records,
-    /// which is what a rewritten log would hold. An acceptance is refused unless the records that must follow
-    /// it still fit.
+    /// which is what a rewritten log would hold. A log that would exceed its budget is rewritten first.
+    ///
+    /// # Errors
+    /// The write failed, or `purpose` needs more room than there is.
     pub fn append<'a>(
-        &mut self, records: &[Record],
+        &mut self, records: &[Record], purpose: WritePurpose,
         open_messages: impl Fn() -> Box<dyn Iterator<Item = &'a OpenMessage> + 'a>,
     ) -> io::Result<()> {
         let mut bytes = Vec::new();
         records.iter().for_each(|r| r.write(&mut bytes));
-        let accepts = records.iter().any(|r| matches!(r, Record::Accepted(_)));
         let record_bytes = bytes.len() as u64;
-        let (bytes_with_rewrite, reserved) =
-            if accepts { (record_bytes * 2, FOLLOW_UP_RESERVE_BYTES) } else { (record_bytes, 0) };
-        if self.size > self.measure_at_size || self.size + bytes_with_rewrite + reserved > self.budget / 2 {
-            let live_bytes = estimated_size(open_messages()) + self.other_files_bytes();
-            let over_budget = self.size + live_bytes + bytes_with_rewrite + reserved > self.budget;
-            if over_budget || self.size > live_bytes * 2 + COMPACTION_SLACK_BYTES {
-                self.compact(open_messages())?;
-            }
-            self.measure_at_size = self.size + COMPACTION_SLACK_BYTES / 8;
-            if self.size + live_bytes + bytes_with_rewrite + reserved > self.budget {
-                return Err(io::Error::new(
-                    ErrorKind::StorageFull,
-                    "the log has no room for more records within its disk budget",
-                ));
-            }
-        }
+        self.make_room(record_bytes, purpose, open_messages)?;
         if let Err(e) = self.file.write_all(&bytes) {
             self.truncate_failed_write(record_bytes);
             return Err(e);
@@ -120,6 +119,62 @@
         Ok(())
     }
 
+    /// Rewrites the log if that is due. An error if there is too little room for a write of this many bytes.
+    fn make_room<'a>(
+        &mut self, record_bytes: u64, purpose: WritePurpose,
+        open_messages: impl Fn() -> Box<dyn Iterator<Item = &'a OpenMessage> + 'a>,
+    ) -> io::Result<()> {
+        if self.size <= self.measure_at_size && self.is_surely_roomy(record_bytes, purpose) {
+            return Ok(());
+        }
+        let usage = self.disk_usage(estimated_size(open_messages()));
+        let rewritten = if self.is_rewrite_due(&usage, record_bytes, purpose) {
+            self.compact(open_messages())
+        } else {
+            Ok(())
+        };
+        self.measure_at_size = self.size + COMPACTION_SLACK_BYTES / 8;
+        let needed = DiskUsage { log: self.size, ..usage }.needed(record_bytes, purpose);
+        if needed <= self.budget {
+            return Ok(());
+        }
+        rewritten?;
+        let reason = "the log has no room for more records within its disk budget";
+        Err(io::Error::new(ErrorKind::StorageFull, reason))
+    }
+
+    /// Whether a write fits, by what is known without a pass over the open messages.
+    fn is_surely_roomy(&self, record_bytes: u64, purpose: WritePurpose) -> bool {
+        // Follow-ups of a short log fit into what the acceptances have left for them.
+        if purpose == WritePurpose::FollowUp && self.size + record_bytes <= self.budget / 4 {
+            return true;
+        }
+        // A rewritten log is not larger than the log.
+        let usage = self.disk_usage(self.size);
+        usage.needed(record_bytes, purpose).max(usage.rewrite_peak(record_bytes)) <= self.budget
+    }
+
+    /// Whether the log is to be rewritten before a write of this many bytes.
+    fn is_rewrite_due(&self, usage: &DiskUsage, record_bytes: u64, purpose: WritePurpose) -> bool {
+        if usage.needed(record_bytes, purpose) > self.budget {
+            return true;
+        }
+        // Later a rewritten log would not fit beside the old one.
+        let is_last_chance = usage.rewrite_peak(record_bytes) > self.budget;
+        let is_worthwhile = usage.log > usage.rewritten_log * 2 + COMPACTION_SLACK_BYTES;
+        purpose != WritePurpose::Takeover && (is_last_chance || is_worthwhile)
+    }
+
+    /// What the files take, if the rewritten log had this size.
+    fn disk_usage(&self, rewritten_log: u64) -> DiskUsage {
+        DiskUsage {
+            log: self.size,
+            rewritten_log,
+            sibling_logs: total_size(&self.sibling_logs),
+            maintenance_files: total_size(&self.maintenance_files),
+        }
+    }
+
     /// Handles a failed write of this many bytes, part of which may have reached the file. A reader skips an
     /// incomplete record as damage, so it is truncated if possible. If it cannot be truncated, the noted size
     /// includes it, so that a later truncation does not remove the records behind it.
@@ -134,7 +189,7 @@
     pub fn compact<'a>(&mut self, open_messages: impl Iterator<Item = &'a OpenMessage>) -> io::Result<()> {
         let mut bytes = Vec::new();
         open_messages.flat_map(OpenMessage::records).for_each(|r| r.write(&mut bytes));
-        if self.size + bytes.len() as u64 + self.other_files_bytes() > self.budget {
+        if self.disk_usage(bytes.len() as u64).rewrite_peak(0) > self.budget {
             return Err(io::Error::new(
                 ErrorKind::StorageFull,
                 "the disk budget has no room for a rewritten log beside the old one",
@@ -153,6 +208,43 @@
     }
 }
 
+/// Bytes in the files that count against the budget.
+struct DiskUsage {
+    log: u64,
+    /// What the log would take if it were rewritten.
+    rewritten_log: u64,
+    sibling_logs: u64,
+    maintenance_files: u64,
+}
+
+impl DiskUsage {
+    fn total(&self) -> u64 {
+        self.log + self.sibling_logs + self.maintenance_files
+    }
+
+    /// The bytes in use while the log is rewritten after a write of `record_bytes`, with both logs there.
+    fn rewrite_peak(&self, record_bytes: u64) -> u64 {
+        self.total() + record_bytes + self.rewritten_log
+    }
+
+    /// The bytes that must be within the budget for a write of `record_bytes`.
+    fn needed(&self, record_bytes: u64, purpose: WritePurpose) -> u64 {
+        let total = self.total() + record_bytes;
+        // Either process may die, and the other one then copies what it owes while both logs are there. A
+        // rewritten log is as large as such a copy of this log; the sibling may owe all that its log holds.
+        let largest_copy = (self.rewritten_log + record_bytes).max(self.sibling_logs);
+        match purpose {
+            WritePurpose::Acceptance => total + largest_copy + FOLLOW_UP_RESERVE_BYTES,
+            WritePurpose::FollowUp | WritePurpose::Takeover => total,
+        }
+    }
+}
+
+/// Total size of those of the files that exist.
+fn total_size(files: &[PathBuf]) -> u64 {
+    files.iter().filter_map(|path| Some(path.metadata().ok()?.len())).sum()
+}
+
 /// Estimates the size of a rewritten log, rather too high than too low.
 fn estimated_size<'a>(open_messages: impl Iterator<Item = &'a OpenMessage>) -> u64 {
     let estimate = |open: &OpenMessage| {
--- a/daemon/src/wal/tests.rs
+++ b/daemon/src/wal/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use onyxrock::core::{AcceptedMessage, AttemptStatus, recover};
 use onyxrock::interface::Micros;
+use rstest::rstest;
 use rustix::fs::{MemfdFlags, SealFlags, fcntl_add_seals, memfd_create};
 use std::collections::BTreeMap;
 use std::os::unix::fs::FileExt;
@@ -29,7 +30,11 @@
 }
 
 fn put(wal: &mut Wal, open_messages: &mut BTreeMap<u64, OpenMessage>, record: &Record) -> bool {
-    if wal.append(std::slice::from_ref(record), || Box::new(open_messages.values())).is_err() {
+    let purpose = match record {
+        Record::Accepted(_) => WritePurpose::Acceptance,
+        _ => WritePurpose::FollowUp,
+    };
+    if wal.append(std::slice::from_ref(record), purpose, || Box::new(open_messages.values())).is_err() {
         return false;
     }
     match record {
@@ -128,3 +133,50 @@
     let scan = scan_log(&bytes);
     assert_eq!((scan.records, scan.damaged_bytes), (vec![accepted(1), accepted(3)], partial.len()));
 }
+
+/// Guards against messages that can be accepted and never be taken over: two processes share the budget, each
+/// accepts as many messages as it may, and whichever is left copies what the other one owes.
+#[rstest]
+fn what_two_processes_accept_can_be_taken_over(
+    #[values(300, 56 * 1024)] body_bytes: usize, #[values(0, 30, 60, 100)] first_share_percent: u64,
+    #[values(0, 1)] survivor: usize,
+) {
+    const BOUND: u64 = 1_500_000;
+    let folder = Folder::new(&format!("both-{body_bytes}-{first_share_percent}-{survivor}"));
+    let claims = [Claim::acquire(&folder.0).unwrap(), Claim::acquire(&folder.0).unwrap()];
+    let mut logs = claims.each_ref().map(|claim| Wal::open_claimed(claim, BOUND).unwrap().0);
+    let mut open_messages = [BTreeMap::new(), BTreeMap::new()];
+    let mut accept = |index: usize, most_bytes: u64| {
+        let (wal, open_messages): (&mut Wal, &mut BTreeMap<_, _>) =
+            (&mut logs[index], &mut open_messages[index]);
+        while wal.size() < most_bytes {
+            let number = open_messages.len() as u64 + 1;
+            let accepted =
+                AcceptedMessage { number, body: vec![b'x'; body_bytes], ..AcceptedMessage::default() };
+            if !put(wal, open_messages, &Record::Accepted(accepted)) {
+                return;
+            }
+            let (endpoint, zone) = ("e".to_owned(), "z".to_owned());
+            let attempt = Record::Attempt { number, attempt: 0, endpoint, zone, at: Micros(number) };
+            if number.is_multiple_of(8) {
+                assert!(put(wal, open_messages, &attempt), "what has been accepted can be attempted");
+            }
+        }
+    };
+    accept(0, BOUND / 2 * first_share_percent / 100);
+    accept(1, BOUND);
+    accept(0, BOUND);
+    let records: Vec<_> = open_messages[1 - survivor].values().flat_map(OpenMessage::records).collect();
+    let own_messages = &open_messages[survivor];
+    logs[survivor].append(&records, WritePurpose::Takeover, || Box::new(own_messages.values())).unwrap();
+    assert!(folder.used() <= BOUND, "{} bytes of {BOUND}", folder.used());
+    claims[survivor].other_logs().iter().for_each(|log| remove_if_exists(log).unwrap());
+    // The messages that have been taken over need their later records.
+    let mut all_messages = own_messages.clone();
+    let shift = all_messages.len() as u64;
+    all_messages.extend(open_messages[1 - survivor].iter().map(|(n, open)| (n + shift, open.clone())));
+    for number in all_messages.keys().copied().collect::<Vec<_>>() {
+        assert!(put(&mut logs[survivor], &mut all_messages, &Record::Closed(number)), "message {number}");
+    }
+    assert!(folder.used() <= BOUND, "{} bytes of {BOUND}", folder.used());
+}
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -97,3 +97,36 @@
     }
     assert!(Instant::now() < deadline + NOTICE_WITHIN, "the notice of the message's end came late");
 }
+
+/// Messages of the largest size, whose records take more than a third of the state folder.
+const LARGE_MESSAGE_COUNT: usize = 20;
+
+fn submit_large_messages(harness: &mut Harness) {
+    for index in 0..LARGE_MESSAGE_COUNT {
+        let submission = format!("send c1 booking id=m{index} dest=1 deadline=8 size=57344");
+        run_steps(harness, &[&submission, "expect c1 202"]);
+    }
+}
+
+/// The process that is left after an upgrade has its log in the second place of the folder. Guards against
+/// the loss of its messages at a kill: the next process could not copy them for lack of room.
+#[test]
+fn messages_held_after_an_upgrade_survive_a_kill() {
+    let mut harness = Harness::default();
+    run_steps(&mut harness, &["given nobody e1 dest=1", "send daemon start"]);
+    run_steps(&mut harness, &["send daemon beside", "send old TERM", "expect old exit 0"]);
+    submit_large_messages(&mut harness);
+    run_steps(&mut harness, &["send daemon KILL", "send daemon start"]);
+    run_steps(&mut harness, &["expect counter resumed=20", "expect counter returned=20"]);
+}
+
+/// Guards against the loss of what the old process of an upgrade still owes at its end: the new process could
+/// not copy it for lack of room.
+#[test]
+fn messages_held_at_the_end_of_an_upgrade_are_taken_over() {
+    let mut harness = Harness::default();
+    run_steps(&mut harness, &["given nobody e1 dest=1", "send daemon start"]);
+    submit_large_messages(&mut harness);
+    run_steps(&mut harness, &["send daemon beside", "send old KILL"]);
+    run_steps(&mut harness, &["expect counter resumed=20", "expect counter returned=20"]);
+}
