Each loop that reads from a socket lets other actors run between two requests

Cause: all actors share one thread, and an actor gives way only where it waits. Inbound::run does not wait while the next request is in the buffer or the socket, its response fits into the socket and needs no other actor (GET /ready, GET /counters).

Evidence: other_actors_run_between_two_requests_of_a_client counted 50 of 50 requests in one turn before, 1 or 2 now.

Same cause on related paths, each with a test that failed before (50 or 49 in a turn): SMPP sessions of clients and of gateways (PDUs that the session answers itself), the DNS socket, SMPP connections over the limit; operators' connections (48 of 64 waiting calls were closed unread by those behind them). In SMPP sessions input also came before receipts, calls, times and the end whenever it was there: they take turns now. By reading alone: parts of a discovery answer other than 200.

Why it works: behind each request, PDU, datagram, part or accepted connection the actor goes to the end of the executor's queue, so each other actor that can run gets its turn first, however many peers send and however fast.

--- a/daemon/src/list/dns.rs
+++ b/daemon/src/list/dns.rs
@@ -117,6 +117,8 @@
                 None => false,
             },
         };
+        // More datagrams may be waiting.
+        future::yield_now().await;
         if send_list {
             shared.counters.list_answers.increment();
             let (list, errors) = dns.zone.endpoints(&dns.names);
@@ -127,3 +129,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/daemon/src/list/fetch.rs
+++ b/daemon/src/list/fetch.rs
@@ -131,6 +131,8 @@
             if received >= READ_BLOCK_BYTES {
                 (deadline, received) = (self.clock.now().plus(ANSWER_GRACE), 0);
             }
+            // Lets other actors run while a long response is read.
+            future::yield_now().await;
             if response.status != 200 {
                 continue;
             }
@@ -147,8 +149,6 @@
                     }
                 })
             })?;
-            // Lets other actors run while a long list is read.
-            future::yield_now().await;
         }
         if response.status != 200 {
             return Err(FetchError::Unavailable(format!("answer {}", response.status)));
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -86,6 +86,8 @@
         };
         match future::or(stopped, accepted).await {
             None => break,
+            // Bounded by `max_inbound`, so there is no turn in between: in it a connection that has not been
+            // read yet could be closed to make room for the next one.
             Some(Ok((stream, _))) => spawn_connection(&shared, stream),
             Some(Err(e)) => {
                 // Out of file descriptors: wait until some are closed instead of spinning.
@@ -223,6 +225,8 @@
                 async_io::Timer::after(INVALID_REQUEST_DELAY).await;
             }
             (self.answered, self.idle_since) = (true, self.shared.clock.now());
+            // The next request may be there already and its response may need no other actor.
+            future::yield_now().await;
         }
     }
 
--- a/daemon/src/net/http/inbound/tests.rs
+++ b/daemon/src/net/http/inbound/tests.rs
@@ -1,6 +1,7 @@
 //! Connections of clients, with the test in the place of the core.
 
 use super::*;
+use crate::net::tests::assert_others_get_turns;
 use std::io::{Read, Write};
 
 fn listen_on_loopback() -> (Async<TcpListener>, std::net::SocketAddr) {
@@ -125,3 +126,21 @@
     };
     assert_eq!(parsed_class.as_deref(), class);
 }
+
+/// Guards against a client that sends requests faster than they are answered: no other actor ran meanwhile,
+/// so that no message was delivered or ended in time.
+#[rstest::rstest]
+#[case::ready(b"GET /ready HTTP/1.1\r\n\r\n")]
+#[case::counters(b"GET /counters HTTP/1.1\r\n\r\n")]
+fn other_actors_run_between_two_requests_of_a_client(#[case] request: &[u8]) {
+    const REQUEST_COUNT: u64 = 50;
+    let shared = SharedState::for_test(bounded(1).0);
+    let (listener, address) = listen_on_loopback();
+    let (_keep_open, stop) = bounded(1);
+    let mut client = TcpStream::connect(address).unwrap();
+    client.write_all(&request.repeat(REQUEST_COUNT as usize)).unwrap();
+    let reader = client.try_clone().unwrap();
+    std::thread::spawn(move || std::io::copy(&mut &reader, &mut std::io::sink()));
+    shared.executor.spawn(listen(shared.clone(), listener, stop)).detach();
+    assert_others_get_turns(&shared, |shared| &shared.counters.requests_answered, REQUEST_COUNT);
+}
--- a/daemon/src/net/mgmt.rs
+++ b/daemon/src/net/mgmt.rs
@@ -7,7 +7,7 @@
 use crate::maintenance::MaintenanceChange;
 use async_channel::bounded;
 use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use onyxrock::interface::Micros;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -41,6 +41,8 @@
                     // A connection that closes earlier gets no answer.
                     let _ = clock.timeout_at(deadline, serve_command(&shared, stream)).await;
                 }));
+                // More connections may be waiting: without a turn in between, they would close this one.
+                future::yield_now().await;
             }
             Err(e) => {
                 tracing::warn!("mgmt: cannot accept a connection, retrying: {e}");
--- a/daemon/src/net/mgmt/tests.rs
+++ b/daemon/src/net/mgmt/tests.rs
@@ -71,3 +71,37 @@
     assert_eq!(send_command(&shared, address, b"status\n"), "200 ready\n");
     drop(unfinished);
 }
+
+/// Guards against callers that connect faster than they are answered: each further connection closed an older
+/// one whose command had not been read, and no other actor ran.
+#[test]
+fn each_of_many_waiting_connections_is_answered() {
+    let shared = SharedState::for_test(async_channel::bounded(1).0);
+    *shared.list_state.borrow_mut() = ListState::Current;
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+    let address = listener.get_ref().local_addr().unwrap();
+    let callers: Vec<_> = (0..4 * MAX_CONNECTIONS)
+        .map(|_| {
+            let mut stream = TcpStream::connect(address).unwrap();
+            stream.write_all(b"status\n").unwrap();
+            stream
+        })
+        .collect();
+    shared.executor.spawn(listen(shared.clone(), listener)).detach();
+    let answers = std::thread::spawn(move || {
+        let read_answer = |mut stream: TcpStream| {
+            let mut answer = String::new();
+            let _ = stream.read_to_string(&mut answer);
+            answer
+        };
+        callers.into_iter().map(read_answer).collect::<Vec<_>>()
+    });
+    let answered = async {
+        while !answers.is_finished() {
+            async_io::Timer::after(std::time::Duration::from_millis(1)).await;
+        }
+    };
+    async_io::block_on(shared.executor.run(answered));
+    let answers = answers.join().unwrap();
+    assert!(answers.iter().all(|answer| answer == "200 ready\n"), "{answers:?}");
+}
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -6,6 +6,8 @@
 pub mod http;
 pub mod mgmt;
 pub mod smpp;
+#[cfg(test)]
+pub mod tests;
 
 use crate::clock::Clock;
 use crate::core_actor::{CoreMessage, Permit, PermitRequest, PermitResult};
--- a/daemon/src/net/smpp/gateway.rs
+++ b/daemon/src/net/smpp/gateway.rs
@@ -1,7 +1,8 @@
 //! The actor of one gateway: a session that is bound on demand, and the outbound calls over it.
 
 use super::{
-    IO_TIMEOUT, MAX_PDU_BYTES, MessageNote, ReadResult, c_octet_string, encode_pdu, read_pdu, write_pdu,
+    IO_TIMEOUT, MAX_PDU_BYTES, MessageNote, ReadResult, c_octet_string, encode_pdu, first_ready, read_pdu,
+    write_pdu,
 };
 use crate::core_actor::CoreMessage;
 use crate::net::buffer::Buffer;
@@ -152,6 +153,8 @@
     async fn run(mut self, inbox: &Receiver<ToEndpoint>) {
         let clock = self.shared.clock;
         let mut session_ok = true;
+        // The gateway alone decides how much input there is: behind each PDU other events come first.
+        let mut input_first = true;
         while session_ok {
             session_ok = self.submit_waiting().await;
             if !session_ok || self.closing && self.in_flight.is_empty() && self.waiting.is_empty() {
@@ -175,8 +178,10 @@
                     let _ = self.shared.calls_finished.recv().await;
                     Event::Closing
                 };
-                future::or(future::or(input, message), future::or(time, closing)).await
+                let other = future::or(message, future::or(time, closing));
+                first_ready(input_first, input, other).await
             };
+            input_first = !matches!(event, Event::Pdu(_));
             session_ok = match event {
                 Event::Message(Some(ToEndpoint::Call(call))) => {
                     self.waiting.push_back(*call);
@@ -204,6 +209,8 @@
                 Event::Closing => break,
                 Event::Timer => self.on_time(clock.now(), silence_deadline).await,
             };
+            // The next PDU may be there already and may need no other actor.
+            future::yield_now().await;
         }
         if session_ok {
             let sequence = self.link.next_sequence();
@@ -369,3 +376,6 @@
     }
     submit_sm
 }
+
+#[cfg(test)]
+mod tests;
--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -3,7 +3,7 @@
 use super::receipts::{ToReceipts, receipt};
 use super::{
     FRONTEND_ID, IO_TIMEOUT, MAX_PDU_BYTES, MessageNote, ReadResult, c_octet_string, c_octet_text,
-    encode_pdu, read_pdu, time, write_pdu,
+    encode_pdu, first_ready, read_pdu, time, write_pdu,
 };
 use crate::core_actor::{CoreMessage, StatusNotice, Submission, SubmitReply};
 use crate::net::SharedState;
@@ -47,6 +47,8 @@
             None => return,
             Some(Ok((stream, _))) => {
                 session += 1;
+                // More connections may be waiting.
+                future::yield_now().await;
                 let counters = &frontend.shared.counters;
                 counters.inbound_opened.increment();
                 // At the limit a further connection is closed, so that it does not compete with the bound
@@ -118,6 +120,8 @@
         let clock = self.frontend.shared.clock;
         let opened = clock.now();
         let mut last_received = opened;
+        // The client alone decides how much input there is: behind each PDU other events come first.
+        let mut input_first = true;
         loop {
             let silence_deadline = match (&self.bound, self.pending_enquiries.is_empty()) {
                 (None, _) => opened.plus(BIND_TIMEOUT),
@@ -142,8 +146,10 @@
                     let _ = self.frontend.shared.calls_finished.recv().await;
                     Event::Closing
                 };
-                future::or(future::or(input, receipt), future::or(silent, closing)).await
+                let other = future::or(receipt, future::or(silent, closing));
+                first_ready(input_first, input, other).await
             };
+            input_first = !matches!(event, Event::Pdu(_));
             let session_ok = match event {
                 Event::Pdu(None) => false,
                 Event::Pdu(Some(ReadResult::Pdu(pdu))) => {
@@ -179,6 +185,8 @@
             if !session_ok {
                 return;
             }
+            // The next PDU may be there already and may need no other actor.
+            future::yield_now().await;
         }
     }
 
@@ -365,3 +373,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/daemon/src/net/smpp/mod.rs
+++ b/daemon/src/net/smpp/mod.rs
@@ -4,11 +4,13 @@
 pub mod gateway;
 pub mod inbound;
 pub mod receipts;
+#[cfg(test)]
+pub mod tests;
 pub mod time;
 
 use super::buffer::{Buffer, write_fully};
 use bytes::BytesMut;
-use futures_lite::{AsyncRead, AsyncWrite};
+use futures_lite::{AsyncRead, AsyncWrite, future};
 use onyxrock::interface::Micros;
 use rusmpp::decode::DecodeWithLength;
 use rusmpp::encode::{Encode, Length};
@@ -80,6 +82,13 @@
     }
 }
 
+/// The result of whichever future is ready; if both are, of `input` where `input_first` is set.
+async fn first_ready<T>(
+    input_first: bool, input: impl Future<Output = T>, other: impl Future<Output = T>,
+) -> T {
+    if input_first { future::or(input, other).await } else { future::or(other, input).await }
+}
+
 /// Text as a C-octet string field; what does not fit is cut off.
 pub fn c_octet_string<const MIN: usize, const MAX: usize>(value: &str) -> COctetString<MIN, MAX> {
     let ascii = value.bytes().filter(|b| b.is_ascii() && *b != 0).take(MAX - 1).chain([0]);
