A second copy of a response is not taken for the response to the next call

Cause: a response does not name its request. A kept connection carried any number of calls, and whatever head came first behind a call was its response. A second copy that came before the next call was noticed (unread bytes); one that came while that call waited was believed. Behind the first wrong one each response on the connection belonged to the call before, since the true one came when the next call was out already.

Why it works, whatever the delay: on a new connection the first response belongs to the first call, since nothing was sent before. A second call asks to close the connection, and a response that confirms this (RFC 9112, 9.6) answers that call: the first response did not, or the connection would not have been kept, so no copy of it does. Responses without it are skipped. A third call would have nothing of the kind, so there is none, and no wrong answer is left behind for a later call. An endpoint that never confirms it gets one call a connection; until one has, the second call carries only messages that may be repeated, and an unconfirmed response to it counts as "may have run".

--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -55,7 +55,7 @@
     // recovered messages without an attempt: their number, and what became of them
     resumed_untried, resumed_over, resumed_tried, resumed_late, resumed_early,
     // calls to endpoints, and their outcomes
-    outbound_open, outbound_opened, outbound_reused, outbound_passed_over, outbound_calls, outbound_no_place,
+    outbound_open, outbound_opened, outbound_reused, outbound_passed_over, outbound_calls, outbound_no_place, copies_skipped,
     delivered, spoilt, error, full, timed_out, connect_failed, reset, stale, moot, cancelled, held_back, late_decisions,
     // why the send guard held calls back, and the retry-afters that it observes
     held_back_wait, held_back_drain, held_back_maintenance, held_back_late, held_back_ending, held_back_moved, held_back_closed, held_back_repeat, held_back_local, waits_told, waits_told_beside, waits_unread,
--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -1,4 +1,10 @@
 //! One HTTP connection to a server, which carries one call at a time.
+//!
+//! A response does not name its request, and a server may send a response twice: the second copy may arrive at
+//! any time, also while the next call waits for its response. The first response on a connection belongs to
+//! the first call. A second call asks the server to close the connection, and only its own response confirms
+//! that: the copy of a response after which the connection stayed open does not. A third call would have
+//! nothing to tell its response from a copy.
 
 use super::{Framing, MAX_BODY_BYTES, MAX_HEADERS, framing, header_value, parse_seconds};
 use crate::clock::Clock;
@@ -13,12 +19,23 @@
 pub const RESPONSE_END_TIMEOUT: Micros = Micros(250_000);
 /// Most interim (1xx) responses that are skipped before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 32;
+/// Most copies of the first response that are skipped before the second one.
+const MAX_COPIES: u32 = 32;
+
+/// The header line by which a call asks the server to close the connection. The head of a second call must
+/// contain it.
+pub const CLOSE_HEADER: &str = "Connection: close\r\n";
 
 /// A connection to a server.
 #[derive(Debug)]
 pub struct Conn {
     stream: Async<TcpStream>,
     buffer: Buffer,
+    /// The first call has had its response, so that the second one is the last.
+    answered_once: bool,
+    /// Responses that did not belong to the second call, and how many of them are skipped at most.
+    skipped_copies: u32,
+    most_copies: u32,
 }
 
 /// The Retry-After of a response: the longest, where the header occurs more than once.
@@ -101,7 +118,8 @@
     pub async fn open(address: SocketAddr, buffer_limit: usize) -> io::Result<Conn> {
         let stream = Async::<TcpStream>::connect(address).await?;
         stream.get_ref().set_nodelay(true)?;
-        Ok(Conn { stream, buffer: Buffer::new(buffer_limit) })
+        let buffer = Buffer::new(buffer_limit);
+        Ok(Conn { stream, buffer, answered_once: false, skipped_copies: 0, most_copies: MAX_COPIES })
     }
 
     /// Whether the server has closed the connection or has sent unexpected bytes, which must not be taken
@@ -112,6 +130,23 @@
         !silent || !self.buffer.is_empty()
     }
 
+    /// Whether the next call over this connection is its second and last one.
+    pub fn is_answered_once(&self) -> bool {
+        self.answered_once
+    }
+
+    /// Skips no copies: the server may be one that never confirms the end of a connection, so that no other
+    /// response would follow.
+    pub fn skip_no_copies(&mut self) {
+        self.most_copies = 0;
+    }
+
+    /// Responses to the second call that do not confirm the connection's end: copies of the first response,
+    /// or the only response of a server that never confirms it.
+    pub fn skipped_copies(&self) -> u32 {
+        self.skipped_copies
+    }
+
     /// Releases the buffer of a connection that is about to be idle.
     pub fn release_buffer(&mut self) {
         self.buffer.release();
@@ -141,10 +176,43 @@
         length.is_some_and(|l| l <= self.buffer.data().len())
     }
 
-    /// Reads the head of the response. Its first byte may arrive until `deadline`; from then on the head
-    /// must be complete within `RESPONSE_END_TIMEOUT`. A first line with status 200 counts even if the rest
-    /// of the head cannot be read.
+    /// Reads the head of the response to the call that was written last, which a second call must have asked to
+    /// close the connection. Copies of the first response are skipped before the second one. See `read_head`.
+    pub async fn read_own_head(
+        &mut self, clock: &Clock, deadline: Micros,
+    ) -> Result<Response, ResponseError> {
+        if !self.answered_once {
+            return self.read_head(clock, deadline).await;
+        }
+        loop {
+            let mut response = self.read_head(clock, deadline).await?;
+            if response.closes() {
+                return Ok(response);
+            }
+            self.skipped_copies += 1;
+            if self.skipped_copies > self.most_copies {
+                return Err(ResponseError::Malformed("it does not confirm the connection's end".into()));
+            }
+            let end_by = clock.now().plus(RESPONSE_END_TIMEOUT);
+            match clock.timeout_at(end_by, self.discard_body(&mut response)).await {
+                Some(Ok(_)) => {}
+                Some(Err(e)) => return Err(ResponseError::Malformed(e.to_string())),
+                None => return Err(ResponseError::Malformed("the body did not end in time".into())),
+            }
+        }
+    }
+
+    /// Reads the head of a response. Its first byte may arrive until `deadline`; from then on the head must be
+    /// complete within `RESPONSE_END_TIMEOUT`. A first line with status 200 counts even if the rest of the
+    /// head cannot be read.
     pub async fn read_head(&mut self, clock: &Clock, deadline: Micros) -> Result<Response, ResponseError> {
+        let response = self.read_final_head(clock, deadline).await?;
+        self.answered_once = true;
+        Ok(response)
+    }
+
+    /// Reads the next head that is not the one of an interim response.
+    async fn read_final_head(&mut self, clock: &Clock, deadline: Micros) -> Result<Response, ResponseError> {
         for _ in 0..=MAX_INTERIM_RESPONSES {
             if self.buffer.is_empty() {
                 clock
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -1,7 +1,9 @@
 //! The actor of one HTTP endpoint: its idle connections and the outbound calls over them.
 
 use super::MAX_HEAD_BYTES;
-use super::client::{Conn, RESPONSE_END_TIMEOUT, Response, ResponseError, RetryAfter, is_local_failure};
+use super::client::{
+    CLOSE_HEADER, Conn, RESPONSE_END_TIMEOUT, Response, ResponseError, RetryAfter, is_local_failure,
+};
 use super::reuse::STALE_BREAK_WITHIN;
 use crate::clock::Clock;
 use crate::core_actor::CoreMessage;
@@ -40,6 +42,8 @@
     let mut idle: Vec<Idle> = Vec::new();
     // False from `CloseIdle` to the next call: connections that are returned in that time are closed as well.
     let mut keeps_returned = true;
+    // Whether responses of this endpoint confirm the end of a connection; `None` until one has shown it.
+    let mut confirms_close = None;
     loop {
         let oldest = idle.first().and_then(|connection| Some(connection.since.plus(shared.idle_timeout?)));
         let returned = async { (None, returned_connections.recv().await.ok()) };
@@ -55,6 +59,7 @@
             Some(Returned::Reusable(reusable)) => {
                 let (mut conn, connected_to) = *reusable;
                 if !keeps_returned
+                    || conn.is_answered_once() && confirms_close == Some(false)
                     || connected_to != address
                     || shared.counters.outbound_open.get() > shared.max_outbound
                 {
@@ -67,6 +72,12 @@
             // A machine that vanished leaves its connections open and silent. A call over one would time
             // out and might have run, whereas a failed connect proves that it has not.
             Some(Returned::SuspectIdle) => close_all(&shared, &mut idle),
+            Some(Returned::ConfirmsClose(confirms)) => {
+                confirms_close = Some(confirms);
+                if !confirms {
+                    close_all(&shared, &mut idle);
+                }
+            }
             None => {}
         }
         match message {
@@ -76,19 +87,20 @@
             Some(Ok(ToEndpoint::Call(call))) => {
                 keeps_returned = true;
                 retire_idle(&shared, &mut idle, now);
+                let confirmation_known = confirms_close == Some(true) || shared.confirms_close.get();
                 // The connection that was used last is the best choice; an unsuitable one is closed, so
                 // that idle connections do not pile up.
-                let conn = idle.pop().filter(|connection| {
-                    let suitable = shared
-                        .reuse_stats
-                        .borrow_mut()
-                        .may_reuse(now.since(connection.since), call.unsafe_to_repeat);
+                let mut conn = idle.pop().filter(|connection| {
+                    let suitable = may_reuse(&shared, connection, &call, now, confirmation_known);
                     if !suitable {
                         shared.counters.outbound_open.decrement();
                         shared.counters.outbound_passed_over.increment();
                     }
                     suitable
                 });
+                if let Some(connection) = conn.as_mut().filter(|_| !confirmation_known) {
+                    connection.conn.skip_no_copies();
+                }
                 let (shared, connection_returns) = (shared.clone(), connection_returns.clone());
                 let executor = shared.executor.clone();
                 executor.spawn(run_call(shared, address, *call, conn, connection_returns)).detach();
@@ -118,6 +130,9 @@
     Reusable(Box<(Conn, SocketAddr)>),
     /// The call got no response: idle connections to the endpoint may be dead as well.
     SuspectIdle,
+    /// Whether the endpoint confirms the end of a connection. If it does not, its connections carry one call
+    /// only.
+    ConfirmsClose(bool),
 }
 
 fn close_all(shared: &SharedState, idle: &mut Vec<Idle>) {
@@ -137,19 +152,29 @@
     });
 }
 
+/// Whether a call may use a kept connection.
+fn may_reuse(
+    shared: &SharedState, connection: &Idle, call: &OutboundCall, now: Micros, confirmation_known: bool,
+) -> bool {
+    // An endpoint that does not confirm the end of a connection leaves unknown whether the call has run.
+    let may_be_last = confirmation_known || !call.unsafe_to_repeat;
+    let idle_time = now.since(connection.since);
+    (may_be_last || !connection.conn.is_answered_once())
+        && shared.reuse_stats.borrow_mut().may_reuse(idle_time, call.unsafe_to_repeat)
+}
+
 async fn run_call(
     shared: Rc<SharedState>, address: SocketAddr, call: OutboundCall, idle: Option<Idle>,
     connection_returns: Sender<Returned>,
 ) {
-    // The time until which the response asked to wait. It applies whatever the outcome of the attempt.
-    let wait_until = Cell::new(Micros(0));
+    let findings = Findings::default();
     // Cancelling a call means closing its connection, which dropping the attempt does.
     let cancelled = async {
         call.cancelled().await;
         (Verdict::Cancelled, None, None)
     };
     let (verdict, response, conn) =
-        future::or(attempt(&shared, address, &call, idle, &wait_until), cancelled).await;
+        future::or(attempt(&shared, address, &call, idle, &findings), cancelled).await;
     let load_report = response
         .as_ref()
         .and_then(|response| response.load.as_deref())
@@ -158,12 +183,15 @@
     let outcome = AttemptOutcome {
         finished: response.as_ref().is_some_and(|response| response.status == 410),
         load_report,
-        wait_until: wait_until.get(),
+        wait_until: findings.wait_until.get(),
         ..call.outcome(shared.clock.now(), verdict)
     };
     if matches!(verdict, Verdict::TimedOut | Verdict::Reset | Verdict::Stale) {
         let _ = connection_returns.try_send(Returned::SuspectIdle);
     }
+    if let Some(confirms) = findings.confirms_close.get() {
+        let _ = connection_returns.try_send(Returned::ConfirmsClose(confirms));
+    }
     let _ = shared.core.send(CoreMessage::AttemptEnded(outcome)).await;
     let reusable = match (response, conn) {
         // The first line of the response was enough for the verdict; the connection can be used again after
@@ -185,10 +213,18 @@
     shared.counters.outbound_open.decrement();
 }
 
+/// What an attempt learns, whatever its outcome, and even if it is cancelled.
+#[derive(Default)]
+struct Findings {
+    /// The time until which the response asked to wait.
+    wait_until: Cell<Micros>,
+    /// Whether the endpoint confirms the end of a connection.
+    confirms_close: Cell<Option<bool>>,
+}
+
 /// Makes one attempt. A connection that is not returned is closed, which cancels a call in progress.
 async fn attempt(
-    shared: &SharedState, address: SocketAddr, call: &OutboundCall, idle: Option<Idle>,
-    wait_until: &Cell<Micros>,
+    shared: &SharedState, address: SocketAddr, call: &OutboundCall, idle: Option<Idle>, findings: &Findings,
 ) -> (Verdict, Option<Response>, Option<Conn>) {
     let (clock, counters) = (&shared.clock, &shared.counters);
     let deadline = call.deadline();
@@ -239,7 +275,8 @@
         }
         return (if kept { Verdict::HeldBack } else { Verdict::ConnectFailed }, None, None);
     }
-    let bytes = request(address, call, permit.epoch, clock);
+    let is_last = conn.is_answered_once();
+    let bytes = request(address, call, permit.epoch, clock, if is_last { CLOSE_HEADER } else { "" });
     // A process that was suspended since then may have lost its lease on the probe duty.
     if call.probe_path.is_some() && clock.now() >= deadline {
         return (Verdict::Moot, None, Some(conn));
@@ -264,10 +301,19 @@
         }
     }
     let written = clock.now();
-    let result = conn.read_head(clock, deadline).await;
+    let result = conn.read_own_head(clock, deadline).await;
+    (0..conn.skipped_copies()).for_each(|_| counters.copies_skipped.increment());
+    match &result {
+        Ok(_) if is_last => {
+            findings.confirms_close.set(Some(true));
+            shared.confirms_close.set(true);
+        }
+        Err(_) if conn.skipped_copies() > 0 => findings.confirms_close.set(Some(false)),
+        _ => {}
+    }
     // A kept connection that breaks at once was stale; a later break, or one of a new connection, is the
     // endpoint's.
-    let broke_at_once = clock.now().since(written) < STALE_BREAK_WITHIN;
+    let broke_at_once = clock.now().since(written) < STALE_BREAK_WITHIN && conn.skipped_copies() == 0;
     let stale = idle_time.filter(|_| broke_at_once && matches!(result, Err(ResponseError::Disconnected(_))));
     if let Some(idle) = idle_time
         && (result.is_ok() || stale.is_some())
@@ -284,14 +330,14 @@
     // A complete head is enough for its Retry-After, which counts from now on, whatever the body does.
     if response.status == 429 {
         match response.retry_after {
-            RetryAfter::After(wait) => wait_until.set(clock.now().plus(wait)),
+            RetryAfter::After(wait) => findings.wait_until.set(clock.now().plus(wait)),
             RetryAfter::Unreadable => counters.waits_unread.increment(),
             RetryAfter::Absent => {}
         }
-        if wait_until.get() > Micros(0) && !conn.body_is_buffered(&response) {
+        if findings.wait_until.get() > Micros(0) && !conn.body_is_buffered(&response) {
             let _ = shared
                 .core
-                .send(CoreMessage::RetryAfter { receiver: call.receiver, until: wait_until.get() })
+                .send(CoreMessage::RetryAfter { receiver: call.receiver, until: findings.wait_until.get() })
                 .await;
         }
     }
@@ -309,7 +355,7 @@
         counters.outbound_no_place.increment();
         return (Verdict::ConnectionLimit, None, None);
     }
-    let verdict = verdict(&response, wait_until.get().since(clock.now()));
+    let verdict = verdict(&response, findings.wait_until.get().since(clock.now()));
     (verdict, Some(response), Some(conn))
 }
 
@@ -326,14 +372,19 @@
     (Verdict::Error, None, None)
 }
 
-fn request(address: SocketAddr, call: &OutboundCall, epoch: u64, clock: &Clock) -> Vec<u8> {
+fn request(
+    address: SocketAddr, call: &OutboundCall, epoch: u64, clock: &Clock, connection_header: &str,
+) -> Vec<u8> {
     if let Some(path) = &call.probe_path {
         // Partners refuse an epoch below the highest that they have seen, and so a probe from a process
         // that was suspended and has lost its lease.
-        return format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nX-Epoch: {epoch}\r\n\r\n").into_bytes();
+        let head = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nX-Epoch: {epoch}\r\n");
+        return format!("{head}{connection_header}\r\n").into_bytes();
     }
-    let mut head =
-        format!("POST /inbox HTTP/1.1\r\nHost: {address}\r\nX-Request-Id: {}\r\n", call.request_id);
+    let mut head = format!(
+        "POST /inbox HTTP/1.1\r\nHost: {address}\r\n{connection_header}X-Request-Id: {}\r\n",
+        call.request_id
+    );
     if !call.idempotency_key.is_empty() {
         let _ = write!(head, "Idempotency-Key: {}\r\n", call.idempotency_key);
     }
--- a/daemon/src/net/http/endpoint/tests.rs
+++ b/daemon/src/net/http/endpoint/tests.rs
@@ -24,8 +24,12 @@
         let mailbox = start(&shared, peer.local_addr().unwrap(), 8);
         Harness { shared, core: messages, mailbox, peer }
     }
-    /// Starts a call, which is cancelled when the returned sender is dropped.
+    /// Starts a call of a message that must not be repeated. It is cancelled when the returned sender is
+    /// dropped.
     fn call(&self, id: &str, body: usize) -> Sender<()> {
+        self.start_call(id, body, true)
+    }
+    fn start_call(&self, id: &str, body: usize, unsafe_to_repeat: bool) -> Sender<()> {
         let (cancel, cancelled) = bounded(1);
         let call = OutboundCall {
             endpoint: "e1".into(),
@@ -38,7 +42,7 @@
             body: vec![b'x'; body],
             started: self.shared.clock.now(),
             timeout: Micros(20_000_000),
-            unsafe_to_repeat: true,
+            unsafe_to_repeat,
             probe_path: None,
             cancellation: Some(cancelled),
         };
@@ -233,3 +237,100 @@
     assert_eq!((outcome.verdict, outcome.wait_until > Micros(0)), (Verdict::Cancelled, true));
     assert!(reported_until == Micros(0) || reported_until == outcome.wait_until);
 }
+
+const KEPT_200: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const KEPT_503: &str = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+const LAST_200: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok";
+const LAST_503: &str = "HTTP/1.1 503 X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+/// Reads one call without a body; returns its head.
+fn read_call(stream: &mut TcpStream) -> String {
+    let (mut received, mut byte) = (Vec::new(), [0]);
+    while !received.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).unwrap();
+        received.extend(byte);
+    }
+    String::from_utf8(received).unwrap()
+}
+
+impl Harness {
+    /// Makes the first call on a connection, and answers it.
+    fn answered_connection(&self, response: &str) -> TcpStream {
+        let _first = self.call("first", 0);
+        self.answer_permit_request(Ok(PERMIT));
+        let mut stream = self.accept(&mut Vec::new(), "\r\n\r\n");
+        stream.write_all(response.as_bytes()).unwrap();
+        self.next_outcome();
+        stream
+    }
+    /// Starts the second call on the connection, and reads it there.
+    fn second_call(&self, stream: &mut TcpStream) -> Sender<()> {
+        let second = self.call("second", 0);
+        self.answer_permit_request(Ok(PERMIT));
+        async_io::block_on(self.shared.executor.run(future::yield_now()));
+        let head = read_call(stream);
+        assert!(head.contains("second") && head.contains("Connection: close\r\n"), "{head}");
+        second
+    }
+}
+
+/// Guards against the copy of an earlier response that is taken for the response to the next call: a message
+/// was lost, or it was sent again although it had run. The copy comes at any time while that call is out.
+#[rstest::rstest]
+#[case::a_refusal_behind_the_copy_of_a_delivery(KEPT_200, LAST_503, Verdict::Full(None))]
+#[case::a_delivery_behind_the_copy_of_a_refusal(KEPT_503, LAST_200, Verdict::Delivered)]
+fn the_copy_of_a_response_is_not_taken_for_the_next_one(
+    #[case] first: &str, #[case] own: &str, #[case] verdict: Verdict, #[values(1, 3)] copies: usize,
+    #[values(true, false)] in_one_write: bool,
+) {
+    let harness = Harness::new();
+    let mut stream = harness.answered_connection(first);
+    let _second = harness.second_call(&mut stream);
+    if in_one_write {
+        stream.write_all((first.repeat(copies) + own).as_bytes()).unwrap();
+    } else {
+        for _ in 0..copies {
+            stream.write_all(first.as_bytes()).unwrap();
+            let skipped = async { async_io::Timer::after(std::time::Duration::from_millis(20)).await };
+            async_io::block_on(harness.shared.executor.run(skipped));
+            assert!(harness.core.is_empty(), "the copy was taken for the response");
+        }
+        stream.write_all(own.as_bytes()).unwrap();
+    }
+    assert_eq!(harness.next_outcome().verdict, verdict);
+    assert_eq!(harness.shared.counters.copies_skipped.get(), copies as u64);
+    let _third = harness.call("third", 0);
+    harness.answer_permit_request(Ok(PERMIT));
+    let mut received = Vec::new();
+    harness.accept(&mut received, "\r\n\r\n");
+    let received = String::from_utf8(received).unwrap();
+    assert!(received.contains("third"), "a third call goes over a new connection: {received}");
+}
+
+/// An endpoint that ignores the request to close leaves unknown whether its response was a copy. Where no
+/// endpoint has confirmed it yet, the call is not waited for, and further connections carry one call each.
+#[test]
+fn an_endpoint_that_never_confirms_the_close_gets_one_call_a_connection() {
+    let harness = Harness::new();
+    harness.shared.confirms_close.set(false);
+    let stream = harness.answered_connection(KEPT_200);
+    let _unsafe = harness.call("unsafe", 0);
+    harness.answer_permit_request(Ok(PERMIT));
+    let mut received = Vec::new();
+    let mut other = harness.accept(&mut received, "\r\n\r\n");
+    assert!(String::from_utf8(received).unwrap().contains("unsafe"), "it must not run unconfirmed");
+    other.write_all(KEPT_200.as_bytes()).unwrap();
+    assert_eq!(harness.next_outcome().verdict, Verdict::Delivered);
+    drop((stream, other));
+    let mut stream = harness.answered_connection(KEPT_200);
+    let _repeatable = harness.start_call("repeatable", 0, false);
+    harness.answer_permit_request(Ok(PERMIT));
+    async_io::block_on(harness.shared.executor.run(future::yield_now()));
+    read_call(&mut stream);
+    stream.write_all(KEPT_200.as_bytes()).unwrap();
+    assert_eq!(harness.next_outcome().verdict, Verdict::Error, "it may have run");
+    for _ in 0..2 {
+        harness.answered_connection(KEPT_200);
+    }
+    assert_eq!(harness.shared.counters.outbound_reused.get(), 1);
+}
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -37,6 +37,8 @@
     pub calls_finished: Receiver<()>,
     /// The number that `next_serial` returned last.
     pub last_serial: Cell<u64>,
+    /// An endpoint has confirmed the end of a connection that a call asked for, so others are expected to.
+    pub confirms_close: Cell<bool>,
     /// How often calls over reused connections to endpoints broke.
     pub reuse_stats: std::cell::RefCell<http::reuse::ReuseStats>,
     /// Inbound connections that may be closed to make room for new ones.
@@ -92,6 +94,7 @@
             calls_finished: closed,
             last_serial: Cell::new(0),
             eviction_queue: Default::default(),
+            confirms_close: Cell::new(true),
             reuse_stats: Default::default(),
             stopping: Cell::new(false),
             taking_over: Cell::new(false),
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -109,6 +109,7 @@
         shutdown_started,
         calls_finished,
         eviction_queue: Default::default(),
+        confirms_close: Cell::new(false),
         reuse_stats: Default::default(),
         last_serial: Cell::new(0),
         stopping: Cell::new(false),
--- a/daemon/tests/harness/http.rs
+++ b/daemon/tests/harness/http.rs
@@ -79,6 +79,12 @@
             let is_probe = first_line.starts_with("GET ");
             let id = if is_probe { "probe" } else { header_value(&headers, "x-request-id") };
             recorder.keep_stream(id, &stream);
+            let mut closing = recorder.closing.lock().unwrap();
+            closing.remove(id);
+            if header_value(&headers, "connection") == "close" {
+                closing.insert(id.to_owned());
+            }
+            drop(closing);
             let key = header_value(&headers, "idempotency-key");
             recorder.record_event(format!("{id} key={key} body={}", String::from_utf8_lossy(&body)));
         }
@@ -89,9 +95,12 @@
 pub fn start_accepting_endpoint(arrivals: Arc<Mutex<Vec<Instant>>>) -> SocketAddr {
     start_server(move |mut stream| {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
-        while read_message(&mut reader).is_some() {
+        while let Some((_, headers, _)) = read_message(&mut reader) {
             arrivals.lock().unwrap().push(Instant::now());
-            if write_bytes(&mut stream, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_err() {
+            let closes = header_value(&headers, "connection") == "close";
+            let connection = if closes { "Connection: close\r\n" } else { "" };
+            let response = format!("HTTP/1.1 200 OK\r\n{connection}Content-Length: 0\r\n\r\n");
+            if write_bytes(&mut stream, response.as_bytes()).is_err() || closes {
                 return;
             }
         }
@@ -123,7 +132,7 @@
 }
 
 /// Responds to a call: `ID STATUS [Header=value ...]`, `ID reset`, or `ID raw TEXT`, which leaves the
-/// connection open.
+/// connection open. A response with a status closes the connection if the call asks for that.
 pub fn send_response(endpoint: &PeerHandle, words: &[&str]) -> StepResult {
     let [id, status, headers @ ..] = words else { return Err("a response needs ID and STATUS".into()) };
     let mut stream = endpoint.take_stream(id)?;
@@ -134,11 +143,14 @@
         endpoint.streams.lock().unwrap().insert((*id).to_owned(), stream.try_clone().unwrap());
         return write_bytes(&mut stream, unescape(headers.first().unwrap_or(&"")).as_bytes());
     }
+    let closes = endpoint.closing.lock().unwrap().remove(*id);
+    let connection = if closes { "Connection: close\r\n" } else { "" };
     let headers: String = headers.iter().map(|h| h.replacen('=', ": ", 1) + "\r\n").collect();
     write_bytes(
         &mut stream,
-        format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: 2\r\n\r\nok").as_bytes(),
-    )
+        format!("HTTP/1.1 {status} X\r\n{connection}{headers}Content-Length: 2\r\n\r\nok").as_bytes(),
+    )?;
+    if closes { stream.shutdown(std::net::Shutdown::Both).map_err(|e| e.to_string()) } else { Ok(()) }
 }
 
 /// Starts a platform that records each notice as `ID STATE [MILLISECONDS]` and serves the endpoint list. A
--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -7,7 +7,7 @@
 mod smpp;
 
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -31,6 +31,8 @@
     events: Receiver<String>,
     /// Connections by name: the peer's own name, or the request that a response is due for.
     pub streams: Arc<Mutex<BTreeMap<String, TcpStream>>>,
+    /// Requests whose response has to close the connection.
+    pub closing: Arc<Mutex<BTreeSet<String>>>,
     /// The address where the peer listens; `None` for clients and SMPP gateways.
     pub address: Option<SocketAddr>,
 }
@@ -40,6 +42,7 @@
 pub struct PeerRecorder {
     pub events: Sender<String>,
     pub streams: Arc<Mutex<BTreeMap<String, TcpStream>>>,
+    pub closing: Arc<Mutex<BTreeSet<String>>>,
 }
 
 impl PeerRecorder {
@@ -55,8 +58,9 @@
 /// The two sides of a new simulated peer.
 pub fn peer_channel() -> (PeerHandle, PeerRecorder) {
     let (sender, events) = channel();
-    let streams = Arc::new(Mutex::new(BTreeMap::new()));
-    (PeerHandle { events, streams: streams.clone(), address: None }, PeerRecorder { events: sender, streams })
+    let (streams, closing): (Arc<Mutex<_>>, Arc<Mutex<_>>) = Default::default();
+    let handle = PeerHandle { events, streams: streams.clone(), closing: closing.clone(), address: None };
+    (handle, PeerRecorder { events: sender, streams, closing })
 }
 
 impl PeerHandle {
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -15,6 +15,8 @@
     /// The message's id from `X-Request-Id`; empty if the request has none.
     pub id: String,
     pub body: Vec<u8>,
+    /// Whether it asks to close the connection behind its response.
+    pub closes: bool,
     /// When the first byte of the request arrived.
     pub first_byte_at: Instant,
 }
@@ -26,6 +28,8 @@
     buffer: Vec<u8>,
     /// When the first byte in the buffer arrived.
     first_byte_at: Option<Instant>,
+    /// The client has asked to close the connection behind the response to its last request.
+    closes: bool,
 }
 
 fn invalid_data(what: &str) -> io::Error {
@@ -36,7 +40,7 @@
     /// Takes over an accepted connection.
     pub fn new(stream: Async<TcpStream>) -> ServerConnection {
         let _ = stream.get_ref().set_nodelay(true);
-        ServerConnection { stream, buffer: Vec::new(), first_byte_at: None }
+        ServerConnection { stream, buffer: Vec::new(), first_byte_at: None, closes: false }
     }
 
     /// Returns the next request, or `None` once the client has closed the connection.
@@ -45,6 +49,7 @@
             if let Some((request, length)) = self.parse()? {
                 self.buffer.drain(..length);
                 self.first_byte_at = None;
+                self.closes = request.closes;
                 return Ok(Some(request));
             }
             let mut chunk = [0; 4096];
@@ -83,16 +88,22 @@
             path: text(head.path),
             epoch,
             id: header("x-request-id").unwrap_or_default(),
+            closes: header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")),
             body: self.buffer[head_length..head_length + body_length].to_vec(),
             first_byte_at: self.first_byte_at.unwrap_or_else(Instant::now),
         };
         Ok(Some((request, head_length + body_length)))
     }
 
-    /// Sends a response. `headers` are complete lines, each with its CRLF.
+    /// Sends a response, and closes the connection if the request asked for that. `headers` are complete
+    /// lines, each with its CRLF.
     pub async fn respond(&mut self, status: u16, headers: &str, body: &str) -> io::Result<()> {
-        let text = format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
-        self.stream.write_all(text.as_bytes()).await
+        let connection = if self.closes { "Connection: close\r\n" } else { "" };
+        let length = body.len();
+        let text =
+            format!("HTTP/1.1 {status} X\r\n{headers}{connection}Content-Length: {length}\r\n\r\n{body}");
+        self.stream.write_all(text.as_bytes()).await?;
+        if self.closes { self.stream.get_ref().shutdown(std::net::Shutdown::Write) } else { Ok(()) }
     }
 
     /// Waits until the client closes the connection. Bytes that arrive meanwhile are discarded.
