An older list over a kept connection to discovery is not used

What callers would see: for the length of one call, calls to endpoints that drain.

Evidence: an_older_complete_list_over_a_kept_connection_is_not_used failed before ("the list is requested again").

Why it works: on one connection generations only rise, so an older complete list there can be a copy alone, or come from a discovery that lost its generations. Discovery is asked again over a new connection, whose first response cannot be a copy. Changes (not complete lists) with an older generation were not used before either; a copy with the same generation changes nothing.

--- a/daemon/src/list/follow.rs
+++ b/daemon/src/list/follow.rs
@@ -127,12 +127,19 @@
 
     async fn follow(&mut self) -> Result<NextStep, CoreStopped> {
         let called_at = self.shared.clock.now();
+        let over_kept_connection = self.conn.is_some();
         match self.next_event(called_at).await {
             Event::Message(message) => self.on_message(message).await,
             Event::DiscoveryMoved => {
                 self.on_address_change().await?;
                 Ok(NextStep::Call)
             }
+            // The copy of an earlier response may come over the connection that carried it. The first response
+            // on a new connection cannot be one, so discovery is asked there.
+            Event::Answer(Ok(list)) if over_kept_connection && self.is_older_complete_list(&list) => {
+                self.conn = None;
+                Ok(NextStep::Call)
+            }
             Event::Answer(Ok(list)) => self.on_answer(called_at, list).await,
             Event::Answer(Err(failed)) => self.on_failure(called_at, failed).await,
         }
@@ -224,6 +231,10 @@
         Ok(NextStep::Call)
     }
 
+    fn is_older_complete_list(&self, list: &FetchedList) -> bool {
+        list.complete && self.discovery.generation.is_some_and(|current| list.generation < current)
+    }
+
     async fn on_answer(&mut self, called_at: Micros, list: FetchedList) -> Result<NextStep, CoreStopped> {
         // A generation below the one in use comes from another service: these changes do not apply to the
         // list in use.
--- a/daemon/src/list/tests.rs
+++ b/daemon/src/list/tests.rs
@@ -229,3 +229,25 @@
     let (_stream, request) = harness.next_request(&listener).unwrap();
     assert!(request.contains(query), "{request}");
 }
+
+/// Guards against the copy of an earlier response that is taken for the current list: endpoints that drain
+/// would be called again.
+#[test]
+fn an_older_complete_list_over_a_kept_connection_is_not_used() {
+    let (listener, address) = discovery();
+    let harness = Harness::waiting(address, Micros(20_000_000));
+    let (mut stream, _) = harness.next_request(&listener).unwrap();
+    for generation in [7, 9] {
+        send_list(&mut stream, generation);
+        assert_eq!(harness.next_generation(), Some(generation));
+        async_io::block_on(harness.shared.executor.run(Timer::after(Duration::from_millis(100))));
+        assert!(read(&mut stream).contains(&format!("since={generation}")));
+    }
+    send_list(&mut stream, 7);
+    let (mut second, request) = harness.next_request(&listener).expect("the list is requested again");
+    assert!(request.contains("since=9"), "{request}");
+    assert!(harness.messages.is_empty(), "the core received the older list");
+    // Over a new connection it is the list of a discovery that has been restarted.
+    send_list(&mut second, 3);
+    assert_eq!(harness.next_generation(), Some(3));
+}
