--- a/daemon/tests/harness/http.rs
+++ b/daemon/tests/harness/http.rs
@@ -1,6 +1,8 @@
 //! Simulated HTTP clients, endpoints and platform.
 
 use super::{PeerHandle, PeerRecorder, PlatformState, StepResult, option_value, write_bytes};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde_json::Value;
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -107,6 +109,67 @@
     })
 }
 
+/// One call to an endpoint, as the endpoint saw it.
+pub struct ObservedCall {
+    pub id: String,
+    pub arrived: Instant,
+    /// When the response was written.
+    pub answered: Option<Instant>,
+    pub status: u16,
+}
+
+/// The calls to an endpoint in the order of their arrival.
+pub type CallLog = Arc<Mutex<Vec<ObservedCall>>>;
+
+/// What an endpoint does with one call.
+struct Treatment {
+    status: u16,
+    service_time: Duration,
+    /// A second copy of the response follows after this time.
+    copy_after: Option<Duration>,
+}
+
+impl Treatment {
+    fn draw(rng: &mut StdRng) -> Treatment {
+        let status = if rng.random_bool(0.15) { 503 } else { 200 };
+        let service_time = Duration::from_millis(rng.random_range(5..60));
+        let copy_after = rng.random_bool(0.4).then(|| Duration::from_micros(rng.random_range(0..150_000)));
+        Treatment { status, service_time, copy_after }
+    }
+}
+
+/// Starts an endpoint that refuses some calls, and sends some of its responses twice: the second copy comes at
+/// any time, whatever else is out on the connection.
+pub fn start_copying_endpoint(seed: u64, calls: CallLog) -> SocketAddr {
+    let rng = Mutex::new(StdRng::seed_from_u64(seed));
+    start_server(move |mut stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some((_, headers, _)) = read_message(&mut reader) {
+            let Treatment { status, service_time, copy_after } = Treatment::draw(&mut rng.lock().unwrap());
+            let id = header_value(&headers, "x-request-id").to_owned();
+            let index = {
+                let mut calls = calls.lock().unwrap();
+                calls.push(ObservedCall { id, arrived: Instant::now(), answered: None, status });
+                calls.len() - 1
+            };
+            std::thread::sleep(service_time);
+            let closes = header_value(&headers, "connection") == "close";
+            let connection = if closes { "Connection: close\r\n" } else { "" };
+            let response = format!("HTTP/1.1 {status} X\r\n{connection}Content-Length: 0\r\n\r\n");
+            calls.lock().unwrap()[index].answered = Some(Instant::now());
+            if write_bytes(&mut stream, response.as_bytes()).is_err() || closes {
+                return;
+            }
+            let Some(copy_after) = copy_after else { continue };
+            let mut copy_stream = stream.try_clone().unwrap();
+            std::thread::spawn(move || {
+                std::thread::sleep(copy_after);
+                let _ = write_bytes(&mut copy_stream, response.as_bytes());
+            });
+        }
+    })
+}
+
 /// Submits messages to the daemon at this address, each over a connection of its own, and ignores the
 /// responses.
 pub struct Client(pub SocketAddr);
@@ -120,6 +183,19 @@
         let _ = handle.expect_event(&["202"]);
     }
 
+    /// Submits messages for destination 1 one after the other over one connection, each as the words of its
+    /// class and options; returns how many were accepted.
+    pub fn submit_all(&self, messages: &[String]) -> usize {
+        let (handle, recorder) = super::peer_channel();
+        start_client(recorder, self.0, "client");
+        let submit = |message: &&String| {
+            let words: Vec<&str> = message.split(' ').collect();
+            let _ = send_request(&handle, "client", &words);
+            handle.expect_event(&["202"]).is_ok()
+        };
+        messages.iter().filter(submit).count()
+    }
+
     /// Submits a message of class `status`; does nothing where the daemon refuses the connection.
     pub fn try_submit(&self, id: &str, destination: &str) {
         let Ok(stream) = TcpStream::connect(self.0) else { return };
--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -242,12 +242,29 @@
         &mut self, name: &str, destination: &str, arrivals: Arc<Mutex<Vec<Instant>>>,
     ) {
         let address = http::start_accepting_endpoint(arrivals);
+        self.add_endpoint(name, destination, address);
+    }
+
+    /// Adds an endpoint that refuses some calls and sends some of its responses twice; returns its calls.
+    pub fn add_copying_endpoint(&mut self, name: &str, destination: &str, seed: u64) -> http::CallLog {
+        let calls = http::CallLog::default();
+        let address = http::start_copying_endpoint(seed, calls.clone());
+        self.add_endpoint(name, destination, address);
+        calls
+    }
+
+    fn add_endpoint(&mut self, name: &str, destination: &str, address: SocketAddr) {
         let attributes = format!("dest={destination}");
         let endpoint =
             ListedEndpoint { name: name.to_owned(), address, attributes, lifecycle: "Ready".into() };
         self.platform.lock().unwrap().endpoints.push(endpoint);
     }
 
+    /// The daemon's counters.
+    pub fn counters(&self) -> Value {
+        http::read_counters(self.http_address.expect("the daemon listens for HTTP")).expect("counters")
+    }
+
     /// An HTTP client of the newest daemon process.
     pub fn http_client(&self) -> http::Client {
         http::Client(self.http_address.expect("the daemon listens for HTTP"))
