A malformed second response is no copy, and one early copy marks no endpoint for good

Cause: a malformed response to the second call on a connection counted as an unconfirmed one, and each endpoint that sent one got one call a connection for good.

Change: the first response was well-formed, or its connection would not have been kept, so a response that cannot be read is no copy of it. And an endpoint that did not confirm while nobody had yet is tried again once another one has.

--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -186,7 +186,9 @@
         }
         loop {
             let mut response = self.read_head(clock, deadline).await?;
-            if response.closes() {
+            // The first response was well-formed, or the connection would not have been kept, so a malformed
+            // one is no copy of it.
+            if response.closes() || response.framing.is_err() {
                 return Ok(response);
             }
             self.skipped_copies += 1;
@@ -221,11 +223,17 @@
                     .unwrap_or(Err(ResponseError::TimedOut))?;
             }
             let end_by = clock.now().plus(RESPONSE_END_TIMEOUT);
-            let result = clock.timeout_at(end_by, self.parse_head()).await;
-            match result.unwrap_or(Err(ResponseError::Malformed("a head without end".into()))) {
-                Ok(interim) if (100..200).contains(&interim.status) => {}
-                Ok(response) => return Ok(response),
-                Err(error) => return self.parse_ok_first_line().ok_or(error),
+            match clock.timeout_at(end_by, self.parse_head()).await {
+                Some(Ok(interim)) if (100..200).contains(&interim.status) => {}
+                Some(Ok(response)) => return Ok(response),
+                Some(Err(error @ ResponseError::Malformed(_))) => {
+                    return self.parse_ok_first_line().ok_or(error);
+                }
+                Some(Err(error)) => return self.parse_incomplete_head().ok_or(error),
+                None => {
+                    let error = ResponseError::Malformed("a head without end".into());
+                    return self.parse_incomplete_head().ok_or(error);
+                }
             }
         }
         Err(ResponseError::Malformed("interim answers without end".into()))
@@ -268,6 +276,12 @@
         }
     }
 
+    /// A response whose head did not arrive completely, if its first line says 200. On a connection that has
+    /// been answered before it may be a part of a copy.
+    fn parse_incomplete_head(&self) -> Option<Response> {
+        if self.answered_once { None } else { self.parse_ok_first_line() }
+    }
+
     /// A response of which only the first line can be read, if that line is complete and its status is 200.
     fn parse_ok_first_line(&self) -> Option<Response> {
         let data = self.buffer.data();
--- a/daemon/src/net/http/endpoint/tests.rs
+++ b/daemon/src/net/http/endpoint/tests.rs
@@ -334,3 +334,22 @@
     }
     assert_eq!(harness.shared.counters.outbound_reused.get(), 1);
 }
+
+/// The first response on a connection was well-formed, so a malformed one is no copy of it: its first line
+/// counts as it does on a new connection. What did not arrive completely may be a part of a copy.
+#[rstest::rstest]
+#[case::length_that_does_not_fit("HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n", Verdict::Delivered)]
+#[case::head_that_cannot_be_read("HTTP/1.1 200 OK\r\n\0: x\r\n\r\n", Verdict::Delivered)]
+#[case::head_without_end("HTTP/1.1 200 OK\r\nContent-", Verdict::Error)]
+#[case::noise("noise\r\n\r\n", Verdict::Error)]
+fn a_malformed_second_response_is_no_copy(#[case] response: &str, #[case] verdict: Verdict) {
+    let harness = Harness::new();
+    let mut stream = harness.answered_connection(KEPT_200);
+    let _second = harness.second_call(&mut stream);
+    stream.write_all(response.as_bytes()).unwrap();
+    assert_eq!(harness.next_outcome().verdict, verdict);
+    assert_eq!(harness.shared.counters.copies_skipped.get(), 0);
+    // The endpoint has not failed to confirm the end of a connection.
+    let mut stream = harness.answered_connection(KEPT_200);
+    let _fourth = harness.second_call(&mut stream);
+}
--- a/daemon/src/net/http/idle.rs
+++ b/daemon/src/net/http/idle.rs
@@ -32,14 +32,23 @@
     connections: Vec<Idle>,
     /// False from `stop_keeping` to the next call: connections that are returned in that time are closed.
     keeps_returned: bool,
-    /// Whether responses of this endpoint confirm the end of a connection; `None` until one has shown it.
-    confirms_close: Option<bool>,
+    /// A response of this endpoint has confirmed the end of a connection.
+    confirms_close: bool,
+    /// Set if one did not, to whether it was known then that endpoints confirm it: until that is known, the
+    /// copy of a response is not told from the response of an endpoint that never confirms.
+    failed_to_confirm: Option<bool>,
 }
 
 impl IdleConnections {
     /// No connections.
     pub fn new(shared: Rc<SharedState>) -> IdleConnections {
-        IdleConnections { shared, connections: Vec::new(), keeps_returned: true, confirms_close: None }
+        IdleConnections {
+            shared,
+            connections: Vec::new(),
+            keeps_returned: true,
+            confirms_close: false,
+            failed_to_confirm: None,
+        }
     }
 
     /// When the next connection has been idle for as long as it may be.
@@ -62,18 +71,18 @@
             // A machine that vanished leaves its connections open and silent. A call over one would time out
             // and might have run, whereas a failed connect proves that it has not.
             Returned::SuspectIdle => self.close_all(),
-            Returned::ConfirmsClose(confirms) => {
-                self.confirms_close = Some(confirms);
-                if !confirms {
-                    self.close_all();
-                }
+            Returned::ConfirmsClose(true) => (self.confirms_close, self.failed_to_confirm) = (true, None),
+            Returned::ConfirmsClose(false) => {
+                self.failed_to_confirm = Some(self.is_confirmation_known());
+                self.close_all();
             }
         }
     }
 
     /// Near the limit on descriptors no connection is kept.
     fn may_keep(&self, conn: &Conn) -> bool {
-        let may_carry_another = !conn.is_answered_once() || self.confirms_close != Some(false);
+        let never_confirms = self.failed_to_confirm == Some(self.is_confirmation_known());
+        let may_carry_another = !conn.is_answered_once() || !never_confirms;
         let below_limit = self.shared.counters.outbound_open.get() <= self.shared.max_outbound;
         self.keeps_returned && may_carry_another && below_limit
     }
@@ -110,7 +119,7 @@
     }
 
     fn is_confirmation_known(&self) -> bool {
-        self.confirms_close == Some(true) || self.shared.confirms_close.get()
+        self.confirms_close || self.shared.confirms_close.get()
     }
 
     /// Closes connections that the endpoint has closed, and others well before the platform's limit on idle
