--- a/daemon/tests/harness/smpp.rs
+++ b/daemon/tests/harness/smpp.rs
@@ -78,14 +78,14 @@
 }
 
 /// Starts a gateway. It responds to bind, enquire_link and unbind by itself. It records each submission as
-/// `submit TEXT` and keeps the connection under that text, by which the scenario responds.
+/// `submit TEXT` and keeps the connection under that text, by which the scenario responds. Sessions are served one
+/// after the other, so that the end of one is recorded before the begin of the next.
 pub fn start_gateway(recorder: PeerRecorder) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let recorder = recorder.clone();
-            std::thread::spawn(move || run_session(recorder, stream, "session"));
+            run_session(recorder.clone(), stream, "session");
         }
     });
     address
