--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -7,8 +7,8 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 
-/// Payments that are handed in while both processes run.
-const PAYMENTS: usize = 5;
+/// Payments that are handed in when the new process has said yes.
+const PAYMENTS: usize = 10;
 /// Connections on which the bad client sends its copy of each.
 const COPIES: usize = 8;
 
@@ -31,7 +31,7 @@
     old.mgmt = Some(free_address());
     let old_id = old.start("old.log");
     old.wait_ready();
-    // One delivery, so that the endpoint is known.
+    // Some deliveries, so that the endpoint is known.
     let message = |id: String, body: String| Message {
         id,
         class: "payment",
@@ -40,8 +40,10 @@
         deadline_s: 28.0,
         body,
     };
-    message("f0".into(), "first".into()).hand_in(old.listen);
-    pause(500);
+    for n in 0..4 {
+        message(format!("f{n}"), format!("first-{n}")).hand_in(old.listen);
+        pause(300);
+    }
     if trouble {
         let mut new = old.clone();
         new.mgmt = Some(free_address());
@@ -50,31 +52,30 @@
         let Some(answer) = wait_for(6000, yes) else { cannot_run("the new process did not say yes") };
         note(format!("new process: status answered '{answer}'"));
     }
-    for n in 1..=PAYMENTS {
-        let charge = message(format!("9b1f03aa5c7e2d4{n}"), format!("charge-{n}"));
-        // A connection that meets no answer is no matter here: the next one is tried.
-        if charge.hand_in(old.listen) != Some(202) {
-            continue;
-        }
-        pause(15);
-        let copies: Vec<_> = (0..COPIES)
-            .map(|_| {
-                let copy = charge.clone();
-                let to = old.listen;
-                std::thread::spawn(move || {
-                    exchange(to, &copy.head(), copy.body.as_bytes(), 400).map(|a| a.status)
-                })
+    // Each on a connection of its own, which the system leads to one of the two processes.
+    let charges: Vec<_> =
+        (1..=PAYMENTS).map(|n| message(format!("9b1f03aa5c7e2d{n:02}"), format!("charge-{n}"))).collect();
+    let taken: Vec<_> = charges.iter().filter(|charge| charge.hand_in(old.listen) == Some(202)).collect();
+    if trouble {
+        signal(old_id, "TERM");
+    }
+    let copies: Vec<_> = taken
+        .iter()
+        .flat_map(|charge| (0..COPIES).map(|_| (*charge).clone()))
+        .map(|copy| {
+            let to = old.listen;
+            std::thread::spawn(move || {
+                let answer = exchange(to, &copy.head(), copy.body.as_bytes(), 400);
+                (copy.id, answer.map(|a| a.status))
             })
-            .collect();
-        let answers: Vec<_> = copies.into_iter().map(|c| c.join().unwrap()).collect();
-        note(format!(
-            "bad client: the id {} of that open request on {COPIES} connections: answered {answers:?}",
-            charge.id
-        ));
-        pause(400);
+        })
+        .collect();
+    let answers: Vec<_> = copies.into_iter().map(|c| c.join().unwrap()).collect();
+    for charge in &taken {
+        let of_this: Vec<_> = answers.iter().filter(|a| a.0 == charge.id).map(|a| a.1).collect();
+        note(format!("bad client: the id {} on {COPIES} connections: answered {of_this:?}", charge.id));
     }
     if trouble {
-        signal(old_id, "TERM");
         wait_for(4500, || ended(old_id));
     }
     pause(1500);
--- a/review/harness-2.rs
+++ b/review/harness-2.rs
@@ -130,6 +130,8 @@
 #[derive(Clone)]
 pub struct Forwarder {
     pub name: String,
+    /// The list for the next start, in discovery's form.
+    pub known: Option<String>,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub mgmt: Option<SocketAddr>,
@@ -145,6 +147,7 @@
         let config = folder.join("config.json");
         let forwarder = Forwarder {
             name: "n1".into(),
+            known: None,
             listen: free_address(),
             discovery,
             mgmt: None,
@@ -157,9 +160,10 @@
     }
 
     pub fn write_config(&self, settings: &str) {
+        let known = self.known.as_ref().map_or(String::new(), |known| format!("\"known\":{known},"));
         let text = format!(
             "{{\"name\":\"{}\",\"listen\":\"{}\",\"discovery\":\"{}\",\"seed\":\"8c1f30d27a5be964\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":3}},\"settings\":{settings}}}",
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":3}},{known}\"settings\":{settings}}}",
             self.name, self.listen, self.discovery
         );
         let new = self.config.with_extension("new");
@@ -366,6 +370,8 @@
     RunAndClose(u64),
     /// Never answers, and does not run the call.
     Silent,
+    /// Runs the call, and then sends heads of interim (1xx) answers without end, a piece each so many milliseconds.
+    Interim(u64),
 }
 
 /// All calls and runs, in order.
@@ -455,6 +461,16 @@
                             ));
                             return;
                         }
+                        Answer::Interim(ms) => {
+                            run(&log);
+                            let mut piece = &b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Con"[..];
+                            while stream.write_all(piece).is_ok() {
+                                piece = b"tinue\r\n\r\nHTTP/1.1 100 Con";
+                                pause(ms);
+                            }
+                            note(format!("endpoint {name}: call {}: its connection has ended", call.id));
+                            return;
+                        }
                         Answer::Silent => {
                             note(format!("endpoint {name}: call {} gets no answer", call.id));
                             loop {
@@ -484,6 +500,8 @@
 pub struct Platform {
     pub entries: Vec<String>,
     pub generation: u64,
+    /// Discovery is down: it answers 503, and notices are taken all the same.
+    pub down: bool,
     /// Id, state and time of each notice.
     pub notices: Vec<(String, String, f64)>,
 }
@@ -497,7 +515,7 @@
 
 /// Starts discovery.
 pub fn platform(entries: Vec<String>) -> (SocketAddr, Arc<Mutex<Platform>>) {
-    let state = Arc::new(Mutex::new(Platform { entries, generation: 41, notices: Vec::new() }));
+    let state = Arc::new(Mutex::new(Platform { entries, generation: 41, down: false, notices: Vec::new() }));
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let shared = state.clone();
@@ -519,6 +537,8 @@
                             shared.lock().unwrap().notices.push((field("id"), field("state"), at()));
                         }
                         "HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n".to_owned()
+                    } else if shared.lock().unwrap().down {
+                        "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n".to_owned()
                     } else {
                         let number = |name: &str| {
                             let rest = http.first.split_once(&format!("{name}=")).map_or("", |r| r.1);
