Only the own discovery names the addresses that calls go to

Cause: the holder of the list duty passes discovery's answer on, and the other members applied it with its addresses. Discovery may name an endpoint to each forwarder by another address, so such an address may belong to another partner.

Fix: members take from an update its generation and its drains, which are the same everywhere, and ask their own discovery for the rest. The drains hold until the own list has reached that generation.

Found with it: each message of a member dropped the call in progress, so a discovery that answers more slowly than a quarter of a lease was never heard. Only a change of the role or of discovery's address drops a call now.

--- a/daemon/src/core_actor/messages.rs
+++ b/daemon/src/core_actor/messages.rs
@@ -3,7 +3,7 @@
 use super::{MaintenanceReply, PermitRequest, PermitResult};
 use crate::list::ListPart;
 use crate::maintenance::MaintenanceChange;
-use crate::shared_waits::SiblingEntry;
+use crate::shared_waits::{SharedDrain, SiblingEntry};
 use crate::state_folder::OrphanedLog;
 use async_channel::Sender;
 use onyxrock::core::{AcceptedMessage, AttemptOutcome, FinalStatus, NameIndex};
@@ -101,6 +101,8 @@
     /// A sibling process has started, and its waits file is to be written at this path; `None` once it is
     /// gone.
     SiblingChanged(Option<PathBuf>),
+    /// Another member's list has these endpoints as draining or gone.
+    DrainsTold(Vec<SharedDrain>),
     /// An entry of the sibling's waits file.
     FromSibling(SiblingEntry),
     /// Takes over the messages in the log of a sibling that is gone.
--- a/daemon/src/core_actor/sibling.rs
+++ b/daemon/src/core_actor/sibling.rs
@@ -5,6 +5,7 @@
 use crate::shared_waits::{SharedDrain, SharedRetryAfter, SiblingEntry, WaitsFileWriter};
 use onyxrock::interface::{Micros, ReceiverId};
 use onyxrock_roster::DirectoryOutput;
+use onyxrock_sharing::DutyRunner;
 use std::collections::BTreeSet;
 use std::path::PathBuf;
 
@@ -66,18 +67,18 @@
                 }
             }
             SiblingEntry::RetryAfter(wait) => self.on_sibling_retry_after(now, &wait),
-            SiblingEntry::Drain(drain) => self.on_sibling_drain(now, &drain),
+            SiblingEntry::Drain(drain) => self.on_foreign_drain(now, &drain, "the other process"),
         }
     }
 
-    /// Applies a drain that the sibling learned, unless the own list is at least as recent.
-    fn on_sibling_drain(&mut self, now: Micros, drain: &SharedDrain) {
+    /// Applies a drain that the sibling or another member learned, unless the own list is at least as recent.
+    pub(super) fn on_foreign_drain(&mut self, now: Micros, drain: &SharedDrain, source: &str) {
         if self.list_generation.is_some_and(|own_generation| own_generation >= drain.generation) {
             return;
         }
         let mut output = DirectoryOutput::default();
-        self.directory.on_sibling_drain(now, &drain.endpoint, drain.generation, &mut output);
-        tracing::info!(endpoint = drain.endpoint, "list: endpoint drains according to the other process");
+        self.directory.on_foreign_drain(now, &drain.endpoint, drain.generation, &mut output);
+        tracing::info!(endpoint = drain.endpoint, "list: endpoint drains according to {source}");
         self.apply_directory_output(now, output);
     }
 
@@ -86,8 +87,9 @@
     pub(super) fn set_list_generation(&mut self, now: Micros, generation: Option<u64>) {
         self.list_generation = generation;
         let mut output = DirectoryOutput::default();
-        // If the sibling is gone, its drains need no later list to end.
-        let required_generation = generation.filter(|_| self.sibling.is_some());
+        // Without a sibling and without a holder of the list duty, their drains need no later list to end.
+        let follows_holder = self.duty_runner.as_ref().is_some_and(DutyRunner::follows_list_holder);
+        let required_generation = generation.filter(|_| self.sibling.is_some() || follows_holder);
         self.directory.on_list_generation(now, required_generation, &mut output);
         self.apply_directory_output(now, output);
         if self.sibling.is_some() {
--- a/daemon/src/list/follow.rs
+++ b/daemon/src/list/follow.rs
@@ -6,13 +6,15 @@
 use crate::core_actor::CoreMessage;
 use crate::net::SharedState;
 use crate::net::http::client::Conn;
+use crate::shared_waits::SharedDrain;
 use async_channel::{Receiver, bounded};
 use async_io::Timer;
 use futures_lite::future;
-use onyxrock::interface::Micros;
+use onyxrock::interface::{EntryState, Micros};
 use onyxrock_config::list;
 use onyxrock_roster::StagedList;
 use onyxrock_sharing::{ListRole, ListUpdate, ToList, ToPeers};
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// A watch that is answered sooner than this was not held open by discovery.
@@ -34,15 +36,18 @@
 
 /// What the actor waits for during a call.
 enum Event {
-    Message(ToList),
+    RoleChanged(ListRole),
+    /// The holder of the list duty has told of a generation that this instance does not have.
+    UpdateTold,
     Answer(Result<FetchedList, FetchError>),
     /// The address of discovery has changed.
     DiscoveryMoved,
 }
 
 /// Follows the list, beginning whenever the core sends a request over `requests`. A change of discovery's
-/// address is followed at once. An instance that receives the list from the holder of the list duty calls
-/// discovery only for what it has not received.
+/// address is followed at once. An instance that hears from the holder of the list duty calls discovery only
+/// when that has told of a change: discovery may name the same endpoint to each instance by another address,
+/// so only drains are taken from another instance's list.
 pub async fn run(
     shared: Rc<SharedState>, discovery: DiscoveryParams, requests: Receiver<()>,
     address_changes: Receiver<()>, messages: Receiver<ToList>,
@@ -56,7 +61,7 @@
         messages,
         conn: None,
         role: ListRole::Standalone,
-        missed_update: false,
+        told_generation: Cell::new(None),
         last_refusal: String::new(),
         silent_calls: 0,
         confirmed: false,
@@ -78,8 +83,9 @@
     messages: Receiver<ToList>,
     conn: Option<Conn>,
     role: ListRole,
-    /// An update did not continue the generation in use: one call to discovery is needed.
-    missed_update: bool,
+    /// The generation that the holder of the list duty has told of, until a list of this instance's own
+    /// discovery has reached it.
+    told_generation: Cell<Option<u64>>,
     /// The last reason for which a list was refused as too long; each is logged once.
     last_refusal: String,
     /// Consecutive calls that fell silent.
@@ -105,14 +111,18 @@
 
     /// Waits until the core requests the list or discovery has moved.
     async fn wait_for_request(&mut self) -> Result<(), CoreStopped> {
-        let request = async { self.requests.recv().await.is_ok().then_some(false) };
-        let address_change = async { self.address_changes.recv().await.is_ok().then_some(true) };
-        match future::or(address_change, request).await {
-            Some(false) => {}
-            Some(true) => self.on_address_change().await?,
-            None => return Err(CoreStopped),
+        loop {
+            let request = async { self.requests.recv().await.map(|()| None) };
+            let address_change =
+                async { self.address_changes.recv().await.map(|()| Some(Event::DiscoveryMoved)) };
+            let message = async { Ok(Some(self.next_message(|_| false).await)) };
+            match future::or(address_change, future::or(request, message)).await {
+                Ok(Some(Event::RoleChanged(role))) => self.role = role,
+                Ok(Some(Event::DiscoveryMoved)) => return self.on_address_change().await,
+                Ok(_) => return Ok(()),
+                Err(_) => return Err(CoreStopped),
+            }
         }
-        Ok(())
     }
 
     /// Generations of the former discovery mean nothing to the new one, whether a call was in progress when
@@ -120,6 +130,7 @@
     async fn on_address_change(&mut self) -> Result<(), CoreStopped> {
         self.shared.counters.list_moves.increment();
         (self.conn, self.discovery.generation, self.confirmed) = (None, None, false);
+        self.told_generation.set(None);
         // Requests that the core made before were for calls to the former discovery.
         while self.requests.try_recv().is_ok() {}
         self.shared.core.send(CoreMessage::DiscoveryMoved).await.map_err(|_| CoreStopped)
@@ -129,7 +140,11 @@
         let called_at = self.shared.clock.now();
         let over_kept_connection = self.conn.is_some();
         match self.next_event(called_at).await {
-            Event::Message(message) => self.on_message(message).await,
+            Event::RoleChanged(role) => {
+                self.role = role;
+                Ok(NextStep::Call)
+            }
+            Event::UpdateTold => Ok(NextStep::Call),
             Event::DiscoveryMoved => {
                 self.on_address_change().await?;
                 Ok(NextStep::Call)
@@ -145,33 +160,40 @@
         }
     }
 
-    /// Makes a call, which is dropped when a message of a member or a new address of discovery arrives.
+    /// Makes a call, unless the holder of the list duty tells of changes. The call is dropped when the role
+    /// of this instance or the address of discovery changes.
     async fn next_event(&mut self, called_at: Micros) -> Event {
-        let address_changes = self.address_changes.clone();
+        let makes_call = !self.relies_on_holder();
+        self.calls += u64::from(makes_call);
+        let mut conn = self.conn.take();
+        let follower = &*self;
         let address_change = async {
-            match address_changes.recv().await {
+            match follower.address_changes.recv().await {
                 Ok(()) => Event::DiscoveryMoved,
                 Err(_) => future::pending().await,
             }
         };
-        let messages = self.messages.clone();
-        let message = async {
-            match messages.recv().await {
-                Ok(message) => Event::Message(message),
-                Err(_) => future::pending().await,
+        // A call in progress is not dropped for an update: updates may come faster than discovery answers.
+        let message = follower.next_message(|_| !makes_call);
+        let answer = async {
+            if !makes_call {
+                return future::pending().await;
             }
+            Event::Answer(follower.call(called_at, &mut conn).await)
         };
-        let answer = async { Event::Answer(self.call(called_at).await) };
-        future::or(address_change, future::or(answer, message)).await
+        let event = future::or(address_change, future::or(answer, message)).await;
+        self.conn = conn;
+        event
     }
 
-    async fn call(&mut self, called_at: Micros) -> Result<FetchedList, FetchError> {
-        let receives_updates =
-            self.role == ListRole::Follower && self.discovery.generation.is_some() && !self.missed_update;
-        if receives_updates {
-            return future::pending().await;
-        }
-        self.calls += 1;
+    /// Whether the holder of the list duty tells this instance of changes, and has told of none that its list
+    /// does not have.
+    fn relies_on_holder(&self) -> bool {
+        let told = self.told_generation.get();
+        self.role == ListRole::Follower && self.discovery.generation.is_some() && told.is_none()
+    }
+
+    async fn call(&self, called_at: Micros, conn: &mut Option<Conn>) -> Result<FetchedList, FetchError> {
         let wait = self.watch_time();
         let answer_by = called_at.plus(wait).plus(self.grace());
         let call = Call {
@@ -183,7 +205,23 @@
             address: self.shared.discovery.get(),
             role: self.role,
         };
-        call.fetch(&mut self.conn).await
+        call.fetch(conn).await
+    }
+
+    /// Receives messages about the list from other instances until one changes the role, or is an update with
+    /// a new generation for which `ends_wait` is true.
+    async fn next_message(&self, ends_wait: impl Fn(&ListUpdate) -> bool) -> Event {
+        loop {
+            match self.messages.recv().await {
+                Ok(ToList::Role(role)) => return Event::RoleChanged(role),
+                Ok(ToList::Update(update)) => {
+                    if self.on_update(&update).await && ends_wait(&update) {
+                        return Event::UpdateTold;
+                    }
+                }
+                Err(_) => return future::pending().await,
+            }
+        }
     }
 
     /// How long the next call waits for changes. The first one after a start, a failure or an address
@@ -196,7 +234,10 @@
         let sends_nothing_yet = self.discovery.lists_pushed && !self.answered_once;
         let may_wait =
             self.confirmed || self.discovery.large_fleet && self.silent_calls < 2 && !sends_nothing_yet;
-        let watches = may_wait && self.role != ListRole::Follower && self.discovery.generation.is_some();
+        let told_later = self.told_generation.get() > self.discovery.generation;
+        let watches = may_wait
+            && (self.role != ListRole::Follower || told_later)
+            && self.discovery.generation.is_some();
         if watches { self.discovery.watch_wait } else { Micros(0) }
     }
 
@@ -206,29 +247,26 @@
         if self.silent_calls > 0 { Micros(ANSWER_GRACE.0 * 2) } else { ANSWER_GRACE }
     }
 
-    /// Handles a message about the list from another instance.
-    async fn on_message(&mut self, message: ToList) -> Result<NextStep, CoreStopped> {
-        let update = match message {
-            ToList::Role(role) => {
-                self.role = role;
-                return Ok(NextStep::Call);
-            }
-            ToList::Update(update) => update,
-        };
-        let current = self.discovery.generation;
-        if self.role != ListRole::Follower || current == Some(update.generation) {
-            return Ok(NextStep::Call);
+    /// Notes an update of the holder of the list duty, and passes on the drains that it tells of. Returns
+    /// whether the update has another generation than the list in use.
+    async fn on_update(&self, update: &ListUpdate) -> bool {
+        if self.role != ListRole::Follower || self.discovery.generation == Some(update.generation) {
+            return false;
         }
-        let continues_list = current == Some(update.previous_generation) && !update.body.is_empty();
-        let list = continues_list.then(|| list::parse(&update.body, &self.discovery.names).ok()).flatten();
-        let Some(list) = list.filter(|l| l.generation == update.generation) else {
-            self.missed_update = true;
-            return Ok(NextStep::Call);
-        };
+        self.told_generation.set(Some(update.generation));
+        let Ok(list) = list::parse(&update.body, &self.discovery.names) else { return true };
         self.shared.counters.list_told.increment();
-        self.discovery.generation = Some(list.generation);
-        self.shared.core.send(CoreMessage::EndpointList(list)).await.map_err(|_| CoreStopped)?;
-        Ok(NextStep::Call)
+        let drains: Vec<_> = list
+            .entries
+            .into_iter()
+            .filter(|listed| listed.entry.state != EntryState::Ready)
+            .map(|listed| SharedDrain { endpoint: listed.name, generation: update.generation })
+            .collect();
+        if !drains.is_empty() {
+            // If the core has stopped, the next message to it shows that.
+            let _ = self.shared.core.send(CoreMessage::DrainsTold(drains)).await;
+        }
+        true
     }
 
     fn is_older_complete_list(&self, list: &FetchedList) -> bool {
@@ -247,7 +285,9 @@
         while self.requests.try_recv().is_ok() {}
         self.log_answer(&list);
         let was_watch = self.watch_time() > Micros(0);
-        (self.missed_update, self.last_refusal, self.failures) = (false, String::new(), 0);
+        (self.last_refusal, self.failures) = (String::new(), 0);
+        // Its own discovery may be behind that of the holder of the list duty: then it is watched.
+        self.told_generation.set(self.told_generation.get().filter(|told| *told > list.generation));
         (self.confirmed, self.answered_once, self.silent_calls) = (true, true, 0);
         self.answered_at = self.shared.clock.now();
         self.shared.list_answered_at.set(self.answered_at);
--- a/daemon/src/list/tests.rs
+++ b/daemon/src/list/tests.rs
@@ -3,10 +3,11 @@
 use super::*;
 use crate::core_actor::CoreMessage;
 use crate::net::SharedState;
+use crate::shared_waits::SharedDrain;
 use async_channel::{Receiver, bounded};
 use async_io::Timer;
 use futures_lite::future;
-use onyxrock_sharing::ToList;
+use onyxrock_sharing::{ListRole, ListUpdate, ToList};
 use rstest::rstest;
 use rustix::net::{AddressFamily, SocketType, bind, listen, socket};
 use std::io::{Read, Write};
@@ -22,7 +23,7 @@
     messages: Receiver<CoreMessage>,
     requests: Sender<()>,
     address_changes: Sender<()>,
-    _list_messages: Sender<ToList>,
+    list_messages: Sender<ToList>,
 }
 
 /// Parameters without a list in use.
@@ -43,12 +44,15 @@
         let (core, messages) = bounded(64);
         let shared = SharedState::for_test(core);
         shared.discovery.set(address);
-        let ((requests, list_requests), (address_changes, moves), (_list_messages, list_messages)) =
+        let ((requests, list_requests), (address_changes, moves), (list_messages, list_message_inbox)) =
             (bounded(4), bounded(1), bounded(4));
-        shared.executor.spawn(run(shared.clone(), discovery, list_requests, moves, list_messages)).detach();
+        shared
+            .executor
+            .spawn(run(shared.clone(), discovery, list_requests, moves, list_message_inbox))
+            .detach();
         // A start requests the list twice, once itself and once through the core: one response serves both.
         (0..2).for_each(|_| requests.try_send(()).unwrap());
-        Harness { shared, messages, requests, address_changes, _list_messages }
+        Harness { shared, messages, requests, address_changes, list_messages }
     }
     /// The next connection to discovery and the request on it; `None` if none arrives in time.
     fn next_request(&self, discovery: &TcpListener) -> Option<(TcpStream, String)> {
@@ -251,3 +255,68 @@
     send_list(&mut second, 3);
     assert_eq!(harness.next_generation(), Some(3));
 }
+
+/// An update of the holder of the list duty, whose discovery reaches each endpoint at port 9.
+fn update(previous_generation: u64, generation: u64, entries: &[(&str, &str)]) -> ToList {
+    let entries: Vec<_> = entries
+        .iter()
+        .map(|(name, state)| {
+            format!(r#"{{"instanceId":"{name}","hostPort":"127.0.0.1:9","lifecycle":"{state}","cell":57}}"#)
+        })
+        .collect();
+    let body = format!(r#"{{"generation":{generation},"instances":[{}]}}"#, entries.join(","));
+    ToList::Update(ListUpdate { epoch: 1, previous_generation, generation, body: body.into_bytes() })
+}
+
+/// A member that hears from the holder of the list duty and has generation 7.
+fn following_member(listener: &TcpListener, address: SocketAddr) -> Harness {
+    let harness = Harness::waiting(address, Micros(20_000_000));
+    let (mut stream, _) = harness.next_request(listener).unwrap();
+    send_list(&mut stream, 7);
+    assert_eq!(harness.next_generation(), Some(7));
+    harness.list_messages.try_send(ToList::Role(ListRole::Follower)).unwrap();
+    async_io::block_on(harness.shared.executor.run(Timer::after(Duration::from_millis(50))));
+    harness
+}
+
+/// Guards against calls to an address that another member's discovery named: it may belong to an endpoint of another
+/// destination here. Only drains are taken from another member, at once; its own discovery is asked for the rest.
+#[test]
+fn addresses_come_from_the_own_discovery_alone() {
+    let (listener, address) = discovery();
+    let harness = following_member(&listener, address);
+    harness.list_messages.try_send(update(7, 8, &[("new", "Ready"), ("old", "Terminating")])).unwrap();
+    let message = harness.within(async { harness.messages.recv().await.ok() });
+    let Some(CoreMessage::DrainsTold(drains)) = message else { panic!("{message:?}") };
+    assert_eq!(drains, [SharedDrain { endpoint: "old".into(), generation: 8 }]);
+    let (mut stream, request) = harness.next_request(&listener).expect("the own discovery is asked");
+    assert!(request.contains("since=7"), "{request}");
+    send_list(&mut stream, 8);
+    assert_eq!(harness.next_generation(), Some(8));
+}
+
+/// Guards against a member that never gets its answer, because updates come faster than its discovery answers.
+#[test]
+fn updates_do_not_drop_a_call_in_progress() {
+    let (listener, address) = discovery();
+    let harness = following_member(&listener, address);
+    harness.list_messages.try_send(update(7, 8, &[])).unwrap();
+    let (mut stream, request) = harness.next_request(&listener).unwrap();
+    assert!(request.contains("since=7"), "{request}");
+    for generation in [9, 10] {
+        harness.list_messages.try_send(update(generation - 1, generation, &[])).unwrap();
+        async_io::block_on(harness.shared.executor.run(Timer::after(Duration::from_millis(50))));
+    }
+    // Discovery is behind the holder's at first.
+    for generation in [9, 10] {
+        send_list(&mut stream, generation);
+        assert_eq!(harness.next_generation(), Some(generation));
+        async_io::block_on(harness.shared.executor.run(Timer::after(Duration::from_millis(100))));
+        if generation < 10 {
+            assert!(read(&mut stream).contains("since=9&timeout_ms=20000"), "the call waits for changes");
+        }
+    }
+    // Nothing is left to ask for.
+    stream.set_nonblocking(true).unwrap();
+    assert!(stream.read(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock));
+}
--- a/lab/src/scale/follower.rs
+++ b/lab/src/scale/follower.rs
@@ -42,9 +42,9 @@
     watch_time: Micros,
     generation: Option<u64>,
     role: ListRole,
-    /// An update did not follow the generation that is held, so that the list must be requested from
-    /// discovery.
-    missed_update: bool,
+    /// The generation that the owner of the list duty has told of, until a list of this forwarder's own
+    /// discovery has reached it.
+    told_generation: Option<u64>,
     last_call_timed_out: bool,
     is_following: bool,
     open_call: Option<OpenCall>,
@@ -62,7 +62,7 @@
             watch_time,
             generation: Some(generation),
             role: ListRole::Standalone,
-            missed_update: false,
+            told_generation: None,
             last_call_timed_out: false,
             is_following: false,
             open_call: None,
@@ -102,7 +102,7 @@
 
     /// Whether the forwarder receives the list from the owner of the list duty, and need not call discovery.
     fn relies_on_owner(&self) -> bool {
-        self.role == ListRole::Follower && self.generation.is_some() && !self.missed_update
+        self.role == ListRole::Follower && self.generation.is_some() && self.told_generation.is_none()
     }
 
     /// Calls discovery if that is due, and closes a call that takes too long.
@@ -122,7 +122,8 @@
         }
         self.call_count += 1;
         let call = CallId { member: self.member, number: self.call_count };
-        let wait = if self.role == ListRole::Follower { Micros(0) } else { self.watch_time };
+        let watches = self.role != ListRole::Follower || self.told_generation > self.generation;
+        let wait = if watches { self.watch_time } else { Micros(0) };
         self.open_call =
             Some(OpenCall { call, sent_at: now, timeout_at: now.plus(self.watch_time).plus(CALL_GRACE) });
         actions.push(Action::Request(call, ListRequest { since: self.generation, wait }));
@@ -138,30 +139,19 @@
         actions.push(Action::Failed);
     }
 
-    /// Handles a list update from the owner of the list duty, or a change of this forwarder's role.
-    pub fn on_list_message(
-        &mut self, message: ToList, names: &onyxrock::core::NameIndex, actions: &mut Vec<Action>,
-    ) {
-        // As in the daemon, where each message restarts the turn of the actor, the open call is closed.
-        if let Some(open_call) = self.open_call.take() {
-            actions.push(Action::CloseCall(open_call.call));
-        }
+    /// Handles a list update from the owner of the list duty, or a change of this forwarder's role, for which
+    /// the open call is closed, as in the daemon.
+    pub fn on_list_message(&mut self, message: ToList, actions: &mut Vec<Action>) {
         match message {
-            ToList::Role(role) => self.role = role,
-            ToList::Update(_) if self.role != ListRole::Follower => {}
-            ToList::Update(list_update) if self.generation == Some(list_update.generation) => {}
-            ToList::Update(list_update) => {
-                let follows =
-                    self.generation == Some(list_update.previous_generation) && !list_update.body.is_empty();
-                let list = follows.then(|| list::parse(&list_update.body, names).ok()).flatten();
-                match list.filter(|list| list.generation == list_update.generation) {
-                    Some(list) => {
-                        self.generation = Some(list.generation);
-                        actions.push(Action::Adopt(list));
-                    }
-                    None => self.missed_update = true,
+            ToList::Role(role) => {
+                if let Some(open_call) = self.open_call.take() {
+                    actions.push(Action::CloseCall(open_call.call));
                 }
+                self.role = role;
             }
+            ToList::Update(_) if self.role != ListRole::Follower => {}
+            ToList::Update(update) if self.generation == Some(update.generation) => {}
+            ToList::Update(update) => self.told_generation = Some(update.generation),
         }
     }
 
@@ -177,7 +167,8 @@
             actions.push(Action::Failed);
             return;
         };
-        (self.missed_update, self.last_call_timed_out) = (false, false);
+        self.last_call_timed_out = false;
+        self.told_generation = self.told_generation.filter(|told| *told > list.generation);
         if let ListRole::Owner(epoch) = self.role {
             actions.push(Action::Broadcast(self.list_update(epoch, &list, body)));
         }
--- a/lab/src/scale/forwarder.rs
+++ b/lab/src/scale/forwarder.rs
@@ -307,7 +307,7 @@
         while self.follower.reads_messages()
             && let Ok(message) = self.to_list.try_recv()
         {
-            self.follower.on_list_message(message, &self.names, actions);
+            self.follower.on_list_message(message, actions);
         }
         self.follower.advance(now, actions);
         let progressed = !actions.is_empty();
--- a/roster/src/directory.rs
+++ b/roster/src/directory.rs
@@ -124,9 +124,8 @@
     /// Names of endpoints that operators have taken out of use: they count as draining, whatever the list
     /// says.
     pub(crate) maintenance: BTreeSet<String>,
-    /// Endpoints that drain by a list that another process of this forwarder has received, with its
-    /// generation.
-    pub(crate) sibling_drains: BTreeMap<String, u64>,
+    /// Endpoints that drain by a list that another process or member has received, with its generation.
+    pub(crate) foreign_drains: BTreeMap<String, u64>,
     /// List entries that the core has been given for the fixed endpoints.
     pub(crate) fixed_entries: BTreeMap<ReceiverId, ListEntry>,
     last_receiver_id: u64,
@@ -158,7 +157,7 @@
             active_endpoints: BTreeMap::new(),
             receiver_ids: HashMap::new(),
             maintenance: BTreeSet::new(),
-            sibling_drains: BTreeMap::new(),
+            foreign_drains: BTreeMap::new(),
             fixed_entries: BTreeMap::new(),
             last_receiver_id: 0,
             release_checks: BTreeSet::new(),
@@ -294,10 +293,10 @@
     }
 
     /// The list entry of an endpoint as the core is given it. An endpoint that the list has as ready counts
-    /// as draining while it is in maintenance, or drains by the list of another process.
+    /// as draining while it is in maintenance, or drains by the list of another process or member.
     pub(crate) fn list_entry(&self, receiver: ReceiverId, endpoint: &Endpoint<'_>) -> ListEntry {
         let held_out = endpoint.state == EntryState::Ready
-            && (self.maintenance.contains(endpoint.name) || self.sibling_drains.contains_key(endpoint.name));
+            && (self.maintenance.contains(endpoint.name) || self.foreign_drains.contains_key(endpoint.name));
         ListEntry {
             receiver,
             state: if held_out { EntryState::Draining } else { endpoint.state },
--- a/roster/src/maintenance.rs
+++ b/roster/src/maintenance.rs
@@ -45,12 +45,12 @@
         }
     }
 
-    /// Another process of this forwarder received a list of this generation by which an endpoint drains. The
+    /// Another process or member received a list of this generation by which an endpoint drains. The
     /// endpoint counts as draining here until the list of this process has reached that generation.
-    pub fn on_sibling_drain(
+    pub fn on_foreign_drain(
         &mut self, now: Micros, name: &str, generation: u64, output: &mut DirectoryOutput,
     ) {
-        self.sibling_drains.insert(name.to_owned(), generation);
+        self.foreign_drains.insert(name.to_owned(), generation);
         if let Some(receiver) = self.receiver_in_use(name) {
             self.refresh_entry(now, receiver, name, output);
         }
@@ -62,13 +62,13 @@
         let is_later =
             |drain_generation: &u64| generation.is_some_and(|generation| *drain_generation > generation);
         let ended: Vec<_> = self
-            .sibling_drains
+            .foreign_drains
             .iter()
             .filter(|(_, drain_generation)| !is_later(drain_generation))
             .map(|(name, _)| name.clone())
             .collect();
         for name in ended {
-            self.sibling_drains.remove(&name);
+            self.foreign_drains.remove(&name);
             if let Some(receiver) = self.receiver_in_use(&name) {
                 self.refresh_entry(now, receiver, &name, output);
             }
--- a/roster/tests/maintenance.rs
+++ b/roster/tests/maintenance.rs
@@ -121,7 +121,7 @@
 fn a_drain_by_another_process_s_list_holds_until_the_own_list_reaches_its_generation() {
     let mut directory = directory_in_use();
     let mut output = DirectoryOutput::default();
-    directory.on_sibling_drain(NOW, "e", 7, &mut output);
+    directory.on_foreign_drain(NOW, "e", 7, &mut output);
     assert_eq!(states(&output.entries), [EntryState::Draining]);
     assert!(is_draining(&directory));
     assert!(
@@ -132,7 +132,7 @@
         directory.on_list_generation(NOW, generation, &mut DirectoryOutput::default());
         assert_eq!(is_draining(&directory), still_drains, "{generation:?}");
     }
-    directory.on_sibling_drain(NOW, "e", 9, &mut DirectoryOutput::default());
+    directory.on_foreign_drain(NOW, "e", 9, &mut DirectoryOutput::default());
     directory.on_list_generation(NOW, None, &mut DirectoryOutput::default());
     assert!(!is_draining(&directory), "the generations of another source cannot be compared");
 }
--- a/sharing/src/duty_runner.rs
+++ b/sharing/src/duty_runner.rs
@@ -224,6 +224,12 @@
         }
     }
 
+    /// Whether another instance asks discovery for the list, and tells this one of changes.
+    #[must_use]
+    pub fn follows_list_holder(&self) -> bool {
+        self.list.as_ref().is_some_and(|list| list.role == ListRole::Follower)
+    }
+
     /// Determines which role this instance has for the list: owner with the lease, follower while it hears
     /// from the owner, standalone otherwise.
     fn update_list_role(&mut self, now: Micros, announce: bool) {
