A message is accepted by one of the two processes of an upgrade

Cause: accepted ids were known to one process alone, and refused hand-ins counted among the 16,384 that are remembered.

Fix: beside another process an id is claimed in a file of the state folder before the message is logged, under a lock that dies with its process; the claimant first reads what the other one added, so of two copies one comes second. A process joins with all ids that it knows; a start listens for clients once the other process has joined, or with the ids of its log if that does not happen within half a second. Only accepted ids are remembered, and the id of an open message is never dropped. The shared files count against disk_mb, the waits files now, too.

The test of the bound on remembered ids goes to 70,000 ids, as the bound is 65,536 now.

--- a/daemon/src/core_actor/messages.rs
+++ b/daemon/src/core_actor/messages.rs
@@ -3,16 +3,26 @@
 use super::{MaintenanceReply, PermitRequest, PermitResult};
 use crate::list::ListPart;
 use crate::maintenance::MaintenanceChange;
+use crate::shared_ids::SharedIds;
 use crate::shared_waits::{SharedDrain, SiblingEntry};
 use crate::state_folder::OrphanedLog;
 use async_channel::Sender;
-use onyxrock::core::{AcceptedMessage, AttemptOutcome, FinalStatus, NameIndex};
+use onyxrock::core::{AcceptedMessage, AttemptOutcome, FinalStatus, NameIndex, RequestIdDigest};
 use onyxrock::interface::{Micros, ReceiverId, Settings};
 use onyxrock_config::list::EndpointList;
 use onyxrock_sharing::FromPeers;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// The files that a process shares with its sibling.
+#[derive(Debug)]
+pub struct SiblingFiles {
+    /// Path of the own waits file.
+    pub waits_path: PathBuf,
+    /// The request ids.
+    pub shared_ids: SharedIds,
+}
+
 /// A message that a frontend submits.
 #[derive(Debug)]
 pub struct Submission {
@@ -98,9 +108,13 @@
     MaintenanceFileChanged,
     /// Applies new settings.
     NewSettings(Box<LiveSettings>),
-    /// A sibling process has started, and its waits file is to be written at this path; `None` once it is
-    /// gone.
-    SiblingChanged(Option<PathBuf>),
+    /// A sibling process has started; `None` once it is gone.
+    SiblingChanged(Option<Box<SiblingFiles>>),
+    /// Learns the request ids that the sibling has shared; the reply says whether these are all that it knew
+    /// when this process started.
+    LearnRequestIds(Sender<bool>),
+    /// Request ids of the sibling, from its log.
+    SiblingRequestIds(Vec<RequestIdDigest>),
     /// Another member's list has these endpoints as draining or gone.
     DrainsTold(Vec<SharedDrain>),
     /// An entry of the sibling's waits file.
--- a/daemon/src/core_actor/sibling.rs
+++ b/daemon/src/core_actor/sibling.rs
@@ -1,7 +1,7 @@
 //! A sibling is a second process of this forwarder that runs during an upgrade. Retry-afters and drains that
 //! one of the two learns bind both.
 
-use super::CoreActor;
+use super::{CoreActor, SiblingFiles};
 use crate::shared_waits::{SharedDrain, SharedRetryAfter, SiblingEntry, WaitsFileWriter};
 use onyxrock::interface::{Micros, ReceiverId};
 use onyxrock_roster::DirectoryOutput;
@@ -52,10 +52,20 @@
 }
 
 impl CoreActor {
-    /// Notes that a sibling has started, with this path for the own waits file, or that it is gone.
-    pub(super) fn set_sibling(&mut self, waits_path: Option<PathBuf>) {
-        self.sibling = waits_path.map(SiblingLink::for_running);
-        self.refresh_shared_waits(self.shared.clock.now());
+    /// Notes that a sibling has started, with the files shared with it, or that it is gone.
+    pub(super) fn set_sibling(&mut self, now: Micros, files: Option<SiblingFiles>) {
+        match files {
+            Some(SiblingFiles { waits_path, shared_ids }) => {
+                self.sibling = Some(SiblingLink::for_running(waits_path));
+                self.shared_ids = Some(shared_ids);
+                self.learn_request_ids(now);
+            }
+            None => {
+                self.sibling = None;
+                self.stop_sharing_request_ids(now);
+            }
+        }
+        self.refresh_shared_waits(now);
     }
 
     /// Applies an entry of the sibling's waits file.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod net;
 pub mod notices;
 pub mod serve;
+pub mod shared_ids;
 pub mod shared_waits;
 pub mod show;
 pub mod sibling;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -10,6 +10,7 @@
 use crate::net::mgmt;
 use crate::net::smpp;
 use crate::notices;
+use crate::shared_ids;
 use crate::sibling;
 use crate::startup::{OpenedState, open_folder};
 use crate::state_files;
@@ -19,7 +20,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
-use onyxrock::core::{Ledger, Record, add_probe_class, recover};
+use onyxrock::core::{Ledger, Record, RequestIdDigest, add_probe_class, recover};
 use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::{Config, ReadError};
 use onyxrock_config::product::ProductSettings;
@@ -256,7 +257,7 @@
         if let Record::Accepted(message) = record
             && message.deadline > now
         {
-            core.ledger.remember_request_id(now, &message.request_id);
+            core.ledger.remember_request_id(now, RequestIdDigest::of(&message.request_id));
         }
     }
     core.note_logged_messages(&scan.records);
@@ -272,7 +273,11 @@
     if sibling_running {
         let [waits_path, _] = claim.waits_files();
         core.sibling = Some(SiblingLink::for_starting(now, waits_path));
+        core.shared_ids = Some(claim.shared_ids());
         shared.taking_over.set(true);
+    } else {
+        shared_ids::remove_left_over(&claim.folder)
+            .map_err(|e| format!("cannot use {}: {e}", claim.folder.display()))?;
     }
     if let OtherProcess::Gone(orphaned_log) = sibling_state {
         core.try_take_over_log(&orphaned_log);
@@ -312,8 +317,12 @@
     executor.spawn(core.run(core_inbox)).detach();
 
     let state_folder = claim.folder.clone();
+    let [sibling_log, _] = claim.other_logs();
     let upgrades_expected = config.mgmt.is_some();
     executor.spawn(sibling::watch(shared.clone(), claim, sibling_running, upgrades_expected)).detach();
+    if sibling_running {
+        sibling::learn_request_ids(&to_core, &sibling_log).await;
+    }
     let listener = client_listener(config.listen, sibling_running)
         .and_then(Async::new)
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
--- /dev/null
+++ b/daemon/src/shared_ids.rs
@@ -0,0 +1,236 @@
+//! The request ids that the two processes of a forwarder share during an upgrade, so that a message is accepted
+//! once, whichever process its copies reach.
+//!
+//! While both run, a process claims the id of a message in a file of the state folder before it accepts the message.
+//! Claims are made under a lock that is released when its process dies, and the claimant first reads what the other
+//! process has added, so one of two copies comes second. A process joins by adding all ids that it knows, and a
+//! line that says so: before that line a starting process accepts nothing.
+
+use crate::state_folder::{read_or_empty, remove_if_exists};
+use onyxrock::core::RequestIdDigest;
+use std::fs::{File, OpenOptions, TryLockError, rename};
+use std::io::{self, ErrorKind, Read, Seek, SeekFrom, Write};
+use std::os::unix::fs::MetadataExt;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+const FILE_NAME: &str = "onyxrock.ids";
+const REPLACEMENT_NAME: &str = "onyxrock.ids.new";
+const LOCK_NAME: &str = "onyxrock.ids.lock";
+/// A file longer than this is rewritten with the ids that are still known.
+const MAX_FILE_BYTES: u64 = 192 * 1024;
+/// Most bytes of ids that a process adds when it joins, or rewrites the file: the others are nearest to their end.
+const MAX_SNAPSHOT_BYTES: usize = 96 * 1024;
+/// Attempts to take the lock. Its holder needs some microseconds, unless it is held up.
+const LOCK_ATTEMPTS: u32 = 20;
+/// Interval between attempts to take the lock.
+const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(1);
+/// First word of the line of a process that has joined.
+const JOINED_KEYWORD: &str = "joined";
+
+/// The shared file, as one of the two processes uses it.
+#[derive(Debug)]
+pub struct SharedIds {
+    folder: PathBuf,
+    /// Name of this process in the file, and of the other one: those of their logs.
+    own_name: &'static str,
+    other_name: &'static str,
+    open_file: Option<OpenFile>,
+    joined: bool,
+    other_joined: bool,
+}
+
+/// The file under its present inode, read up to an offset.
+#[derive(Debug)]
+struct OpenFile {
+    file: File,
+    inode: u64,
+    offset: u64,
+}
+
+/// Paths of the file and of its replacement, which share the folder with the log.
+pub fn files(folder: &Path) -> [PathBuf; 2] {
+    [folder.join(FILE_NAME), folder.join(REPLACEMENT_NAME)]
+}
+
+impl SharedIds {
+    /// For a process of this name, beside another one.
+    pub fn new(folder: &Path, own_name: &'static str, other_name: &'static str) -> SharedIds {
+        let (open_file, joined, other_joined) = (None, false, false);
+        SharedIds { folder: folder.into(), own_name, other_name, open_file, joined, other_joined }
+    }
+
+    /// Whether the other process has added all ids that it knew.
+    pub fn other_joined(&self) -> bool {
+        self.other_joined
+    }
+
+    /// Reads the ids that the other process has added.
+    ///
+    /// # Errors
+    /// The file cannot be used now.
+    pub fn read(&mut self) -> io::Result<Vec<RequestIdDigest>> {
+        let _lock = lock(&self.folder)?;
+        self.read_rest()
+    }
+
+    /// Reads the ids that the other process has added, and adds all that this process knows unless it has;
+    /// those that matter most come first.
+    ///
+    /// # Errors
+    /// The file cannot be used now; the process has not joined.
+    pub fn join(&mut self, known: impl Iterator<Item = RequestIdDigest>) -> io::Result<Vec<RequestIdDigest>> {
+        let _lock = lock(&self.folder)?;
+        let foreign = self.read_rest()?;
+        if !self.joined {
+            self.append(&self.snapshot(known))?;
+            self.joined = true;
+        }
+        Ok(foreign)
+    }
+
+    /// Claims an id, unless it is among the ids that are returned: those that the other process has added. `known` yields all ids that this process
+    /// knows; it joins first if it has not.
+    ///
+    /// # Errors
+    /// The file cannot be used now; the id is not claimed.
+    pub fn claim<I: Iterator<Item = RequestIdDigest>>(
+        &mut self, id: RequestIdDigest, known: impl Fn() -> I,
+    ) -> io::Result<Vec<RequestIdDigest>> {
+        let _lock = lock(&self.folder)?;
+        let foreign = self.read_rest()?;
+        if foreign.contains(&id) {
+            return Ok(foreign);
+        }
+        if !self.joined {
+            self.append(&self.snapshot(known()))?;
+            self.joined = true;
+        }
+        if self.open_file.as_ref().is_some_and(|open| open.offset > MAX_FILE_BYTES) {
+            self.rewrite(foreign.iter().copied().chain(known()))?;
+        }
+        self.append(&format!("{id}\n"))?;
+        Ok(foreign)
+    }
+
+    /// Reads what the other process, which is gone, has added, and removes the file.
+    ///
+    /// # Errors
+    /// The file cannot be used now.
+    pub fn leave(&mut self) -> io::Result<Vec<RequestIdDigest>> {
+        let foreign = self.read()?;
+        files(&self.folder).iter().try_for_each(|file| remove_if_exists(file))?;
+        self.open_file = None;
+        Ok(foreign)
+    }
+
+    /// The lines of ids and, behind them, the one that says that this process has joined.
+    fn snapshot(&self, known: impl Iterator<Item = RequestIdDigest>) -> String {
+        let mut text = String::new();
+        for id in known {
+            if text.len() >= MAX_SNAPSHOT_BYTES {
+                tracing::warn!("ids: too many to share; those nearest to their end are left out");
+                break;
+            }
+            text += &format!("{id}\n");
+        }
+        text + &joined_line(self.own_name)
+    }
+
+    /// Reads to the end of the file, which is opened, or created, under its present inode.
+    fn read_rest(&mut self) -> io::Result<Vec<RequestIdDigest>> {
+        let path = self.folder.join(FILE_NAME);
+        let current_inode = match path.metadata() {
+            Ok(metadata) => Some(metadata.ino()),
+            Err(e) if e.kind() == ErrorKind::NotFound => None,
+            Err(e) => return Err(e),
+        };
+        if self.open_file.as_ref().is_none_or(|open| Some(open.inode) != current_inode) {
+            let file = OpenOptions::new().read(true).append(true).create(true).open(&path)?;
+            let inode = file.metadata()?.ino();
+            self.open_file = Some(OpenFile { file, inode, offset: 0 });
+        }
+        let Some(open) = &mut self.open_file else { return Ok(Vec::new()) };
+        open.file.seek(SeekFrom::Start(open.offset))?;
+        let mut bytes = Vec::new();
+        open.file.read_to_end(&mut bytes)?;
+        open.offset += bytes.len() as u64;
+        // A process that was killed may have left half a line, which the next write ends.
+        if bytes.last().is_some_and(|byte| *byte != b'\n') {
+            self.append("\n")?;
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        self.other_joined |= text.contains(&joined_line(self.other_name));
+        Ok(text.lines().filter_map(|line| line.parse().ok()).collect())
+    }
+
+    /// Appends to the file, whose end has been read.
+    fn append(&mut self, text: &str) -> io::Result<()> {
+        let Some(open) = &mut self.open_file else { return Err(ErrorKind::NotFound.into()) };
+        // After a failure the rest of the file is read again, and half a line is ended then.
+        open.file.write_all(text.as_bytes())?;
+        open.offset += text.len() as u64;
+        Ok(())
+    }
+
+    /// Replaces the file by one that holds these ids alone.
+    fn rewrite(&mut self, known: impl Iterator<Item = RequestIdDigest>) -> io::Result<()> {
+        let [path, replacement] = files(&self.folder);
+        let mut text = self.snapshot(known);
+        if self.other_joined {
+            text += &joined_line(self.other_name);
+        }
+        let _ = remove_if_exists(&replacement);
+        let file = OpenOptions::new().read(true).append(true).create_new(true).open(&replacement)?;
+        let inode = file.metadata()?.ino();
+        let mut open = OpenFile { file, inode, offset: text.len() as u64 };
+        if let Err(e) = open.file.write_all(text.as_bytes()).and_then(|()| rename(&replacement, path)) {
+            let _ = remove_if_exists(&replacement);
+            return Err(e);
+        }
+        self.open_file = Some(open);
+        Ok(())
+    }
+}
+
+/// Removes what earlier processes have left. Called by a process that starts while no other one runs.
+///
+/// # Errors
+/// A file cannot be removed.
+pub fn remove_left_over(folder: &Path) -> io::Result<()> {
+    files(folder).iter().try_for_each(|file| remove_if_exists(file))
+}
+
+/// The ids of the messages in a log of the other process, which may still be written.
+///
+/// # Errors
+/// The log cannot be read.
+pub fn ids_in_log(log: &Path) -> io::Result<Vec<RequestIdDigest>> {
+    let scan = onyxrock::core::scan_log(&read_or_empty(log)?);
+    let ids = scan.records.iter().filter_map(|record| match record {
+        onyxrock::core::Record::Accepted(message) => Some(RequestIdDigest::of(&message.request_id)),
+        _ => None,
+    });
+    Ok(ids.collect())
+}
+
+fn joined_line(name: &str) -> String {
+    format!("{JOINED_KEYWORD} {name}\n")
+}
+
+/// Takes the lock, for which the other process is waited for a little.
+fn lock(folder: &Path) -> io::Result<File> {
+    let path = folder.join(LOCK_NAME);
+    let file = OpenOptions::new().write(true).create(true).truncate(false).open(path)?;
+    for _ in 0..LOCK_ATTEMPTS {
+        match file.try_lock() {
+            Ok(()) => return Ok(file),
+            Err(TryLockError::WouldBlock) => std::thread::sleep(LOCK_RETRY_INTERVAL),
+            Err(TryLockError::Error(e)) => return Err(e),
+        }
+    }
+    Err(ErrorKind::WouldBlock.into())
+}
+
+#[cfg(test)]
+mod tests;
--- a/daemon/src/sibling.rs
+++ b/daemon/src/sibling.rs
@@ -1,13 +1,16 @@
 //! Watches for a sibling process: forwards the entries of its waits file, and hands over its log once it is
 //! gone.
 
-use crate::core_actor::CoreMessage;
+use crate::core_actor::{CoreMessage, SiblingFiles};
 use crate::net::SharedState;
+use crate::shared_ids;
 use crate::shared_waits::WaitsFileReader;
 use crate::state_folder::{Claim, OrphanedLog, OtherProcess, remove_if_exists};
+use async_channel::{Sender, bounded};
 use async_io::Timer;
+use std::path::Path;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Interval between checks for a sibling where no upgrade with two processes is expected, because operators
 /// cannot reach this process.
@@ -19,6 +22,12 @@
 /// allowed for a tenth of a second (100 ms); the sibling learns of the retry-after well before.
 const WAITS_READ_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How long a start waits for the request ids that the sibling has accepted. The sibling looks for a new process
+/// each `UPGRADE_CHECK_INTERVAL`, and may be held up for 150 ms; one that needs longer hangs, or shares none.
+const REQUEST_IDS_TIMEOUT: Duration = Duration::from_millis(500);
+/// Interval between looks for those request ids.
+const REQUEST_IDS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Watches until the process ends, and keeps the process's claim until then.
 pub async fn watch(shared: Rc<SharedState>, claim: Claim, sibling_running: bool, upgrades_expected: bool) {
     let watcher = SiblingWatcher { shared, claim, waits_reader: None };
@@ -63,10 +72,11 @@
     /// Handles the presence of a sibling.
     async fn on_running(&mut self) {
         if self.waits_reader.is_none() {
-            let [own_path, _] = self.claim.waits_files();
+            let [waits_path, _] = self.claim.waits_files();
             self.waits_reader = Some(self.open_reader());
             tracing::info!("another process of this forwarder is there");
-            let _ = self.shared.core.send(CoreMessage::SiblingChanged(Some(own_path))).await;
+            let files = SiblingFiles { waits_path, shared_ids: self.claim.shared_ids() };
+            let _ = self.shared.core.send(CoreMessage::SiblingChanged(Some(Box::new(files)))).await;
         }
         self.forward_entries().await;
     }
@@ -101,3 +111,27 @@
         }
     }
 }
+
+/// Waits until the core knows the request ids that the sibling has accepted: a copy of such a message must not be
+/// accepted here. If the sibling does not share them in time, those in its log are taken instead.
+pub async fn learn_request_ids(core: &Sender<CoreMessage>, sibling_log: &Path) {
+    let started = Instant::now();
+    while started.elapsed() < REQUEST_IDS_TIMEOUT {
+        let (reply, all_known) = bounded(1);
+        let _ = core.send(CoreMessage::LearnRequestIds(reply)).await;
+        if all_known.recv().await.unwrap_or(true) {
+            return;
+        }
+        Timer::after(REQUEST_IDS_CHECK_INTERVAL).await;
+    }
+    match shared_ids::ids_in_log(sibling_log) {
+        Ok(ids) => {
+            tracing::warn!(
+                "ids: the other process shares no request ids; {} are taken from its log",
+                ids.len()
+            );
+            let _ = core.send(CoreMessage::SiblingRequestIds(ids)).await;
+        }
+        Err(e) => tracing::error!("ids: the log of the other process cannot be read: {e}"),
+    }
+}
--- a/daemon/src/state_folder.rs
+++ b/daemon/src/state_folder.rs
@@ -4,6 +4,7 @@
 //! Each of the two has its own log, and its own lock, which is released when the process dies.
 //! docs/design/upgrade.md gives the reasons.
 
+use crate::shared_ids::SharedIds;
 use onyxrock::core::{LogScan, scan_log};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, ErrorKind};
@@ -153,6 +154,12 @@
         [self.folder.join(self.files.waits), self.folder.join(self.other_files.waits)]
     }
 
+    /// The request ids that this process shares with its sibling.
+    #[must_use]
+    pub fn shared_ids(&self) -> SharedIds {
+        SharedIds::new(&self.folder, self.files.log, self.other_files.log)
+    }
+
     /// The log files of the sibling. They share the space of the folder with those of this process.
     #[must_use]
     pub fn other_logs(&self) -> [PathBuf; 2] {
--- a/daemon/src/wal.rs
+++ b/daemon/src/wal.rs
@@ -1,8 +1,8 @@
 //! The write-ahead log in the state folder. Data that write() has accepted survives the process, so it is not
 //! synced to disk.
 
-use crate::maintenance;
 use crate::state_folder::{Claim, PROCESS_FILES, ProcessFiles, read_or_empty, remove_if_exists};
+use crate::{maintenance, shared_ids};
 use onyxrock::core::{LogScan, OpenMessage, Record, scan_log};
 use std::fs::{File, OpenOptions, rename};
 use std::io::{self, ErrorKind, Write};
@@ -34,13 +34,13 @@
     file: File,
     size: u64,
     /// Bytes that the log and its rewritten copy may take, together with the sibling's logs and the
-    /// maintenance files.
+    /// shared files.
     budget: u64,
     /// The logs of the sibling, which count against the budget. If the sibling dies, this process copies what
     /// it owes before its log is removed.
     sibling_logs: Vec<PathBuf>,
-    /// The maintenance files, which count against the budget as well.
-    maintenance_files: Vec<PathBuf>,
+    /// The files that processes share, which count against the budget as well.
+    shared_files: Vec<PathBuf>,
     /// Size at which the open messages are measured next, which requires a pass over all of them.
     measure_at_size: u64,
     /// How often the log has been rewritten.
@@ -52,8 +52,10 @@
     pub fn open_claimed(claim: &Claim, budget: u64) -> io::Result<(Wal, LogScan)> {
         let (wal, scan) = Wal::open_files(&claim.folder, claim.files, budget)?;
         let sibling_logs = claim.other_logs().into();
-        let maintenance_files = maintenance::files(&claim.folder).into();
-        Ok((Wal { sibling_logs, maintenance_files, ..wal }, scan))
+        let mut shared_files: Vec<_> = maintenance::files(&claim.folder).into();
+        shared_files.extend(shared_ids::files(&claim.folder));
+        shared_files.extend(claim.waits_files());
+        Ok((Wal { sibling_logs, shared_files, ..wal }, scan))
     }
 
     /// Opens the log of a folder that no other process uses.
@@ -80,7 +82,7 @@
                 size,
                 budget,
                 sibling_logs: Vec::new(),
-                maintenance_files: Vec::new(),
+                shared_files: Vec::new(),
                 measure_at_size: COMPACTION_SLACK_BYTES,
                 compactions: 0,
             },
@@ -171,7 +173,7 @@
             log: self.size,
             rewritten_log,
             sibling_logs: total_size(&self.sibling_logs),
-            maintenance_files: total_size(&self.maintenance_files),
+            shared_files: total_size(&self.shared_files),
         }
     }
 
@@ -214,12 +216,12 @@
     /// What the log would take if it were rewritten.
     rewritten_log: u64,
     sibling_logs: u64,
-    maintenance_files: u64,
+    shared_files: u64,
 }
 
 impl DiskUsage {
     fn total(&self) -> u64 {
-        self.log + self.sibling_logs + self.maintenance_files
+        self.log + self.sibling_logs + self.shared_files
     }
 
     /// The bytes in use while the log is rewritten after a write of `record_bytes`, with both logs there.
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -5,6 +5,7 @@
 
 use harness::Harness;
 use rstest::rstest;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// The header of the endpoint's refusal: no call may reach the endpoint for this many seconds.
@@ -74,6 +75,39 @@
     run_steps(&mut harness, &[EXPECT_NO_CALL]);
 }
 
+/// Submissions of each message, of which one is accepted.
+const COPIES: usize = 4;
+
+/// Guards against a message that both processes accept, because copies of its request reach each of them.
+#[rstest]
+#[case::accepted_before_the_second_process_started(false)]
+#[case::accepted_while_both_processes_ran(true)]
+fn copies_of_a_request_are_accepted_once_by_the_two_processes(#[case] both_running: bool) {
+    let mut harness = Harness::default();
+    let arrivals = Arc::new(Mutex::new(Vec::new()));
+    harness.add_accepting_endpoint("e1", "1", arrivals.clone());
+    run_steps(&mut harness, &["given operators", "send daemon start"]);
+    let mut accepted = 0;
+    if !both_running {
+        accepted += accepted_submissions(&harness);
+    }
+    run_steps(&mut harness, &["send daemon beside"]);
+    for _ in 0..COPIES {
+        accepted += accepted_submissions(&harness);
+    }
+    // The process that is left knows what the other one accepted.
+    run_steps(&mut harness, &["send old TERM", "expect old exit 0"]);
+    accepted += accepted_submissions(&harness);
+    assert_eq!(accepted, MESSAGE_COUNT, "{}", harness.log());
+    assert_eq!(arrivals.lock().unwrap().len(), MESSAGE_COUNT, "{}", harness.log());
+}
+
+/// Submits each message over a connection of its own; returns how many were accepted.
+fn accepted_submissions(harness: &Harness) -> usize {
+    let client = harness.http_client();
+    (0..MESSAGE_COUNT).map(|index| client.submit_all(&[format!("status id=m{index} dest=1")])).sum()
+}
+
 /// The notice of a message's end is in time up to this long after the message's deadline.
 const NOTICE_WITHIN: Duration = Duration::from_millis(300);
 
--- a/lab/src/experiments/slopes/engine.rs
+++ b/lab/src/experiments/slopes/engine.rs
@@ -8,7 +8,8 @@
 use crate::capacity::cost::Cost;
 use crate::capacity::fit::Point;
 use onyxrock::core::{
-    AcceptedMessage, AttemptOutcome, AttemptStatus, Ledger, LedgerAction, OpenMessage, Record, recover,
+    AcceptedMessage, AttemptOutcome, AttemptStatus, Ledger, LedgerAction, OpenMessage, Record,
+    RequestIdDigest, recover,
 };
 use onyxrock::interface::*;
 use onyxrock::{PolicyEngine, interface::Settings};
@@ -184,7 +185,8 @@
     let mut ledger = empty_ledger(plan);
     for i in 0..messages {
         let message = accepted_message(i + 1, i % BACKLOG_DESTINATIONS);
-        ledger.remember_request_id(Micros(1_000_000), &message.request_id);
+        let id = RequestIdDigest::of(&message.request_id);
+        ledger.remember_request_id(Micros(1_000_000), id);
         ledger.accept(Micros(1_000_000), message);
     }
     ledger
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -4,7 +4,7 @@
 use super::classes::Classes;
 use super::record::{AcceptedMessage, AttemptStatus, FinalStatus, Record, RecordedClass};
 use super::recovery::OpenMessage;
-use super::{NameIndex, RecentIds};
+use super::{NameIndex, RecentIds, RequestIdDigest};
 use crate::PolicyEngine;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -195,10 +195,18 @@
     pub fn zone_id(&self, name: &str) -> ZoneId {
         ZoneId(self.names.zones.get(name).copied().unwrap_or(usize::MAX))
     }
-    /// Records the request id of a submission. Returns false if an earlier submission with this id, of
-    /// whichever client, could still run: a second message with it would be a second copy at an endpoint.
-    pub fn remember_request_id(&mut self, now: Micros, request_id: &str) -> bool {
-        self.request_ids.insert(now, request_id)
+    /// Whether an earlier submission with this request id, of whichever client, was accepted and could still
+    /// run: a second message with it would be a second copy at an endpoint.
+    pub fn knows_request_id(&mut self, now: Micros, id: RequestIdDigest) -> bool {
+        self.request_ids.contains(now, id)
+    }
+    /// Records the request id of an accepted submission. Returns false if it was known.
+    pub fn remember_request_id(&mut self, now: Micros, id: RequestIdDigest) -> bool {
+        self.request_ids.insert(now, id)
+    }
+    /// The request ids that are known; those that matter most come first.
+    pub fn request_ids(&self) -> impl Iterator<Item = RequestIdDigest> {
+        self.request_ids.iter()
     }
     /// The latest deadline that a message of this class may have if it is accepted now.
     pub fn latest_deadline(&self, now: Micros, class: &str) -> Micros {
@@ -250,6 +258,7 @@
         let Some(message) = self.message(now, &accepted) else { return };
         self.next_number = self.next_number.max(accepted.number + 1);
         self.class_of.insert(accepted.number, message.class);
+        self.request_ids.message_opened(RequestIdDigest::of(&accepted.request_id));
         self.open.insert(accepted.number, OpenMessage { accepted, ..OpenMessage::default() });
         self.policy.on_event(now, Event::Submit(message), &mut self.actions);
     }
@@ -276,7 +285,9 @@
         let open = self.bounded(now, message);
         let message = self.message(now, &open.accepted);
         self.class_of.extend(message.as_ref().map(|message| (number, message.class)));
-        self.request_ids.insert(now, &open.accepted.request_id);
+        let id = RequestIdDigest::of(&open.accepted.request_id);
+        self.request_ids.insert(now, id);
+        self.request_ids.message_opened(id);
         let first_possible_run = open.first_possible_run.as_ref().map(|(at, zone)| (*at, self.zone_id(zone)));
         let history = AttemptHistory { attempts: open.attempts, first_possible_run };
         let has_final_status = open.final_status.is_some();
@@ -429,6 +440,7 @@
     /// Removes a message for which nothing more has to be done. Returns the record to keep.
     pub fn close(&mut self, number: u64) -> Option<Record> {
         let message = self.open.remove(&number)?;
+        self.request_ids.message_closed(RequestIdDigest::of(&message.accepted.request_id));
         self.with_final_status -= usize::from(message.final_status.is_some());
         self.untried.remove(&number);
         self.attempts.remove(&number);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,7 +11,7 @@
 
 pub use actions::{AttemptDenied, AttemptOutcome, LedgerAction, RecoveryStats};
 pub use ledger::{Ledger, add_probe_class};
-pub use recent_ids::RecentIds;
+pub use recent_ids::{NoDigest, RecentIds, RequestIdDigest};
 pub use record::{AcceptedMessage, AttemptStatus, FinalStatus, LogScan, Record, RecordedClass, scan_log};
 pub use recovery::{OpenMessage, recover};
 
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -309,13 +309,39 @@
 /// its request could still run, and the number of ids is bounded.
 #[test]
 fn recent_request_id_is_refused_until_it_expires() {
-    let mut ids = onyxrock::core::RecentIds::new(Micros(1000));
-    assert!(ids.insert(Micros(0), "a") && !ids.insert(Micros(900), "a") && ids.insert(Micros(900), "b"));
-    assert!(ids.insert(Micros(1001), "a"), "the id has expired");
-    assert!(!ids.insert(Micros(1001), "b"));
-    assert!((0..20_000).all(|i| ids.insert(Micros(1001), &i.to_string())));
-    assert!(ids.insert(Micros(1001), "b"), "the oldest id is dropped when there are too many");
-    assert!(!ids.insert(Micros(1001), "19999"));
+    let mut ids = RecentIds::new(Micros(1000));
+    let mut insert = |now, id: &str| ids.insert(Micros(now), RequestIdDigest::of(id));
+    assert!(insert(0, "a") && !insert(900, "a") && insert(900, "b"));
+    assert!(insert(1001, "a"), "the id has expired");
+    assert!(!insert(1001, "b"));
+    assert!((0..70_000).all(|i| insert(1001, &i.to_string())));
+    assert!(insert(1001, "b"), "the oldest id is dropped when there are too many");
+    assert!(!insert(1001, "69999"));
+}
+
+/// Guards against a message that is accepted twice while it is open: its id was dropped for later ones.
+#[test]
+fn request_id_of_an_open_message_is_refused_however_many_come_later() {
+    let mut ids = RecentIds::new(Micros(1000));
+    let open = RequestIdDigest::of("open");
+    ids.message_opened(open);
+    assert!(!ids.insert(Micros(0), open));
+    assert!((0..70_000).all(|i| ids.insert(Micros(2000), RequestIdDigest::of(&i.to_string()))));
+    assert!(!ids.insert(Micros(9000), open), "neither their number nor time drops it");
+    assert_eq!(ids.iter().next(), Some(open));
+    ids.message_closed(open);
+    assert!(ids.insert(Micros(9000), open));
+}
+
+#[test]
+fn request_id_digest_is_read_from_its_text() {
+    let digest = RequestIdDigest::of("9b1f03aa5c7e2d41");
+    assert_eq!(digest.to_string().parse(), Ok(digest));
+    assert!(
+        ["", "x", "é00000000000000000000000", &"0".repeat(25)]
+            .iter()
+            .all(|t| t.parse::<RequestIdDigest>().is_err())
+    );
 }
 
 /// Guards against the loss of the first attempt when its second copy has an outcome: the window and the zone
