Messages end and the list is requested while calls are held

Cause: while calls are held for the first list the policy engine was not asked at all; it also ends messages, requests the list and gives up calls.

Fix: it always decides, and hold_sending closes the one gate of sending. A shutdown stays as it was: it ends messages at their deadline and requests nothing.

--- a/daemon/src/core_actor/tests.rs
+++ b/daemon/src/core_actor/tests.rs
@@ -90,7 +90,7 @@
     };
     actor.ledger.accept(now, message);
     let mut actions = Vec::new();
-    actor.ledger.decide(now, true, &mut actions);
+    actor.ledger.decide(now, Sending::Allowed, &mut actions);
     assert!(matches!(actions[0], LedgerAction::Call { number: 1, .. }));
     assert_eq!(
         actor.permit_call(now, permit_request(1, false)),
@@ -123,7 +123,7 @@
 #[rstest]
 fn a_message_is_not_withdrawn_after_its_call_is_permitted(#[values(false, true)] permitted: bool) {
     let (folder, mut actor, now) = actor_with_message(&format!("back-{permitted}"));
-    actor.ledger.decide(now, true, &mut Vec::new());
+    actor.ledger.decide(now, Sending::Allowed, &mut Vec::new());
     if permitted {
         assert!(actor.permit_call(now, permit_request(0, false)).is_ok());
     }
@@ -190,7 +190,7 @@
 fn a_call_is_not_written_to_the_former_address_of_its_endpoint() {
     let (folder, mut actor, now) = actor_with_message("moved");
     let former_address = list_with(EntryState::Ready).entries[0].address;
-    actor.ledger.decide(now, true, &mut Vec::new());
+    actor.ledger.decide(now, Sending::Allowed, &mut Vec::new());
     let mut moved_list = list_with(EntryState::Ready);
     moved_list.entries[0].address = "127.0.0.1:2".parse().unwrap();
     let new_address = moved_list.entries[0].address;
@@ -211,7 +211,7 @@
 fn a_call_decided_before_a_retry_after_is_not_written_during_it() {
     let (folder, mut actor, now) = actor_with_message("wait");
     let mut actions = Vec::new();
-    actor.ledger.decide(now, true, &mut actions);
+    actor.ledger.decide(now, Sending::Allowed, &mut actions);
     let receiver = ReceiverId(1);
     let (response_at, connected_at) = (now.plus(Micros(300_000)), now.plus(Micros(900_000)));
     assert!(
@@ -239,10 +239,10 @@
     };
     actor.on_attempt_ended(connected_at, &held_back);
     assert_eq!(actor.ledger.get(1).map(|o| (o.attempts, o.in_flight.len())), Some((0, 0)));
-    actor.ledger.decide(connected_at, true, &mut actions);
+    actor.ledger.decide(connected_at, Sending::Allowed, &mut actions);
     assert_eq!(actions.len(), 1, "the call must not be decided again");
     let retry_after_end = response_at.plus(Micros(2_000_000));
-    actor.ledger.decide(retry_after_end, true, &mut actions);
+    actor.ledger.decide(retry_after_end, Sending::Allowed, &mut actions);
     assert!(matches!(actions[1..], [LedgerAction::Call { number: 1, attempt: 1, .. }]), "{actions:?}");
     assert!(actor.permit_call(retry_after_end, permit_request(1, false)).is_ok());
     assert_eq!(actor.ledger.get(1).map(|o| o.attempts), Some(1));
@@ -343,7 +343,7 @@
         .collect();
     assert_eq!(open_messages, [(1, "ours", false), (2, "id-1", false), (3, "id-2", true)]);
     let mut actions = Vec::new();
-    actor.ledger.decide(now, true, &mut actions);
+    actor.ledger.decide(now, Sending::Allowed, &mut actions);
     let failed = |action: &LedgerAction| {
         matches!(action, LedgerAction::ReportFinalStatus { number: 3, status: FinalStatus::Failed })
     };
@@ -380,7 +380,7 @@
 fn records_that_could_not_be_written_are_written_later_in_order() {
     let (folder, mut actor, now) = actor_with_message("unwritten");
     let log = folder.join(crate::state_folder::PROCESS_FILES[0].log);
-    actor.ledger.decide(now, true, &mut Vec::new());
+    actor.ledger.decide(now, Sending::Allowed, &mut Vec::new());
     assert!(actor.permit_call(now, permit_request(0, false)).is_ok());
     let logged = || recover(Wal::open(&folder, 1_000_000).unwrap().1.records);
     let before = std::fs::read(&log).unwrap();
@@ -438,7 +438,7 @@
 #[test]
 fn a_queued_call_is_not_written_once_its_endpoint_is_in_maintenance() {
     let (folder, mut actor, now) = actor_with_message("maintenance");
-    actor.ledger.decide(now, true, &mut Vec::new());
+    actor.ledger.decide(now, Sending::Allowed, &mut Vec::new());
     let change = |endpoint: &str, in_maintenance| crate::maintenance::MaintenanceChange {
         endpoint: endpoint.into(),
         in_maintenance,
@@ -485,7 +485,7 @@
     #[case] call_sent: bool, #[case] status: FinalStatus,
 ) {
     let (folder, mut actor, now) = actor_with_message(&format!("expiry-{call_sent}"));
-    actor.ledger.decide(now, true, &mut Vec::new());
+    actor.ledger.decide(now, Sending::Allowed, &mut Vec::new());
     if call_sent {
         assert!(actor.permit_call(now, permit_request(0, false)).is_ok());
     }
--- a/lab/src/experiments/slopes/engine.rs
+++ b/lab/src/experiments/slopes/engine.rs
@@ -9,7 +9,7 @@
 use crate::capacity::fit::Point;
 use onyxrock::core::{
     AcceptedMessage, AttemptOutcome, AttemptStatus, Ledger, LedgerAction, OpenMessage, Record,
-    RequestIdDigest, recover,
+    RequestIdDigest, Sending, recover,
 };
 use onyxrock::interface::*;
 use onyxrock::{PolicyEngine, interface::Settings};
@@ -97,7 +97,7 @@
 fn deliver(ledger: &mut Ledger, now: Micros, number: u64, destination: u64) {
     ledger.accept(now, accepted_message(number, destination));
     let mut actions = Vec::new();
-    ledger.decide(now, true, &mut actions);
+    ledger.decide(now, Sending::Allowed, &mut actions);
     for action in actions {
         let LedgerAction::Call { number, attempt, receiver, .. } = action else { continue };
         ledger
--- a/lab/src/scale/forwarder.rs
+++ b/lab/src/scale/forwarder.rs
@@ -6,7 +6,7 @@
 use super::measurement::{Reading, Usage};
 use super::wire::{self, Audience};
 use async_channel::{Receiver, bounded};
-use onyxrock::core::{Ledger, LedgerAction, NameIndex, add_probe_class};
+use onyxrock::core::{Ledger, LedgerAction, NameIndex, Sending, add_probe_class};
 use onyxrock::interface::{ClassSettings, Effect, Event, KindSettings, Micros, Settings};
 use onyxrock_config::duties::DutySettings;
 use onyxrock_config::list::{EndpointList, ListedEndpoint};
@@ -352,7 +352,7 @@
     fn decide(&mut self, now: Micros) -> bool {
         self.duty_runner.tick(now, &mut self.ledger);
         let mut ledger_actions = Vec::new();
-        self.ledger.decide(now, true, &mut ledger_actions);
+        self.ledger.decide(now, Sending::Allowed, &mut ledger_actions);
         let follow = ledger_actions.iter().any(|action| matches!(action, LedgerAction::RequestList));
         if follow {
             self.follower.follow();
--- a/src/core/actions.rs
+++ b/src/core/actions.rs
@@ -114,3 +114,15 @@
         self.expired_at_start + self.attempted + self.expired_unattempted + self.ended_early >= self.untried
     }
 }
+
+/// Whether a ledger may decide on new attempts.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Sending {
+    /// New attempts may be sent.
+    Allowed,
+    /// None may be sent for now, while something is still to be learned. Everything else is decided.
+    Held,
+    /// None will be sent any more, as the process shuts down. What is open at the end is left to the next
+    /// process; messages only end at their deadline.
+    Stopped,
+}
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -1,6 +1,6 @@
 //! The ledger: all open messages, and the policy engine that decides about them.
 
-use super::actions::{AttemptDenied, AttemptOutcome, LedgerAction, RecoveryStats};
+use super::actions::{AttemptDenied, AttemptOutcome, LedgerAction, RecoveryStats, Sending};
 use super::classes::Classes;
 use super::record::{AcceptedMessage, AttemptStatus, FinalStatus, Record, RecordedClass};
 use super::recovery::OpenMessage;
@@ -459,13 +459,14 @@
         self.timers.first().copied()
     }
 
-    /// Decides, after all events of the same moment. With `send` false no new attempt is decided.
-    pub fn decide(&mut self, now: Micros, send: bool, actions: &mut Vec<LedgerAction>) {
+    /// Decides, after all events of the same moment.
+    pub fn decide(&mut self, now: Micros, sending: Sending, actions: &mut Vec<LedgerAction>) {
         while self.timers.first().is_some_and(|at| *at <= now) {
             self.timers.pop_first();
             self.policy.on_event(now, Event::TimerFired, &mut self.actions);
         }
-        if send {
+        if sending != Sending::Stopped {
+            self.policy.hold_sending(now, sending == Sending::Held);
             self.policy.decide(now, &mut self.actions);
         }
         actions.extend(
@@ -484,8 +485,8 @@
         self.waiting_messages().map(|message| message.accepted.deadline).min()
     }
 
-    /// Ends the messages whose deadline has passed while [`Ledger::decide`] is not called any more: a process
-    /// that shuts down sends nothing new, but must still end its messages in time.
+    /// Ends the messages whose deadline has passed while sending is stopped: a process that shuts down sends
+    /// nothing new, but must still end its messages in time.
     pub fn expire(&mut self, now: Micros, actions: &mut Vec<LedgerAction>) {
         let expired: Vec<_> = self
             .waiting_messages()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,7 +9,7 @@
 mod record;
 mod recovery;
 
-pub use actions::{AttemptDenied, AttemptOutcome, LedgerAction, RecoveryStats};
+pub use actions::{AttemptDenied, AttemptOutcome, LedgerAction, RecoveryStats, Sending};
 pub use ledger::{Ledger, add_probe_class};
 pub use recent_ids::{NoDigest, RecentIds, RequestIdDigest};
 pub use record::{AcceptedMessage, AttemptStatus, FinalStatus, LogScan, Record, RecordedClass, scan_log};
--- a/src/policy/intake.rs
+++ b/src/policy/intake.rs
@@ -43,6 +43,8 @@
     /// Attempts to cancel with the next decision.
     pub(super) cancellations: Vec<Action>,
     pub(super) list_refresh: ListRefresh,
+    /// No attempt may be sent for now; see [`PolicyEngine::hold_sending`].
+    pub(super) sending_held: bool,
     /// When the timer fires that was set last.
     pub(super) timer_at: Option<Micros>,
 }
@@ -69,6 +71,7 @@
             second_copy_credit: 1.0, // the first copy may go before enough calls have been made
             cancellations: Vec::new(),
             list_refresh: ListRefresh::new(&settings),
+            sending_held: false,
             timer_at: None,
             settings,
         }
@@ -85,6 +88,15 @@
         (self.settings.max_attempts, self.settings.max_held) = (max_attempts, max_held);
     }
 
+    /// Sends no attempt while `held`. Everything else goes on: messages end at their time, and the list is
+    /// requested.
+    pub fn hold_sending(&mut self, now: Micros, held: bool) {
+        if std::mem::replace(&mut self.sending_held, held) && !held {
+            let waiting = self.destinations.iter().filter(|(_, destination)| !destination.waiting.is_empty());
+            waiting.for_each(|(id, _)| self.schedule.add(*id, now));
+        }
+    }
+
     /// Applies an event that happened at `now`. Call [`PolicyEngine::decide`] after the last event of a
     /// moment.
     pub fn on_event(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
--- a/src/policy/sending.rs
+++ b/src/policy/sending.rs
@@ -67,6 +67,7 @@
 
     /// Sends a message if every gate is open. No other code sends.
     pub(super) fn try_send(&mut self, now: Micros, id: MessageId, actions: &mut Vec<Action>) -> Gate<()> {
+        require(!self.sending_held)?;
         let message = self.held.get(&id).ok_or(NEVER)?;
         let class = &self.settings.classes[message.class.0];
         if message.ended
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -48,7 +48,7 @@
     /// Lets the ledger decide and logs the final statuses among its actions.
     fn decide(&mut self) -> Vec<LedgerAction> {
         let mut actions = Vec::new();
-        self.ledger.decide(self.now, true, &mut actions);
+        self.ledger.decide(self.now, Sending::Allowed, &mut actions);
         actions.retain(|action| !matches!(action, LedgerAction::LogUnhealthy { .. }));
         for action in &actions {
             if let LedgerAction::ReportFinalStatus { number, status } = action {
@@ -112,6 +112,50 @@
     }
 }
 
+/// Guards against messages that end seconds late after a start while discovery is down: while no call might be sent,
+/// none ended at its time, and the list was not requested again.
+#[test]
+fn messages_end_and_the_list_is_requested_while_calls_are_held() {
+    let mut harness = LedgerHarness::new(&[]);
+    let settings = Settings { subscribe_to_list: true, ..settings() };
+    harness.ledger = Ledger::new(settings, name_index(), Default::default(), 5);
+    let list = vec![entry(1, 1, 0, 0), entry(2, 1, 0, 1)];
+    harness.ledger.on_list_event(harness.now, Event::CachedEntries(list));
+    let short = harness.accept_message("safe", 2000);
+    let long = harness.accept_message("safe", 9000);
+    let (start, mut ended_at, mut requests) = (harness.now, None, 0);
+    // Each step is at the time that the ledger asks for.
+    while harness.now < start.plus(ms(4000)) {
+        let mut actions = Vec::new();
+        harness.ledger.decide(harness.now, Sending::Held, &mut actions);
+        if actions.contains(&LedgerAction::RequestList) {
+            requests += 1;
+            harness.ledger.on_list_event(harness.now, Event::ListRefused);
+            harness.ledger.decide(harness.now, Sending::Held, &mut actions);
+        }
+        for action in actions {
+            match action {
+                LedgerAction::RequestList => {}
+                LedgerAction::ReportFinalStatus { number, .. } => {
+                    assert_eq!((number, ended_at.replace(harness.now)), (short, None));
+                }
+                action => panic!("{action:?}"),
+            }
+        }
+        let Some(due) = harness.ledger.decide_due() else { break };
+        harness.now = due.max(harness.now.plus(Micros(1)));
+    }
+    let ended_after = ended_at.expect("the message ends").since(start);
+    assert!(ended_after <= ms(2000), "{ended_after:?}");
+    // A change has to be known within 6 s, so refused requests are repeated several times in 4 s.
+    assert!(requests >= 5, "{requests} requests");
+    // Once calls may be sent, the other message goes at once.
+    let actions = harness.decide();
+    let is_call =
+        |action: &LedgerAction| matches!(action, LedgerAction::Call { number, .. } if *number == long);
+    assert!(actions.iter().any(is_call), "{actions:?}");
+}
+
 #[test]
 fn delivered_message_is_not_resumed_after_a_restart() {
     let mut harness = LedgerHarness::new(&[]);
--- a/tests/fleet_restart.rs
+++ b/tests/fleet_restart.rs
@@ -305,7 +305,11 @@
             }
         }
         let mut actions = Vec::new();
-        self.senders[index].ledger.as_mut().expect("the sender is up").decide(now, true, &mut actions);
+        self.senders[index].ledger.as_mut().expect("the sender is up").decide(
+            now,
+            Sending::Allowed,
+            &mut actions,
+        );
         for action in actions {
             match action {
                 LedgerAction::Call { number, attempt, receiver, timeout } => {
--- a/tests/probes.rs
+++ b/tests/probes.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use onyxrock::core::{AttemptOutcome, Ledger, LedgerAction, NameIndex, add_probe_class};
+use onyxrock::core::{AttemptOutcome, Ledger, LedgerAction, NameIndex, Sending, add_probe_class};
 use onyxrock::interface::*;
 
 /// Index of the class of probes.
@@ -107,7 +107,7 @@
     /// Lets the ledger decide and returns the calls, probes and final statuses among its actions.
     fn decide(&mut self) -> Vec<LedgerAction> {
         let mut actions = Vec::new();
-        self.ledger.decide(self.now, true, &mut actions);
+        self.ledger.decide(self.now, Sending::Allowed, &mut actions);
         actions.retain(|action| {
             matches!(
                 action,
