Input of clients that does not end stays within a quarter of the memory limit

What callers saw: 512 clients that stop half way through a request of 64 KiB, over HTTP or SMPP, brought the process to 51 to 88 MB of the 32 that it may have, and 2 to 5 usual messages got no answer within 400 ms. Over the limit the process is killed. limits.memory_mb was not read.

Cause: read buffers were bounded for each connection alone. Growing doubled them beyond their bound, a request that was read was copied while it waited for the core, SMPP took 66 KiB before a bind, and each piece parsed the head again.

Fix: connections share a budget for all beyond their first 4 KiB. While none is left the oldest input is given up (503), and the latest connection goes first. A request keeps its reservation until the core has answered.

--- a/config/src/daemon.rs
+++ b/config/src/daemon.rs
@@ -8,6 +8,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+/// Bound on the memory where the file has none, in MB.
+const DEFAULT_MEMORY_MB: f64 = 192.0;
+
 /// The checked configuration of one forwarder.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -25,6 +28,8 @@
     pub seed: u64,
     /// Bound on open sockets.
     pub max_sockets: usize,
+    /// Bound on the bytes of memory.
+    pub max_memory_bytes: u64,
     /// Bound on the bytes on disk.
     pub max_disk_bytes: u64,
     /// How long a connection may take to be established.
@@ -54,7 +59,7 @@
 
     /// The parts in which a new version of the file differs and that take effect only at the next start.
     pub fn restart_only_differences(&self, new: &Config) -> Vec<&'static str> {
-        let limits = |config: &Config| (config.max_sockets, config.max_disk_bytes);
+        let limits = |config: &Config| (config.max_sockets, config.max_memory_bytes, config.max_disk_bytes);
         let differences = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
@@ -163,6 +168,7 @@
         ),
         seed: seed.unwrap_or(0),
         max_sockets: limit("/limits/sockets", 1024.0) as usize,
+        max_memory_bytes: (limit("/limits/memory_mb", DEFAULT_MEMORY_MB) * 1e6) as u64,
         max_disk_bytes: (limit("/limits/disk_mb", 3.0) * 1e6) as u64,
         connect_timeout: settings::connect_timeout(raw_settings).map_err(|e| format!("{shown}: {e}"))?,
         settings,
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -51,7 +51,7 @@
     // why a client connection was closed
     closed_by_client, closed_quiet, closed_ending, closed_by_error,
     // why a submission was refused at once
-    refused_full, refused_ending, refused_late, refused_no_list, refused_unlisted, refused_log,
+    refused_full, refused_memory, refused_ending, refused_late, refused_no_list, refused_unlisted, refused_log,
     // recovered messages without an attempt: their number, and what became of them
     resumed_untried, resumed_over, resumed_tried, resumed_late, resumed_early,
     // calls to endpoints, and their outcomes
--- a/daemon/src/net/buffer.rs
+++ b/daemon/src/net/buffer.rs
@@ -4,7 +4,7 @@
 use std::io;
 
 /// Growth of an empty buffer; later growth doubles the size.
-const INITIAL_BYTES: usize = 4096;
+const INITIAL_BYTES: usize = super::input_budget::FREE_BYTES;
 
 /// Writes all bytes, also when signals interrupt a write.
 pub async fn write_fully(writer: &mut (impl AsyncWrite + Unpin), mut bytes: &[u8]) -> io::Result<()> {
@@ -26,12 +26,14 @@
     start: usize,
     end: usize,
     max_bytes: usize,
+    /// Bytes that are known to come, with those that are here.
+    expected: usize,
 }
 
 impl Buffer {
     /// An empty buffer without memory.
     pub fn new(max_bytes: usize) -> Buffer {
-        Buffer { bytes: Vec::new(), start: 0, end: 0, max_bytes }
+        Buffer { bytes: Vec::new(), start: 0, end: 0, max_bytes, expected: 0 }
     }
     /// The bytes that have been read and not consumed.
     pub fn data(&self) -> &[u8] {
@@ -41,8 +43,40 @@
     pub fn is_empty(&self) -> bool {
         self.start == self.end
     }
+    /// Bytes of memory in use.
+    pub fn capacity(&self) -> usize {
+        self.bytes.len()
+    }
+    /// This many bytes are known to come from the front of the buffer on, so that it grows to them at once.
+    pub fn expect(&mut self, total: usize) {
+        self.expected = total;
+    }
+    /// Bytes of memory that the next [`Buffer::fill`] will use.
+    pub fn capacity_for_fill(&self) -> usize {
+        let size = self.bytes.len();
+        if self.end < size || self.start > 0 {
+            return size;
+        }
+        let doubled = size + size.max(INITIAL_BYTES);
+        let wanted = if self.expected > size { self.expected } else { doubled };
+        wanted.min(self.max_bytes)
+    }
+    /// Takes `count` bytes from the front out of the buffer, without a copy of them where they are many.
+    pub fn take(&mut self, count: usize) -> Vec<u8> {
+        if count <= 4 * INITIAL_BYTES || self.start > 0 {
+            let taken = self.data()[..count].to_vec();
+            self.consume(count);
+            return taken;
+        }
+        let rest = self.bytes[count..self.end].to_vec();
+        let mut taken = std::mem::replace(&mut self.bytes, rest);
+        taken.truncate(count);
+        (self.end, self.expected) = (self.bytes.len(), 0);
+        taken
+    }
     /// Drops `count` bytes from the front.
     pub fn consume(&mut self, count: usize) {
+        self.expected = 0;
         self.start = (self.start + count).min(self.end);
         if self.is_empty() {
             (self.start, self.end) = (0, 0);
@@ -58,6 +92,10 @@
             (self.bytes, self.start, self.end) = (Vec::new(), 0, 0);
         }
     }
+    /// Frees the memory and drops all bytes.
+    pub fn discard(&mut self) {
+        *self = Buffer::new(self.max_bytes);
+    }
     /// Reads once. Returns the number of bytes read, 0 at the end of the stream; an error when the buffer
     /// is full.
     pub async fn fill(&mut self, reader: &mut (impl AsyncRead + Unpin)) -> io::Result<usize> {
@@ -68,8 +106,9 @@
             } else if self.bytes.len() >= self.max_bytes {
                 return Err(io::Error::new(io::ErrorKind::OutOfMemory, "the read buffer is full"));
             } else {
-                let growth = self.bytes.len().max(INITIAL_BYTES).min(self.max_bytes - self.bytes.len());
-                self.bytes.resize(self.bytes.len() + growth, 0);
+                let size = self.capacity_for_fill();
+                self.bytes.reserve_exact(size - self.bytes.len());
+                self.bytes.resize(size, 0);
             }
         }
         let count = loop {
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -4,6 +4,7 @@
 use crate::core_actor::{CoreMessage, Submission, SubmitReply};
 use crate::invariants::PendingResponse;
 use crate::net::buffer::{Buffer, write_fully};
+use crate::net::input_budget::InputReservation;
 use crate::net::smpp::MessageNote;
 use crate::net::{ListState, SharedState};
 use async_channel::{Receiver, Sender, bounded};
@@ -147,6 +148,8 @@
     invalid_requests: u32,
     /// Signals that this connection has to close to make room for others.
     close_signal: (Sender<()>, Receiver<()>),
+    /// Memory for the read buffer, and for the request that was read last.
+    reservation: InputReservation<'a>,
 }
 
 /// What comes next on a connection.
@@ -154,17 +157,31 @@
     /// The bytes of a complete request, where its body begins, its framing, and when its first byte came.
     Request(Vec<u8>, usize, Framing, Micros),
     Invalid(ClientError),
+    /// The memory for the request is needed by others.
+    GivenUp,
     Closed,
 }
 
+/// How much of the next request is in the buffer.
+enum Progress {
+    /// All of it: where its body begins, where it ends, and its framing.
+    Complete(usize, usize, Framing),
+    /// Its head; the length of all of it.
+    Head(usize),
+    /// A part of its head.
+    PartOfHead,
+}
+
 impl<'a> Inbound<'a> {
     fn new(shared: &'a SharedState, stream: Async<TcpStream>) -> Inbound<'a> {
         let _ = stream.get_ref().set_nodelay(true);
+        let serial = shared.next_serial();
         Inbound {
             shared,
             stream,
             buffer: Buffer::new(MAX_HEAD_BYTES + MAX_BODY_BYTES),
-            serial: shared.next_serial(),
+            serial,
+            reservation: InputReservation::new(&shared.input_budget, serial),
             idle_since: shared.clock.now(),
             answered: false,
             invalid_requests: 0,
@@ -183,6 +200,14 @@
             self.shared.eviction_queue.remove(rank);
             let (bytes, body_at, framing, received_at) = match input {
                 NextInput::Closed => return,
+                NextInput::GivenUp => {
+                    self.buffer.discard();
+                    self.reservation.shrink_to(0);
+                    counters.fail_fast.increment();
+                    counters.refused_memory.increment();
+                    let _ = self.respond(503, Some(FULL_RETRY_AFTER), "", true).await;
+                    return self.discard_input().await;
+                }
                 NextInput::Invalid(ClientError(status, reason)) => {
                     counters.closed_by_error.increment();
                     counters.bad_requests.increment();
@@ -199,7 +224,7 @@
             let invalid_before = self.invalid_requests;
             counters.requests_read.increment();
             let pending = PendingResponse::new(&self.shared.invariants);
-            let written = match parse(&bytes, body_at, received_at) {
+            let written = match parse(bytes, body_at, received_at) {
                 Err(error) => self.reject(error, close).await,
                 Ok(Request::Ready) => self.ready(close).await,
                 Ok(Request::Counters) => {
@@ -210,7 +235,7 @@
                 Ok(Request::Duties) => self.respond_with_json(close, Self::duties).await,
                 Ok(Request::Submit(message)) => self.submit(*message, close).await,
             };
-            drop(bytes);
+            self.reservation.shrink_to(self.buffer.capacity());
             pending.resolve();
             if written.is_err() {
                 counters.requests_abandoned.increment();
@@ -268,16 +293,22 @@
     /// Reads one request.
     async fn read_request(&mut self) -> NextInput {
         let mut first_byte_at = None;
+        let mut parsing = IncrementalParsing::default();
         loop {
             if !self.buffer.is_empty() {
-                let received_at = *first_byte_at.get_or_insert_with(|| self.shared.clock.now());
-                match find_request_end(self.buffer.data()) {
-                    Ok(Some((body_at, end, framing))) => {
-                        let bytes = self.buffer.data()[..end].to_vec();
-                        self.buffer.consume(end);
+                let received_at = *first_byte_at.get_or_insert_with(|| {
+                    let now = self.shared.clock.now();
+                    self.reservation.begin(now);
+                    now
+                });
+                match parsing.advance(self.buffer.data()) {
+                    Ok(Progress::Complete(body_at, end, framing)) => {
+                        self.reservation.complete();
+                        let bytes = self.buffer.take(end);
                         return NextInput::Request(bytes, body_at, framing, received_at);
                     }
-                    Ok(None) => {}
+                    Ok(Progress::Head(total)) => self.buffer.expect(total),
+                    Ok(Progress::PartOfHead) => {}
                     Err(error) => return NextInput::Invalid(error),
                 }
             }
@@ -292,7 +323,19 @@
                 }
             };
             let shared = self.shared;
-            let fill = async { Some(self.buffer.fill(&mut self.stream).await) };
+            let size = self.buffer.capacity_for_fill();
+            let (buffer, stream, reservation) = (&mut self.buffer, &mut self.stream, &mut self.reservation);
+            let fill = async {
+                if !reservation.grow_to(&shared.clock, size).await {
+                    return Some(None);
+                }
+                let read = async { Some(buffer.fill(stream).await) };
+                let given_up = async {
+                    reservation.given_up().await;
+                    None
+                };
+                Some(future::or(read, given_up).await)
+            };
             let closed = async {
                 let timed_out = shared.clock.sleep_until(Some(deadline));
                 let close_signal = async { self.close_signal.1.recv().await.unwrap_or_default() };
@@ -307,7 +350,8 @@
                 None
             };
             match future::or(fill, closed).await {
-                Some(Ok(n)) if n > 0 => {}
+                Some(None) => return NextInput::GivenUp,
+                Some(Some(Ok(n))) if n > 0 => {}
                 None if first_byte_at.is_some() => {
                     return NextInput::Invalid(ClientError(408, "request took too long"));
                 }
@@ -324,14 +368,14 @@
                     reason.increment();
                     return NextInput::Closed;
                 }
-                Some(Err(e)) if e.kind() == std::io::ErrorKind::OutOfMemory => {
+                Some(Some(Err(e))) if e.kind() == std::io::ErrorKind::OutOfMemory => {
                     return NextInput::Invalid(ClientError(431, "head too large"));
                 }
-                Some(Ok(_)) => {
+                Some(Some(Ok(_))) => {
                     shared.counters.closed_by_client.increment();
                     return NextInput::Closed;
                 }
-                Some(Err(_)) => {
+                Some(Some(Err(_))) => {
                     shared.counters.closed_by_error.increment();
                     return NextInput::Closed;
                 }
@@ -446,7 +490,38 @@
     }
 }
 
-/// Where the body begins and where the request ends, once the request is complete.
+/// Looks for the end of a request while it comes in, in time that grows with its length alone, however small the pieces
+/// are in which it comes.
+#[derive(Default)]
+struct IncrementalParsing {
+    /// Bytes that were there when the head was parsed last.
+    parsed_bytes: usize,
+    /// Once the head is complete: where the body begins, where the request ends, and its framing.
+    head: Option<(usize, usize, Framing)>,
+}
+
+impl IncrementalParsing {
+    fn advance(&mut self, data: &[u8]) -> Result<Progress, ClientError> {
+        if self.head.is_none() && self.is_parsing_due(data) {
+            self.parsed_bytes = data.len();
+            self.head = find_request_end(data)?;
+        }
+        Ok(match self.head {
+            None => Progress::PartOfHead,
+            Some((body_at, end, framing)) if data.len() >= end => Progress::Complete(body_at, end, framing),
+            Some((_, end, _)) => Progress::Head(end),
+        })
+    }
+
+    /// A head can only be complete behind the end of a line. What can never be one is to be found out soon, too.
+    fn is_parsing_due(&self, data: &[u8]) -> bool {
+        data.len() >= 2 * self.parsed_bytes
+            || data.len() > MAX_HEAD_BYTES
+            || data[self.parsed_bytes..].contains(&b'\n')
+    }
+}
+
+/// Where the body begins and where the request ends, once its head is complete.
 fn find_request_end(data: &[u8]) -> Result<Option<(usize, usize, Framing)>, ClientError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
@@ -466,8 +541,7 @@
     if length > MAX_BODY_BYTES {
         return Err(ClientError(413, "body too large"));
     }
-    let end = body_at + length;
-    Ok((data.len() >= end).then_some((body_at, end, framing)))
+    Ok(Some((body_at, body_at + length, framing)))
 }
 
 /// Value of a header that may occur once at most. A repeated header, or one with unprintable bytes, could
@@ -506,10 +580,21 @@
 }
 
 /// Parses a complete request.
-fn parse(bytes: &[u8], body_at: usize, received_at: Micros) -> Result<Request, ClientError> {
+fn parse(bytes: Vec<u8>, body_at: usize, received_at: Micros) -> Result<Request, ClientError> {
+    let mut request = parse_head(&bytes, body_at, received_at)?;
+    if let Request::Submit(message) = &mut request {
+        message.body = bytes;
+        message.body.drain(..body_at);
+        message.body.shrink_to_fit();
+    }
+    Ok(request)
+}
+
+/// Parses a complete request but for its body.
+fn parse_head(bytes: &[u8], body_at: usize, received_at: Micros) -> Result<Request, ClientError> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut request = httparse::Request::new(&mut headers);
-    request.parse(bytes).map_err(|_| ClientError(400, "not HTTP"))?;
+    request.parse(&bytes[..body_at]).map_err(|_| ClientError(400, "not HTTP"))?;
     let target = request.path.unwrap_or("");
     let path = target.split('?').next().unwrap_or("");
     let headers = &*request.headers;
@@ -560,7 +645,7 @@
         frontend_note: note,
         wants_receipt: false,
         deadline: received_at.plus(time_left.since(margin)),
-        body: bytes[body_at..].to_vec(),
+        body: Vec::new(),
     })))
 }
 
--- a/daemon/src/net/http/inbound/tests.rs
+++ b/daemon/src/net/http/inbound/tests.rs
@@ -119,7 +119,7 @@
     let request = format!(
         "POST {path} HTTP/1.1\r\n{header}\r\nX-Request-Id: 1\r\nX-Deadline: 1\r\nX-Envelope: dest=1\r\n\r\n"
     );
-    let parsed_class = match parse(request.as_bytes(), request.len(), Micros(0)) {
+    let parsed_class = match parse(request.clone().into_bytes(), request.len(), Micros(0)) {
         Ok(Request::Submit(message)) => Some(message.class),
         Ok(other) => panic!("{other:?}"),
         Err(_) => None,
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod buffer;
 pub mod eviction;
 pub mod http;
+pub mod input_budget;
 pub mod mgmt;
 pub mod smpp;
 #[cfg(test)]
@@ -13,6 +14,7 @@
 use crate::core_actor::{CoreMessage, Permit, PermitRequest, PermitResult};
 use crate::counters::Counters;
 use crate::invariants::Invariants;
+use crate::net::input_budget::InputBudget;
 use async_channel::{Receiver, Sender, bounded};
 use async_executor::LocalExecutor;
 use onyxrock::core::AttemptOutcome;
@@ -63,6 +65,8 @@
     pub peers: Option<Sender<ToPeers>>,
     /// Most open connections of clients.
     pub max_inbound: u64,
+    /// Memory for input of clients that is not complete yet.
+    pub input_budget: InputBudget,
     /// Open connections to endpoints above which none is kept after its call.
     pub max_outbound: u64,
     pub executor: Rc<LocalExecutor<'static>>,
@@ -105,6 +109,7 @@
             idle_timeout: None,
             peers: None,
             max_inbound: 10,
+            input_budget: InputBudget::new(usize::MAX),
             max_outbound: 10,
             executor: Rc::new(LocalExecutor::new()),
         })
--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -3,11 +3,12 @@
 use super::receipts::{ToReceipts, receipt};
 use super::{
     FRONTEND_ID, IO_TIMEOUT, MAX_PDU_BYTES, MessageNote, ReadResult, c_octet_string, c_octet_text,
-    encode_pdu, first_ready, read_pdu, time, write_pdu,
+    encode_pdu, first_ready, take_pdu, time, write_pdu,
 };
 use crate::core_actor::{CoreMessage, StatusNotice, Submission, SubmitReply};
 use crate::net::SharedState;
 use crate::net::buffer::Buffer;
+use crate::net::input_budget::InputReservation;
 use async_channel::{Receiver, Sender, bounded};
 use async_io::Async;
 use futures_lite::future;
@@ -24,6 +25,8 @@
 
 /// Subtracted from a message's validity: the receipt has to arrive before the message expires.
 const VALIDITY_MARGIN: Micros = Micros(150_000);
+/// Largest PDU of a connection that has not bound: a bind has some hundred bytes.
+const MAX_UNBOUND_PDU_BYTES: usize = 1024;
 /// A connection that has not bound by then is closed.
 const BIND_TIMEOUT: Micros = Micros(10_000_000);
 
@@ -88,6 +91,10 @@
     unacknowledged: BTreeMap<u32, u64>,
     /// Sequence numbers of enquire_link requests without a response.
     pending_enquiries: BTreeSet<u32>,
+    /// Memory for the read buffer.
+    reservation: InputReservation<'a>,
+    /// A part of a PDU is in the buffer.
+    pdu_begun: bool,
 }
 
 /// What a session waits for.
@@ -112,6 +119,8 @@
             sequence: 0,
             unacknowledged,
             pending_enquiries,
+            reservation: InputReservation::new(&frontend.shared.input_budget, frontend.shared.next_serial()),
+            pdu_begun: false,
         }
     }
 
@@ -130,7 +139,8 @@
             };
             let window_open = self.unacknowledged.len() < self.frontend.smpp.window;
             let event = {
-                let input = async { Event::Pdu(read_pdu(&mut self.buffer, &mut self.stream).await) };
+                let frontend = self.frontend;
+                let input = async { Event::Pdu(self.read_pdu().await) };
                 let receipt = async {
                     match window_open {
                         // This session holds a sender of the mailbox itself, so the mailbox stays open.
@@ -143,7 +153,7 @@
                     Event::Silence
                 };
                 let closing = async {
-                    let _ = self.frontend.shared.calls_finished.recv().await;
+                    let _ = frontend.shared.calls_finished.recv().await;
                     Event::Closing
                 };
                 let other = future::or(receipt, future::or(silent, closing));
@@ -190,6 +200,34 @@
         }
     }
 
+    /// Reads until a PDU is complete. `None` at the end of the stream, or if the memory for the PDU is needed by
+    /// others.
+    async fn read_pdu(&mut self) -> Option<ReadResult> {
+        let clock = self.frontend.shared.clock;
+        let max_bytes = if self.bound.is_some() { MAX_PDU_BYTES } else { MAX_UNBOUND_PDU_BYTES };
+        loop {
+            if let Some(result) = take_pdu(&mut self.buffer, max_bytes) {
+                self.reservation.complete();
+                self.reservation.shrink_to(self.buffer.capacity());
+                self.pdu_begun = false;
+                return Some(result);
+            }
+            if !self.buffer.is_empty() && !std::mem::replace(&mut self.pdu_begun, true) {
+                self.reservation.begin(clock.now());
+            }
+            if !self.reservation.grow_to(&clock, self.buffer.capacity_for_fill()).await {
+                self.frontend.shared.counters.refused_memory.increment();
+                return None;
+            }
+            let given_up = async {
+                self.reservation.given_up().await;
+                None
+            };
+            let read = async { self.buffer.fill(&mut self.stream).await.ok().filter(|n| *n > 0) };
+            future::or(read, given_up).await?;
+        }
+    }
+
     fn next_sequence(&mut self) -> u32 {
         self.sequence = self.sequence % 0x7fff_ffff + 1;
         self.sequence
--- a/daemon/src/net/smpp/mod.rs
+++ b/daemon/src/net/smpp/mod.rs
@@ -38,14 +38,17 @@
     FramingLost,
 }
 
-/// Takes one PDU out of the buffer, if it is complete.
-pub fn take_pdu(buffer: &mut Buffer) -> Option<ReadResult> {
+/// Takes one PDU of at most `max_bytes` out of the buffer, if it is complete.
+pub fn take_pdu(buffer: &mut Buffer, max_bytes: usize) -> Option<ReadResult> {
     let data = buffer.data();
     let length = u32::from_be_bytes(data.get(..4)?.try_into().ok()?) as usize;
-    if !(HEADER_BYTES..=MAX_PDU_BYTES).contains(&length) {
+    if !(HEADER_BYTES..=max_bytes).contains(&length) {
         return Some(ReadResult::FramingLost);
     }
-    let pdu = data.get(..length)?;
+    let Some(pdu) = data.get(..length) else {
+        buffer.expect(length);
+        return None;
+    };
     let sequence = u32::from_be_bytes(pdu[12..16].try_into().ok()?);
     let mut bytes = BytesMut::from(&pdu[4..]);
     buffer.consume(length);
@@ -73,7 +76,7 @@
 /// Reads until a PDU is complete. `None` at the end of the stream.
 pub async fn read_pdu(buffer: &mut Buffer, reader: &mut (impl AsyncRead + Unpin)) -> Option<ReadResult> {
     loop {
-        if let Some(result) = take_pdu(buffer) {
+        if let Some(result) = take_pdu(buffer, MAX_PDU_BYTES) {
             return Some(result);
         }
         if !buffer.fill(reader).await.is_ok_and(|n| n > 0) {
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::maintenance;
 use crate::net::SharedState;
 use crate::net::http::inbound;
+use crate::net::input_budget::InputBudget;
 use crate::net::mgmt;
 use crate::net::smpp;
 use crate::notices;
@@ -45,6 +46,10 @@
 /// no new call is sent.
 const EXIT_AFTER_SIGTERM: Duration = Duration::from_millis(3300);
 
+/// Input of clients that is not complete yet may take this part (a quarter) of the memory; the rest is for open messages
+/// and all else.
+const INPUT_MEMORY_DIVISOR: u64 = 4;
+
 /// Interval between checks, during shutdown, of whether the last client connections have ended.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -123,6 +128,7 @@
         peers: duties.as_ref().map(|_| to_peers.clone()),
         max_inbound: (config.max_sockets / 2).max(8) as u64,
         max_outbound: (config.max_sockets / 4).max(8) as u64,
+        input_budget: InputBudget::new((config.max_memory_bytes / INPUT_MEMORY_DIVISOR) as usize),
         executor: executor.clone(),
     });
     shared.list_answered_at.set(shared.clock.now());
--- /dev/null
+++ b/daemon/tests/bad_clients.rs
@@ -0,0 +1,223 @@
+//! Clients that misbehave for seconds: what they cost the daemon in memory, and other clients in time.
+
+#[allow(dead_code)] // this test uses a part of the harness; the scenarios use the rest
+mod harness;
+
+use harness::Harness;
+use harness::dns;
+use harness::pressure::{self, UsualClients};
+use rstest::rstest;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// How long the misbehaving clients go on.
+const SPAN: Duration = Duration::from_secs(2);
+/// The limit on the memory of the daemon, in MB.
+const MEMORY_MB: u64 = 32;
+/// Connections of misbehaving clients, as many as the daemon accepts with 1,024 descriptors.
+const CONNECTIONS: usize = 512;
+const SLOW_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Each test needs hundreds of connections, and times answers: they run one after the other.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+fn run_step(harness: &mut Harness, line: &str) {
+    let words: Vec<&str> = line.split(' ').collect();
+    harness.run_step(&words).unwrap_or_else(|e| panic!("{line}: {e}\n{}", harness.log()));
+}
+
+fn started_daemon() -> Harness {
+    started_daemon_with(&[])
+}
+
+fn started_daemon_with(steps: &[&str]) -> Harness {
+    let mut harness = Harness::default();
+    harness.add_accepting_endpoint("e1", "1", Arc::default());
+    steps.iter().for_each(|step| run_step(&mut harness, step));
+    run_step(&mut harness, &format!("given limit memory_mb={MEMORY_MB}"));
+    run_step(&mut harness, "given operators");
+    run_step(&mut harness, "send daemon start");
+    if !steps.contains(&"given dns") {
+        run_step(&mut harness, "expect counter list_answers=1");
+    }
+    harness
+}
+
+/// Runs usual clients beside misbehaving ones; returns what they saw and the peak memory in bytes.
+fn measure(
+    harness: &Harness, start: impl FnOnce(&Arc<AtomicBool>) -> Vec<JoinHandle<()>>,
+) -> (UsualClients, u64) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let address = harness.addresses().http;
+    let stop = Arc::new(AtomicBool::new(false));
+    let misbehaving = start(&stop);
+    let seen = UsualClients::run(address, "usual", Instant::now() + SPAN);
+    stop.store(true, Ordering::Relaxed);
+    misbehaving.into_iter().for_each(|thread| thread.join().unwrap());
+    (seen, pressure::peak_memory(harness.daemon_id()))
+}
+
+/// One client alone must cost the others nothing.
+fn assert_others_are_served(seen: &UsualClients, peak: u64) {
+    assert!(peak < MEMORY_MB * 1_000_000, "{peak} bytes");
+    assert!(seen.accepted > 0 && seen.refused + seen.unanswered == 0, "{seen:?}");
+}
+
+fn almost_whole_request() -> Vec<u8> {
+    let mut request = pressure::submission("half", 64 * 1024);
+    request.pop();
+    request
+}
+
+fn head_of_short_fields() -> Vec<u8> {
+    [&b"POST /status HTTP/1.1\r\n"[..], &b"a:b\r\n".repeat(3000)].concat()
+}
+
+fn head_of_few_fields() -> Vec<u8> {
+    let field = [&b"a: "[..], &b"x".repeat(260), b"\r\n"].concat();
+    [&b"POST /status HTTP/1.1\r\n"[..], &field.repeat(61)].concat()
+}
+
+/// Guards against a process that is killed for its memory, because the read buffers of many clients add up.
+#[rstest]
+#[case::stop_half_way(almost_whole_request(), 1)]
+#[case::write_slowly(almost_whole_request(), 20)]
+#[case::whole_and_unsound(pressure::submission("same", 64 * 1024), 1)]
+#[case::many_short_fields(head_of_short_fields(), 1)]
+#[case::slow_short_fields(head_of_short_fields(), 20)]
+#[case::slow_long_head(head_of_few_fields(), 20)]
+fn memory_stays_within_its_limit_while_requests_do_not_end(#[case] bytes: Vec<u8>, #[case] pieces: usize) {
+    let harness = started_daemon();
+    let address = harness.addresses().http;
+    let (seen, peak) = measure(&harness, |stop| {
+        pressure::unfinished_requests(address, CONNECTIONS, &bytes, pieces, SLOW_INTERVAL, stop)
+    });
+    println!("{pieces} pieces of {}: {seen:?}, peak {:.1} MB", bytes.len(), peak as f64 / 1e6);
+    assert!(peak < MEMORY_MB * 1_000_000, "{peak} bytes");
+    assert!(seen.accepted >= 9 * (seen.refused + seen.unanswered), "{seen:?}");
+}
+
+/// A PDU of SMPP, encoded byte by byte.
+fn pdu(command_id: u32, length: usize, body: &[u8]) -> Vec<u8> {
+    let header = [length as u32, command_id, 0, 1];
+    header.iter().flat_map(|n| n.to_be_bytes()).chain(body.iter().copied()).collect()
+}
+
+/// bind_transceiver.
+fn bind_pdu(system_id: &str) -> Vec<u8> {
+    let body = [system_id.as_bytes(), b"\0\0\0\x34\0\0\0"].concat();
+    pdu(0x09, 16 + body.len(), &body)
+}
+
+/// The longest submit_sm, without its last byte.
+fn almost_whole_pdu() -> Vec<u8> {
+    let length = 66 * 1024;
+    pdu(0x04, length, &vec![0; length - 16 - 1])
+}
+
+/// Guards against the same over SMPP.
+#[rstest]
+#[case::before_the_bind(almost_whole_pdu(), 1)]
+#[case::bound_sessions_stop_half_way([bind_pdu("office"), almost_whole_pdu()].concat(), 1)]
+#[case::bound_sessions_write_slowly([bind_pdu("office"), almost_whole_pdu()].concat(), 20)]
+fn memory_stays_within_its_limit_while_pdus_do_not_end(#[case] bytes: Vec<u8>, #[case] pieces: usize) {
+    let harness = started_daemon();
+    let address = harness.addresses().smpp;
+    let (seen, peak) = measure(&harness, |stop| {
+        pressure::unfinished_requests(address.unwrap(), CONNECTIONS, &bytes, pieces, SLOW_INTERVAL, stop)
+    });
+    println!("{pieces} pieces of {}: {seen:?}, peak {:.1} MB", bytes.len(), peak as f64 / 1e6);
+    assert!(peak < MEMORY_MB * 1_000_000, "{peak} bytes");
+    assert!(seen.accepted >= 9 * (seen.refused + seen.unanswered), "{seen:?}");
+}
+
+#[rstest]
+#[case::status("GET /ready HTTP/1.1\r\n\r\n")]
+#[case::counters("GET /counters HTTP/1.1\r\n\r\n")]
+#[case::unknown_path("GET /x# HTTP/1.1\r\n\r\n")]
+#[case::no_id("POST /status HTTP/1.1\r\nContent-Length: 0\r\n\r\n")]
+#[case::unknown_class(
+    "POST /x# HTTP/1.1\r\nX-Request-Id: f#\r\nX-Deadline: 4\r\nX-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::unknown_tenant(
+    "POST /status HTTP/1.1\r\nX-Request-Id: f#\r\nX-Tenant: t#\r\nX-Deadline: 4\r\nX-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::unknown_destination(
+    "POST /status HTTP/1.1\r\nX-Request-Id: f#\r\nX-Deadline: 4\r\nX-Envelope: dest=9#\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::no_time_left(
+    "POST /status HTTP/1.1\r\nX-Request-Id: f#\r\nX-Deadline: 0\r\nX-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::accepted(
+    "POST /status HTTP/1.1\r\nX-Request-Id: f#\r\nX-Deadline: 4\r\nX-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::copies(
+    "POST /status HTTP/1.1\r\nX-Request-Id: f\r\nX-Deadline: 4\r\nX-Envelope: dest=1\r\nContent-Length: 0\r\n\r\n"
+)]
+#[case::not_http("\r\n\r\n#")]
+fn others_are_answered_beside_a_flood(#[case] request: &'static str) {
+    let harness = started_daemon();
+    let address = harness.addresses().http;
+    let (seen, peak) = measure(&harness, |stop| {
+        vec![pressure::flood(address, |n| request.replace('#', &n.to_string()).into_bytes(), stop)]
+    });
+    println!("{}: {seen:?}, peak {:.1} MB", request.lines().next().unwrap_or(""), peak as f64 / 1e6);
+    assert_others_are_served(&seen, peak);
+}
+
+/// submit_sm with as many optional fields as fit.
+fn submission_of_short_fields() -> Vec<u8> {
+    let fixed = [0; 17];
+    let fields = [0x13, 0xff, 0, 0].repeat(16_000);
+    pdu(0x04, 16 + fixed.len() + fields.len(), &[&fixed[..], &fields].concat())
+}
+
+#[rstest]
+#[case::enquire_link(bind_pdu("office"), pdu(0x15, 16, &[]))]
+#[case::unknown_command(bind_pdu("office"), pdu(0x77, 16, &[]))]
+#[case::unsound_submission(bind_pdu("office"), pdu(0x04, 33, &[0; 17]))]
+#[case::many_short_fields(bind_pdu("office"), submission_of_short_fields())]
+#[case::unbound(Vec::new(), pdu(0x04, 33, &[0; 17]))]
+#[case::new_system_ids(Vec::new(), bind_pdu("x#"))]
+fn others_are_answered_beside_a_flood_of_pdus(#[case] first: Vec<u8>, #[case] then: Vec<u8>) {
+    let harness = started_daemon();
+    let address = harness.addresses().smpp.unwrap();
+    let name = format!("{} {}", first.len(), then.len());
+    let (seen, peak) = measure(&harness, |stop| {
+        let next = move |n: u64| if n == 0 && !first.is_empty() { first.clone() } else { then.clone() };
+        vec![pressure::flood(address, next, stop)]
+    });
+    println!("{name}: {seen:?}, peak {:.1} MB", peak as f64 / 1e6);
+    assert_others_are_served(&seen, peak);
+}
+
+#[rstest]
+#[case::status("status\n")]
+#[case::unknown_call("x#\n")]
+#[case::unknown_endpoint("maint-on x#\n")]
+#[case::long_line("status status status status status status status status status status status")]
+fn others_are_answered_beside_a_flood_of_operators(#[case] line: &'static str) {
+    let harness = started_daemon();
+    let address = harness.addresses().operators.unwrap();
+    let (seen, peak) = measure(&harness, |stop| {
+        vec![pressure::flood(address, |n| line.replace('#', &n.to_string()).into_bytes(), stop)]
+    });
+    println!("operators {line}: {seen:?}, peak {:.1} MB", peak as f64 / 1e6);
+    assert_others_are_served(&seen, peak);
+}
+
+#[rstest]
+#[case::new_names(true)]
+#[case::unsound(false)]
+fn others_are_answered_beside_a_flood_of_dns_updates(#[case] sound: bool) {
+    let harness = started_daemon_with(&["given dns"]);
+    let address = harness.addresses().dns.unwrap();
+    let (seen, peak) = measure(&harness, |stop| {
+        let next = move |n: u64| if sound { dns::addition(&format!("x{n}")) } else { vec![7; 40] };
+        vec![pressure::datagram_flood(address, next, stop)]
+    });
+    println!("dns {sound}: {seen:?}, peak {:.1} MB", peak as f64 / 1e6);
+    assert_others_are_served(&seen, peak);
+}
--- a/daemon/tests/harness/dns.rs
+++ b/daemon/tests/harness/dns.rs
@@ -23,6 +23,19 @@
     Name::from_ascii(format!("{host}.p.example.")).unwrap()
 }
 
+/// An update that adds an endpoint of destination 1 at port 9.
+pub fn addition(host: &str) -> Vec<u8> {
+    let mut request = Message::new(9, MessageType::Query, OpCode::Update);
+    request.add_query(Query::query(Name::from_ascii("p.example.").unwrap(), RecordType::SOA));
+    let service = name_in_zone("_onyxrock._tcp.1");
+    request.authorities.push(Record::from_rdata(
+        service,
+        60,
+        RData::SRV(SRV::new(0, 50, 9, name_in_zone(host))),
+    ));
+    request.to_vec().unwrap()
+}
+
 /// Sends one update: `drain HOST`, `back HOST`, `remove HOST PORT`, or `garbage`, which names another zone.
 /// Returns the code of the response.
 pub fn send_update(server: SocketAddr, words: &[&str]) -> Result<String, String> {
--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -1,9 +1,10 @@
 //! Test harness: simulated clients, endpoints, platform and SMPP peers, and the daemon under test between
 //! them.
 
-mod dns;
+pub mod dns;
 mod http;
 mod operators;
+pub mod pressure;
 mod smpp;
 
 use serde_json::{Value, json};
@@ -148,6 +149,15 @@
     }
 }
 
+/// The addresses at which a daemon listens.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenAddresses {
+    pub http: SocketAddr,
+    pub smpp: Option<SocketAddr>,
+    pub operators: Option<SocketAddr>,
+    pub dns: Option<SocketAddr>,
+}
+
 /// One daemon under test with its configuration, and the simulated peers around it.
 pub struct Harness {
     /// Holds the configuration, the product file, the zone file and the daemon's state; deleted at the end.
@@ -232,6 +242,21 @@
 }
 
 impl Harness {
+    /// The id of the daemon's process.
+    pub fn daemon_id(&self) -> u32 {
+        self.daemon.as_ref().expect("a daemon runs").id()
+    }
+
+    /// The addresses at which the daemon listens.
+    pub fn addresses(&self) -> ListenAddresses {
+        ListenAddresses {
+            http: self.http_address.expect("a daemon runs"),
+            smpp: self.smpp_address,
+            operators: self.operators.address,
+            dns: self.dns_address,
+        }
+    }
+
     /// All log lines of the daemon's processes so far.
     pub fn log(&self) -> String {
         self.log_text.lock().unwrap().clone()
--- /dev/null
+++ b/daemon/tests/harness/pressure.rs
@@ -0,0 +1,178 @@
+//! Clients that misbehave, beside usual ones whose answers are timed, and the peak memory of the daemon.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// How long a usual client waits for its answer.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Interval between the messages of the usual client.
+const SUBMIT_INTERVAL: Duration = Duration::from_millis(20);
+/// Every tenth message has a body of this size, the others a small one.
+const LARGE_BODY_BYTES: usize = 32 * 1024;
+const SMALL_BODY_BYTES: usize = 200;
+/// Misbehaving connections of one thread.
+const CONNECTIONS_PER_THREAD: usize = 60;
+
+/// What the usual client saw.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct UsualClients {
+    /// Messages that were answered 202.
+    pub accepted: usize,
+    /// Messages that were answered otherwise.
+    pub refused: usize,
+    /// Messages without an answer in time.
+    pub unanswered: usize,
+    /// The slowest answer.
+    pub slowest: Duration,
+}
+
+impl UsualClients {
+    /// Submits messages with ids that begin with `prefix`, each over a connection of its own, until `until`.
+    pub fn run(address: SocketAddr, prefix: &str, until: Instant) -> UsualClients {
+        let mut seen = UsualClients::default();
+        for n in 0.. {
+            if Instant::now() > until {
+                break;
+            }
+            let size = if n % 10 == 9 { LARGE_BODY_BYTES } else { SMALL_BODY_BYTES };
+            let started = Instant::now();
+            match submit(address, &submission(&format!("{prefix}{n}"), size)) {
+                Ok(202) => seen.accepted += 1,
+                Ok(_) => seen.refused += 1,
+                Err(_) => seen.unanswered += 1,
+            }
+            seen.slowest = seen.slowest.max(started.elapsed());
+            std::thread::sleep(SUBMIT_INTERVAL);
+        }
+        seen
+    }
+}
+
+/// A request that submits a message of class `status` for destination 1.
+pub fn submission(id: &str, body_bytes: usize) -> Vec<u8> {
+    let mut request = format!(
+        "POST /status HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Class: status\r\nX-Deadline: 4.5\r\nX-Envelope: dest=1\r\n\
+         Content-Length: {body_bytes}\r\n\r\n"
+    )
+    .into_bytes();
+    request.resize(request.len() + body_bytes, b'x');
+    request
+}
+
+/// Sends a request over a new connection; returns the status of its answer.
+fn submit(address: SocketAddr, request: &[u8]) -> std::io::Result<u16> {
+    let mut stream = TcpStream::connect_timeout(&address, ANSWER_TIMEOUT)?;
+    let until = Instant::now() + ANSWER_TIMEOUT;
+    stream.set_write_timeout(Some(ANSWER_TIMEOUT))?;
+    stream.write_all(request)?;
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") {
+        let left = until.saturating_duration_since(Instant::now());
+        stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+        let mut byte = [0];
+        if Instant::now() > until || stream.read(&mut byte)? == 0 {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        answer.push(byte[0]);
+    }
+    let status = answer.get(9..12).and_then(|status| std::str::from_utf8(status).ok()?.parse().ok());
+    status.ok_or_else(|| ErrorKind::InvalidData.into())
+}
+
+/// Misbehaving clients until the flag is set: `count` connections that each write `bytes` in `pieces`, one each
+/// `interval`, then wait until the daemon closes them, and begin anew.
+pub fn unfinished_requests(
+    address: SocketAddr, count: usize, bytes: &[u8], pieces: usize, interval: Duration,
+    stop: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<()>> {
+    let pieces: Arc<Vec<Vec<u8>>> =
+        Arc::new(bytes.chunks(bytes.len().div_ceil(pieces)).map(<[u8]>::to_vec).collect());
+    let threads = count.div_ceil(CONNECTIONS_PER_THREAD);
+    let serve = move |stop: Arc<AtomicBool>, pieces: Arc<Vec<Vec<u8>>>, count: usize| {
+        let mut connections: Vec<Option<(TcpStream, usize)>> = (0..count).map(|_| None).collect();
+        while !stop.load(Ordering::Relaxed) {
+            for slot in &mut connections {
+                let Some((stream, written)) = slot else {
+                    *slot = TcpStream::connect(address).ok().map(|stream| {
+                        stream.set_nonblocking(true).unwrap();
+                        (stream, 0)
+                    });
+                    continue;
+                };
+                let sent = pieces.get(*written).map_or(Ok(()), |piece| stream.write_all(piece));
+                *written += 1;
+                let closed = matches!(stream.read(&mut [0; 512]), Ok(0))
+                    || sent.is_err_and(|e| e.kind() != ErrorKind::WouldBlock);
+                if closed {
+                    *slot = None;
+                }
+            }
+            std::thread::sleep(interval);
+        }
+    };
+    (0..threads)
+        .map(|_| {
+            let (stop, pieces) = (stop.clone(), pieces.clone());
+            std::thread::spawn(move || serve(stop, pieces, count.div_ceil(threads)))
+        })
+        .collect()
+}
+
+/// One misbehaving client until the flag is set: writes what `next` returns at full speed over one connection, reads
+/// and ignores the answers, and connects anew when the daemon closes it.
+pub fn flood(
+    address: SocketAddr, mut next: impl FnMut(u64) -> Vec<u8> + Send + 'static, stop: &Arc<AtomicBool>,
+) -> JoinHandle<()> {
+    let stop = stop.clone();
+    std::thread::spawn(move || {
+        let mut number = 0;
+        while !stop.load(Ordering::Relaxed) {
+            let Ok(mut stream) = TcpStream::connect(address) else { continue };
+            let mut reader = stream.try_clone().unwrap();
+            let answers = std::thread::spawn(move || {
+                let mut bytes = vec![0; 64 * 1024];
+                while reader.read(&mut bytes).is_ok_and(|count| count > 0) {}
+            });
+            stream.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
+            while !stop.load(Ordering::Relaxed) {
+                let mut batch = Vec::new();
+                while batch.len() < 32 * 1024 {
+                    batch.extend(next(number));
+                    number += 1;
+                }
+                match stream.write_all(&batch) {
+                    Err(e) if e.kind() != ErrorKind::WouldBlock => break,
+                    _ => {}
+                }
+            }
+            let _ = stream.shutdown(Shutdown::Both);
+            let _ = answers.join();
+        }
+    })
+}
+
+/// One misbehaving client until the flag is set: sends datagrams at full speed, and reads no answers.
+pub fn datagram_flood(
+    address: SocketAddr, next: impl Fn(u64) -> Vec<u8> + Send + 'static, stop: &Arc<AtomicBool>,
+) -> JoinHandle<()> {
+    let stop = stop.clone();
+    std::thread::spawn(move || {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let mut number = 0;
+        while !stop.load(Ordering::Relaxed) {
+            let _ = socket.send_to(&next(number), address);
+            number += 1;
+        }
+    })
+}
+
+/// Largest resident memory of a process so far, in bytes.
+pub fn peak_memory(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1024
+}
