Requests that were unread when their client closed are not sent on

What callers saw: a client closed its connection with 40 requests unread, and the first of them was accepted and called at the endpoint. The client was never told, and may have handed the message in elsewhere.

Cause: the close was looked for after the acceptance by a look at the next byte, and what the client had sent before stood in its place. SMPP did not look.

Fix: the system knows of a close as soon as it has arrived (POLLRDHUP), whatever is unread. It is asked before a message is submitted: a client that sends no more gets a refusal, which is correct whether it is there or not.

--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -5,6 +5,7 @@
 use crate::invariants::PendingResponse;
 use crate::net::buffer::{Buffer, write_fully};
 use crate::net::input_budget::InputReservation;
+use crate::net::peer_state::PeerState;
 use crate::net::smpp::MessageNote;
 use crate::net::{ListState, SharedState};
 use async_channel::{Receiver, Sender, bounded};
@@ -412,6 +413,19 @@
 
     /// Submits a message to the core and answers with the result.
     async fn submit(&mut self, message: AcceptedMessage, close: bool) -> std::io::Result<()> {
+        match PeerState::of(&self.stream) {
+            PeerState::Present => {}
+            // A client that has left was not told, and may submit the message elsewhere. A refusal is correct in
+            // both cases.
+            PeerState::SendsNoMore => {
+                self.shared.counters.unheard.increment();
+                return self.respond(503, None, "", close).await;
+            }
+            PeerState::Gone => {
+                self.shared.counters.unheard.increment();
+                return Err(std::io::ErrorKind::ConnectionReset.into());
+            }
+        }
         let (reply, core_reply) = bounded(1);
         let submission = CoreMessage::Submit(Submission { message, reply });
         let reply = match self.shared.core.send(submission).await {
@@ -420,9 +434,11 @@
         };
         match reply {
             SubmitReply::Accepted(number) => {
-                let delivered = match self.stream.get_ref().peek(&mut [0]) {
-                    Ok(0) if self.withdraw(number).await => return self.respond(503, None, "", close).await,
-                    Err(e) if e.kind() != std::io::ErrorKind::WouldBlock => Err(e),
+                let delivered = match PeerState::of(&self.stream) {
+                    PeerState::SendsNoMore if self.withdraw(number).await => {
+                        return self.respond(503, None, "", close).await;
+                    }
+                    PeerState::Gone => Err(std::io::ErrorKind::ConnectionReset.into()),
                     _ => self.respond(202, None, "", close).await,
                 };
                 if delivered.is_err() {
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod http;
 pub mod input_budget;
 pub mod mgmt;
+pub mod peer_state;
 pub mod smpp;
 #[cfg(test)]
 pub mod tests;
--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -9,6 +9,7 @@
 use crate::net::SharedState;
 use crate::net::buffer::Buffer;
 use crate::net::input_budget::InputReservation;
+use crate::net::peer_state::PeerState;
 use async_channel::{Receiver, Sender, bounded};
 use async_io::Async;
 use futures_lite::future;
@@ -330,6 +331,11 @@
                 return self.send_pdu(status, sequence, SubmitSmResp::default()).await;
             }
         };
+        // A client that has left was not told, and may submit the message elsewhere.
+        if PeerState::of(&self.stream) != PeerState::Present {
+            self.frontend.shared.counters.unheard.increment();
+            return self.send_pdu(CommandStatus::EsmeRthrottled, sequence, SubmitSmResp::default()).await;
+        }
         let id = message.request_id.clone();
         let (reply, core_reply) = bounded(1);
         let core = &self.frontend.shared.core;
