An endpoint loses its address to a process that started there later

What callers saw: an endpoint's process had gone, one of another destination had started at its address, and the list named both for a while: messages of the former destination were sent to the new process.

Cause: a call names neither endpoint nor destination, and endpoints were known by name alone. startedAtMs was not read.

Fix: of several listed endpoints at one address the one that started last is there; the others count as draining until the list has it otherwise, so that queued calls are held back, too. Equal starts are one process under several names.

--- a/config/src/list.rs
+++ b/config/src/list.rs
@@ -16,6 +16,8 @@
     pub address: SocketAddr,
     /// Name of the zone; empty if the list states none.
     pub zone: String,
+    /// When its process started, in milliseconds since 1970; 0 if that was long ago or is not known.
+    pub started_ms: u64,
     /// The entry for the core. Its receiver id is not set: the caller assigns it.
     pub entry: ListEntry,
 }
@@ -47,6 +49,8 @@
     cell: Option<u64>,
     #[serde(default)]
     weight: Option<f64>,
+    #[serde(default, rename = "startedAtMs")]
+    started_ms: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -107,6 +111,7 @@
             .parse()
             .map_err(|e| format!("list: hostPort {:?}: {e}", instance.address))?,
         zone: zone.to_owned(),
+        started_ms: instance.started_ms.unwrap_or(0.0) as u64,
         entry: ListEntry {
             receiver: ReceiverId(0),
             state,
--- a/daemon/src/core_actor/endpoint_list.rs
+++ b/daemon/src/core_actor/endpoint_list.rs
@@ -16,6 +16,7 @@
                 destination: gateway.destination,
                 weight: gateway.weight as f32,
                 state: EntryState::Ready,
+                started_ms: 0,
             },
         );
         self.ledger.on_list_event(now, Event::CachedEntries(vec![entry]));
--- a/daemon/src/core_actor/tests.rs
+++ b/daemon/src/core_actor/tests.rs
@@ -68,7 +68,7 @@
         weight: 9.0,
     };
     let address = "127.0.0.1:1".parse().unwrap();
-    let listed = ListedEndpoint { name: "e".into(), address, zone: "z".into(), entry };
+    let listed = ListedEndpoint { name: "e".into(), address, zone: "z".into(), entry, started_ms: 0 };
     EndpointList { generation: 1, complete: false, entries: vec![listed] }
 }
 
--- a/daemon/src/list/mod.rs
+++ b/daemon/src/list/mod.rs
@@ -74,6 +74,7 @@
         destination: listed.entry.destination.0,
         weight: listed.entry.weight as f32,
         state: listed.entry.state,
+        started_ms: listed.started_ms,
     }
 }
 
--- a/daemon/src/list/zone.rs
+++ b/daemon/src/list/zone.rs
@@ -373,6 +373,7 @@
             name: format!("{}:{}", srv.target.to_ascii().trim_end_matches('.'), srv.port),
             address: SocketAddr::new(ip, srv.port),
             zone: zone.to_owned(),
+            started_ms: 0,
             entry: ListEntry {
                 receiver: ReceiverId(0),
                 state: if draining { EntryState::Draining } else { EntryState::Ready },
--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -102,7 +102,7 @@
 struct ListedEndpoint {
     name: String,
     address: SocketAddr,
-    /// `key=value` words of the scenario line: `dest` and `zone`.
+    /// `key=value` words of the scenario line: `dest`, `zone` and `started`, in milliseconds since 1970.
     attributes: String,
     lifecycle: String,
 }
@@ -142,7 +142,8 @@
             let cell: u64 = option_value(&attributes, "dest").unwrap_or("1").parse().unwrap();
             json!({"instanceId": endpoint.name, "hostPort": endpoint.address.to_string(), "cell": cell,
                 "zone": option_value(&attributes, "zone").unwrap_or("floor-2"), "machineType": "club",
-                "lifecycle": endpoint.lifecycle, "weight": 50.0, "startedAtMs": 0})
+                "lifecycle": endpoint.lifecycle, "weight": 50.0,
+                "startedAtMs": option_value(&attributes, "started").map_or(0u64, |ms| ms.parse().unwrap())})
         };
         json!({"generation": self.generation, "reset": true,
             "instances": self.endpoints.iter().map(entry_json).collect::<Vec<_>>()})
@@ -253,6 +254,19 @@
         self.zone_lines += lines;
     }
 
+    /// Lists a new endpoint at the address of one that is listed.
+    pub fn list_at_address_of(&self, listed: &str, name: &str, attributes: &str) {
+        let mut platform = self.platform.lock().unwrap();
+        let address = platform.endpoints.iter().find(|e| e.name == listed).unwrap().address;
+        platform.generation += 1;
+        platform.endpoints.push(ListedEndpoint {
+            name: name.to_owned(),
+            address,
+            attributes: attributes.to_owned(),
+            lifecycle: "Ready".to_owned(),
+        });
+    }
+
     /// The id of the daemon's process.
     pub fn daemon_id(&self) -> u32 {
         self.daemon.as_ref().expect("a daemon runs").id()
--- a/lab/src/experiments/slopes/wire.rs
+++ b/lab/src/experiments/slopes/wire.rs
@@ -113,6 +113,7 @@
         destination,
         weight: 50.0,
         state: EntryState::Ready,
+        started_ms: 0,
     }
 }
 
--- a/lab/src/scale/forwarder.rs
+++ b/lab/src/scale/forwarder.rs
@@ -119,6 +119,7 @@
         destination: listed.entry.destination.0,
         weight: listed.entry.weight as f32,
         state: listed.entry.state,
+        started_ms: listed.started_ms,
     }
 }
 
--- a/roster/benches/table.rs
+++ b/roster/benches/table.rs
@@ -13,7 +13,7 @@
 fn endpoint(name: &str, i: u32) -> Endpoint<'_> {
     let address = SocketAddr::from((i.to_be_bytes(), 7070));
     let (destination, state) = (u64::from(i), EntryState::Ready);
-    Endpoint { name, address, zone: "floor-2", kind: 1, destination, weight: 1.0, state }
+    Endpoint { name, address, zone: "floor-2", kind: 1, destination, weight: 1.0, state, started_ms: 0 }
 }
 
 fn put(table: &mut EndpointTable, i: u32) {
--- a/roster/src/directory.rs
+++ b/roster/src/directory.rs
@@ -2,6 +2,7 @@
 //! the latter.
 
 use crate::active::ActiveDestinations;
+use crate::address_owners::AddressOwners;
 use crate::health_store::{HealthDecay, HealthKey, HealthStore};
 use crate::table::{Change, Endpoint, EndpointTable, EntryError, RosterId};
 use hashbrown::HashMap;
@@ -126,6 +127,8 @@
     pub(crate) maintenance: BTreeSet<String>,
     /// Endpoints that drain by a list that another process or member has received, with its generation.
     pub(crate) foreign_drains: BTreeMap<String, u64>,
+    /// Which endpoints are at an address that several have.
+    address_owners: AddressOwners,
     /// List entries that the core has been given for the fixed endpoints.
     pub(crate) fixed_entries: BTreeMap<ReceiverId, ListEntry>,
     last_receiver_id: u64,
@@ -158,6 +161,7 @@
             receiver_ids: HashMap::new(),
             maintenance: BTreeSet::new(),
             foreign_drains: BTreeMap::new(),
+            address_owners: AddressOwners::default(),
             fixed_entries: BTreeMap::new(),
             last_receiver_id: 0,
             release_checks: BTreeSet::new(),
@@ -293,10 +297,13 @@
     }
 
     /// The list entry of an endpoint as the core is given it. An endpoint that the list has as ready counts
-    /// as draining while it is in maintenance, or drains by the list of another process or member.
+    /// as draining while it is in maintenance, drains by the list of another process or member, or has lost its
+    /// address to a process that started later.
     pub(crate) fn list_entry(&self, receiver: ReceiverId, endpoint: &Endpoint<'_>) -> ListEntry {
         let held_out = endpoint.state == EntryState::Ready
-            && (self.maintenance.contains(endpoint.name) || self.foreign_drains.contains_key(endpoint.name));
+            && (self.maintenance.contains(endpoint.name)
+                || self.foreign_drains.contains_key(endpoint.name)
+                || self.address_owners.is_superseded(endpoint.name, endpoint.address));
         ListEntry {
             receiver,
             state: if held_out { EntryState::Draining } else { endpoint.state },
@@ -387,9 +394,15 @@
         {
             return Err(EntryError::Full);
         }
-        if let Some(change) = self.table.put(endpoint)? {
+        let (name, address, started_ms) = (endpoint.name, endpoint.address, endpoint.started_ms);
+        let is_gone = endpoint.state == EntryState::Gone;
+        let change = self.table.put(endpoint)?;
+        let new_owners =
+            if is_gone { Vec::new() } else { self.address_owners.note(name, address, started_ms) };
+        if let Some(change) = change {
             self.apply_change(now, change, output);
         }
+        new_owners.into_iter().for_each(|address| self.refresh_at_address(now, address, output));
         Ok(())
     }
 
@@ -410,8 +423,33 @@
         self.has_received_list = true;
     }
 
+    /// Recomputes the list entries of the endpoints in use at an address that has another owner now.
+    fn refresh_at_address(&mut self, now: Micros, address: SocketAddr, output: &mut DirectoryOutput) {
+        let at_address = |active: &ActiveEndpoint| active.address == address && !active.gone && !active.fixed;
+        let receivers: Vec<_> = self
+            .active_endpoints
+            .iter()
+            .filter(|(_, active)| at_address(active))
+            .map(|(receiver, active)| (*receiver, active.name.clone()))
+            .collect();
+        for (receiver, name) in receivers {
+            self.refresh_entry(now, receiver, &name, output);
+        }
+    }
+
     /// Applies a change of the table to the endpoint in use under the same name, if there is one.
     fn apply_change(&mut self, now: Micros, change: Change, output: &mut DirectoryOutput) {
+        let (Change::Added(id) | Change::Changed(id) | Change::Gone(id)) = change;
+        let Some(listed) = self.table.get(id) else { return };
+        let freed_address = match change {
+            Change::Gone(_) => self.address_owners.forget(listed.name),
+            Change::Added(_) | Change::Changed(_) => None,
+        };
+        self.apply_to_endpoint_in_use(now, change, output);
+        freed_address.into_iter().for_each(|address| self.refresh_at_address(now, address, output));
+    }
+
+    fn apply_to_endpoint_in_use(&mut self, now: Micros, change: Change, output: &mut DirectoryOutput) {
         let (Change::Added(id) | Change::Changed(id) | Change::Gone(id)) = change;
         let Some(listed) = self.table.get(id) else { return };
         let (destination, receiver) = (listed.destination, self.receiver_ids.get(listed.name).copied());
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -37,6 +37,7 @@
 //!     destination: 17,
 //!     weight: 2.5,
 //!     state: EntryState::Ready,
+//!     started_ms: 0,
 //! };
 //! let id = match table.put(club.clone()) {
 //!     Ok(Some(Change::Added(id))) => id,
@@ -54,6 +55,7 @@
 //! ```
 
 mod active;
+mod address_owners;
 mod directory;
 mod health_store;
 mod maintenance;
--- a/roster/src/maintenance.rs
+++ b/roster/src/maintenance.rs
@@ -82,7 +82,7 @@
     }
 
     /// Recomputes the list entry of an endpoint in use and adds it to the output. Returns the new state.
-    fn refresh_entry(
+    pub(crate) fn refresh_entry(
         &mut self, now: Micros, receiver: ReceiverId, name: &str, output: &mut DirectoryOutput,
     ) -> Option<EntryState> {
         let entry = self.current_entry(receiver, name)?;
--- a/roster/src/staged_list.rs
+++ b/roster/src/staged_list.rs
@@ -19,6 +19,7 @@
     zone: u16,
     kind: u16,
     state: EntryState,
+    started_ms: u64,
 }
 
 /// Consecutive entries of a list; their names lie in one string.
@@ -96,6 +97,7 @@
             zone,
             kind: entry.kind,
             state: entry.state,
+            started_ms: entry.started_ms,
         });
         (self.len, self.name_bytes) = (self.len + 1, self.name_bytes + entry.name.len());
         Ok(())
@@ -120,6 +122,7 @@
                 destination: entry.destination,
                 weight: entry.weight,
                 state: entry.state,
+                started_ms: entry.started_ms,
             })
         })
     }
@@ -139,6 +142,7 @@
             destination: 9,
             weight: 1.5,
             state,
+            started_ms: 7,
         };
         let all = [
             endpoint("a", "x", EntryState::Ready),
--- a/roster/src/table.rs
+++ b/roster/src/table.rs
@@ -28,6 +28,9 @@
     pub weight: f32,
     /// State of the entry.
     pub state: EntryState,
+    /// When its process started, in milliseconds since 1970; 0 if that was long ago or is not known. The table does not
+    /// keep it.
+    pub started_ms: u64,
 }
 
 /// What [`EndpointTable::put`] or [`EndpointTable::sweep`] changed.
@@ -182,6 +185,7 @@
             destination: record.destination,
             weight: record.weight,
             state: record.state,
+            started_ms: 0,
         })
     }
 
--- a/roster/tests/directory.rs
+++ b/roster/tests/directory.rs
@@ -27,7 +27,7 @@
 }
 
 fn endpoint(name: &str, destination: u64, state: EntryState) -> Endpoint<'_> {
-    Endpoint { name, address: address(7), zone: "z", kind: 1, destination, weight: 2.0, state }
+    Endpoint { name, address: address(7), zone: "z", kind: 1, destination, weight: 2.0, state, started_ms: 0 }
 }
 
 /// Applies one changed entry as a list of its own.
@@ -385,3 +385,37 @@
     }
     assert_eq!(directory.receiver_id("e"), Some(entry.receiver));
 }
+
+/// Guards against calls to a new process at the address of an endpoint that has gone and that the list still names.
+#[test]
+fn an_endpoint_loses_its_address_to_a_process_that_started_later() {
+    let mut directory = Directory::new(settings(None));
+    let state_of = |directory: &Directory, name: &str| {
+        let receiver = directory.receiver_id(name)?;
+        Some(directory.active_endpoint(receiver)?.draining_since.is_none())
+    };
+    let started = |name, destination, started_ms| Endpoint {
+        started_ms,
+        ..endpoint(name, destination, EntryState::Ready)
+    };
+    put(&mut directory, secs(0.0), started("old", 1, 0));
+    activate(&mut directory, secs(0.0), 1);
+    assert_eq!(state_of(&directory, "old"), Some(true));
+    put(&mut directory, secs(1.0), started("new", 2, 5000));
+    activate(&mut directory, secs(1.0), 2);
+    assert_eq!((state_of(&directory, "old"), state_of(&directory, "new")), (Some(false), Some(true)));
+    // Two names with the same start are one process.
+    put(&mut directory, secs(2.0), started("twin", 2, 5000));
+    assert_eq!((state_of(&directory, "new"), state_of(&directory, "twin")), (Some(true), Some(true)));
+    // The first one is restarted at its address, moves, and comes back to one that is in use.
+    put(&mut directory, secs(3.0), started("old", 1, 6000));
+    assert_eq!((state_of(&directory, "old"), state_of(&directory, "new")), (Some(true), Some(false)));
+    put(&mut directory, secs(4.0), Endpoint { address: address(8), ..started("old", 1, 6000) });
+    assert_eq!((state_of(&directory, "old"), state_of(&directory, "new")), (Some(true), Some(true)));
+    put(&mut directory, secs(5.0), Endpoint { state: EntryState::Gone, ..started("twin", 2, 5000) });
+    put(&mut directory, secs(5.0), started("old", 1, 4000));
+    assert_eq!((state_of(&directory, "old"), state_of(&directory, "new")), (Some(false), Some(true)));
+    // The later one leaves the list.
+    put(&mut directory, secs(6.0), Endpoint { state: EntryState::Gone, ..started("new", 2, 5000) });
+    assert_eq!(state_of(&directory, "old"), Some(true));
+}
--- a/roster/tests/maintenance.rs
+++ b/roster/tests/maintenance.rs
@@ -22,7 +22,16 @@
 
 fn endpoint(port: u16, state: EntryState) -> Endpoint<'static> {
     let address = SocketAddr::from(([127, 0, 0, 1], port));
-    Endpoint { name: "e", address, zone: "z", kind: 0, destination: DESTINATION, weight: 1.0, state }
+    Endpoint {
+        name: "e",
+        address,
+        zone: "z",
+        kind: 0,
+        destination: DESTINATION,
+        weight: 1.0,
+        state,
+        started_ms: 0,
+    }
 }
 
 /// Applies a list with this entry, and returns the entries that the core is given.
--- a/roster/tests/model.rs
+++ b/roster/tests/model.rs
@@ -27,6 +27,7 @@
         destination: entry.destination,
         weight: entry.weight,
         state: entry.state,
+        started_ms: 0,
     }
 }
 
@@ -169,8 +170,16 @@
         let (name, address) = (format!("club-endpoint-{i:08}"), SocketAddr::from((i.to_be_bytes(), 7070)));
         let destination = u64::from(i);
         let state = EntryState::Ready;
-        let entry =
-            Endpoint { name: &name, address, zone: "floor-2", kind: 1, destination, weight: 2.0, state };
+        let entry = Endpoint {
+            name: &name,
+            address,
+            zone: "floor-2",
+            kind: 1,
+            destination,
+            weight: 2.0,
+            state,
+            started_ms: 0,
+        };
         table.put(entry).unwrap();
     };
     (0..50_000).for_each(|i| put(&mut table, i));
