Connections of clients take a quarter of the memory limit at most

What was seen: with 8,192 sockets and 32 MB, 3,000 clients with 4,000 bytes of a head each brought the process to 32.4 MB (release build): each needs little, and sockets alone bounded their number.

Fix: the number of client connections is bounded by memory, too, by 12 KiB each. 32 MB allow 651, so nothing changes for the descriptors that deployments of that size have.

--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -7,7 +7,7 @@
 use crate::maintenance;
 use crate::net::SharedState;
 use crate::net::http::inbound;
-use crate::net::input_budget::InputBudget;
+use crate::net::input_budget::{FREE_BYTES, InputBudget};
 use crate::net::mgmt;
 use crate::net::smpp;
 use crate::notices;
@@ -50,6 +50,11 @@
 /// and all else.
 const INPUT_MEMORY_DIVISOR: u64 = 4;
 
+/// Connections of clients may take this part (a quarter) of the memory.
+const CONNECTION_MEMORY_DIVISOR: u64 = 4;
+/// Bytes that a connection of a client may take without a reservation: its first buffer, and twice as much for its actor.
+const CONNECTION_BYTES: u64 = 3 * FREE_BYTES as u64;
+
 /// Interval between checks, during shutdown, of whether the last client connections have ended.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -126,7 +131,7 @@
         connect_timeout: config.connect_timeout,
         idle_timeout: (idle_timeout > Micros(0)).then_some(Micros(idle_timeout.0 * 4 / 5)),
         peers: duties.as_ref().map(|_| to_peers.clone()),
-        max_inbound: (config.max_sockets / 2).max(8) as u64,
+        max_inbound: max_client_connections(&config),
         max_outbound: (config.max_sockets / 4).max(8) as u64,
         input_budget: InputBudget::new((config.max_memory_bytes / INPUT_MEMORY_DIVISOR) as usize),
         executor: executor.clone(),
@@ -400,6 +405,12 @@
     Ok(())
 }
 
+/// How many connections clients may open: half of the sockets, as far as there is memory for them.
+fn max_client_connections(config: &Config) -> u64 {
+    let by_memory = config.max_memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
+    (config.max_sockets as u64 / 2).min(by_memory).max(8)
+}
+
 /// Opens the listener for clients. A sibling process may listen on the same address, to take over. Any other
 /// listener there is a configuration error, which is detected as long as no sibling runs.
 fn client_listener(address: SocketAddr, sibling_running: bool) -> std::io::Result<TcpListener> {
--- a/daemon/tests/bad_clients.rs
+++ b/daemon/tests/bad_clients.rs
@@ -247,3 +247,23 @@
     println!("members {length}: {seen:?}, peak {:.1} MB", peak as f64 / 1e6);
     assert_others_are_served(&seen, peak);
 }
+
+/// Guards against connections that each need little and together more than there is: the number that `sockets` allows
+/// may be too many for `memory_mb`.
+#[test]
+fn memory_stays_within_its_limit_with_more_sockets_than_it_has_room_for() {
+    const MANY_CONNECTIONS: usize = 3000;
+    let mut harness = Harness::default();
+    harness.add_accepting_endpoint("e1", "1", Arc::default());
+    run_step(&mut harness, &format!("given limit memory_mb={MEMORY_MB}"));
+    run_step(&mut harness, "given limit sockets=8192");
+    run_step(&mut harness, "send daemon start");
+    run_step(&mut harness, "expect counter list_answers=1");
+    let address = harness.addresses().http;
+    let head = &head_of_few_fields()[..4000];
+    let (seen, peak) = measure(&harness, |stop| {
+        pressure::unfinished_requests(address, MANY_CONNECTIONS, head, 1, SLOW_INTERVAL, stop)
+    });
+    println!("{MANY_CONNECTIONS} connections: {seen:?}, peak {:.1} MB", peak as f64 / 1e6);
+    assert!(peak < MEMORY_MB * 1_000_000, "{peak} bytes");
+}
