--- a/daemon/src/core_actor/request_ids.rs
+++ b/daemon/src/core_actor/request_ids.rs
@@ -11,8 +11,8 @@
     /// The reply for the submission: the sibling has accepted this id, or nothing can be claimed now.
     pub(super) fn claim_request_id(&mut self, now: Micros, id: RequestIdDigest) -> Result<(), SubmitReply> {
         let Some(shared_ids) = &mut self.shared_ids else { return Ok(()) };
-        let ledger = &self.ledger;
-        let foreign = shared_ids.claim(id, || ledger.request_ids()).map_err(|e| {
+        let (ledger, room) = (&self.ledger, self.wal.free_bytes());
+        let foreign = shared_ids.claim(id, || ledger.request_ids(), room).map_err(|e| {
             tracing::warn!("ids: a request id could not be shared with the other process: {e}");
             self.shared.counters.refused_log.increment();
             self.shared.counters.fail_fast.increment();
@@ -30,7 +30,7 @@
     /// has shared all that it knew.
     pub(super) fn learn_request_ids(&mut self, now: Micros) -> bool {
         let Some(shared_ids) = &mut self.shared_ids else { return true };
-        match shared_ids.join(self.ledger.request_ids()) {
+        match shared_ids.join(self.ledger.request_ids(), self.wal.free_bytes()) {
             Ok(foreign) => self.remember_request_ids(now, &foreign),
             Err(e) => tracing::warn!("ids: the request ids could not be shared, will be retried: {e}"),
         }
--- a/daemon/src/shared_ids.rs
+++ b/daemon/src/shared_ids.rs
@@ -20,7 +20,9 @@
 /// A file longer than this is rewritten with the ids that are still known.
 const MAX_FILE_BYTES: u64 = 192 * 1024;
 /// Most bytes of ids that a process adds when it joins, or rewrites the file: the others are nearest to their end.
-const MAX_SNAPSHOT_BYTES: usize = 96 * 1024;
+const MAX_SNAPSHOT_BYTES: u64 = 96 * 1024;
+/// Bytes of the folder that are left free when an id is claimed.
+const SPARE_BYTES: u64 = 4096;
 /// Attempts to take the lock. Its holder needs some microseconds, unless it is held up.
 const LOCK_ATTEMPTS: u32 = 20;
 /// Interval between attempts to take the lock.
@@ -38,6 +40,8 @@
     open_file: Option<OpenFile>,
     joined: bool,
     other_joined: bool,
+    /// Ids that the other process has added and that have not been returned yet.
+    unreturned: Vec<RequestIdDigest>,
 }
 
 /// The file under its present inode, read up to an offset.
@@ -56,8 +60,9 @@
 impl SharedIds {
     /// For a process of this name, beside another one.
     pub fn new(folder: &Path, own_name: &'static str, other_name: &'static str) -> SharedIds {
+        let (folder, unreturned) = (folder.into(), Vec::new());
         let (open_file, joined, other_joined) = (None, false, false);
-        SharedIds { folder: folder.into(), own_name, other_name, open_file, joined, other_joined }
+        SharedIds { folder, own_name, other_name, open_file, joined, other_joined, unreturned }
     }
 
     /// Whether the other process has added all ids that it knew.
@@ -71,46 +76,55 @@
     /// The file cannot be used now.
     pub fn read(&mut self) -> io::Result<Vec<RequestIdDigest>> {
         let _lock = lock(&self.folder)?;
-        self.read_rest()
+        self.read_rest()?;
+        Ok(std::mem::take(&mut self.unreturned))
     }
 
     /// Reads the ids that the other process has added, and adds all that this process knows unless it has;
-    /// those that matter most come first.
+    /// those that matter most come first. The folder has `room` for so many bytes.
     ///
     /// # Errors
     /// The file cannot be used now; the process has not joined.
-    pub fn join(&mut self, known: impl Iterator<Item = RequestIdDigest>) -> io::Result<Vec<RequestIdDigest>> {
+    pub fn join(
+        &mut self, known: impl Iterator<Item = RequestIdDigest>, room: u64,
+    ) -> io::Result<Vec<RequestIdDigest>> {
         let _lock = lock(&self.folder)?;
-        let foreign = self.read_rest()?;
+        self.read_rest()?;
+        self.join_locked(known, room)?;
+        Ok(std::mem::take(&mut self.unreturned))
+    }
+
+    fn join_locked(&mut self, known: impl Iterator<Item = RequestIdDigest>, room: u64) -> io::Result<()> {
         if !self.joined {
-            self.append(&self.snapshot(known))?;
+            self.append(&self.snapshot(known, room))?;
             self.joined = true;
         }
-        Ok(foreign)
+        Ok(())
     }
 
-    /// Claims an id, unless it is among the ids that are returned: those that the other process has added. `known` yields all ids that this process
+    /// Claims an id, unless it is among the ids that are returned: those that the other process has added. The folder has
+    /// `room` for so many bytes. `known` yields all ids that this process
     /// knows; it joins first if it has not.
     ///
     /// # Errors
     /// The file cannot be used now; the id is not claimed.
     pub fn claim<I: Iterator<Item = RequestIdDigest>>(
-        &mut self, id: RequestIdDigest, known: impl Fn() -> I,
+        &mut self, id: RequestIdDigest, known: impl Fn() -> I, room: u64,
     ) -> io::Result<Vec<RequestIdDigest>> {
         let _lock = lock(&self.folder)?;
-        let foreign = self.read_rest()?;
-        if foreign.contains(&id) {
-            return Ok(foreign);
+        self.read_rest()?;
+        if self.unreturned.contains(&id) {
+            return Ok(std::mem::take(&mut self.unreturned));
         }
-        if !self.joined {
-            self.append(&self.snapshot(known()))?;
-            self.joined = true;
+        if room < SPARE_BYTES {
+            return Err(io::Error::new(ErrorKind::StorageFull, "the folder has no room for a request id"));
         }
+        self.join_locked(known(), room)?;
         if self.open_file.as_ref().is_some_and(|open| open.offset > MAX_FILE_BYTES) {
-            self.rewrite(foreign.iter().copied().chain(known()))?;
+            self.rewrite(self.unreturned.clone().into_iter().chain(known()), room)?;
         }
         self.append(&format!("{id}\n"))?;
-        Ok(foreign)
+        Ok(std::mem::take(&mut self.unreturned))
     }
 
     /// Reads what the other process, which is gone, has added, and removes the file.
@@ -125,10 +139,11 @@
     }
 
     /// The lines of ids and, behind them, the one that says that this process has joined.
-    fn snapshot(&self, known: impl Iterator<Item = RequestIdDigest>) -> String {
+    fn snapshot(&self, known: impl Iterator<Item = RequestIdDigest>, room: u64) -> String {
         let mut text = String::new();
+        let most_bytes = MAX_SNAPSHOT_BYTES.min(room.saturating_sub(SPARE_BYTES));
         for id in known {
-            if text.len() >= MAX_SNAPSHOT_BYTES {
+            if text.len() as u64 >= most_bytes {
                 tracing::warn!("ids: too many to share; those nearest to their end are left out");
                 break;
             }
@@ -138,7 +153,7 @@
     }
 
     /// Reads to the end of the file, which is opened, or created, under its present inode.
-    fn read_rest(&mut self) -> io::Result<Vec<RequestIdDigest>> {
+    fn read_rest(&mut self) -> io::Result<()> {
         let path = self.folder.join(FILE_NAME);
         let current_inode = match path.metadata() {
             Ok(metadata) => Some(metadata.ino()),
@@ -150,18 +165,19 @@
             let inode = file.metadata()?.ino();
             self.open_file = Some(OpenFile { file, inode, offset: 0 });
         }
-        let Some(open) = &mut self.open_file else { return Ok(Vec::new()) };
+        let Some(open) = &mut self.open_file else { return Ok(()) };
         open.file.seek(SeekFrom::Start(open.offset))?;
         let mut bytes = Vec::new();
         open.file.read_to_end(&mut bytes)?;
         open.offset += bytes.len() as u64;
-        // A process that was killed may have left half a line, which the next write ends.
+        let text = String::from_utf8_lossy(&bytes);
+        self.other_joined |= text.contains(&joined_line(self.other_name));
+        self.unreturned.extend(text.lines().filter_map(|line| line.parse::<RequestIdDigest>().ok()));
+        // A process that was killed may have left half a line, which the next write must not continue.
         if bytes.last().is_some_and(|byte| *byte != b'\n') {
             self.append("\n")?;
         }
-        let text = String::from_utf8_lossy(&bytes);
-        self.other_joined |= text.contains(&joined_line(self.other_name));
-        Ok(text.lines().filter_map(|line| line.parse().ok()).collect())
+        Ok(())
     }
 
     /// Appends to the file, whose end has been read.
@@ -174,9 +190,9 @@
     }
 
     /// Replaces the file by one that holds these ids alone.
-    fn rewrite(&mut self, known: impl Iterator<Item = RequestIdDigest>) -> io::Result<()> {
+    fn rewrite(&mut self, known: impl Iterator<Item = RequestIdDigest>, room: u64) -> io::Result<()> {
         let [path, replacement] = files(&self.folder);
-        let mut text = self.snapshot(known);
+        let mut text = self.snapshot(known, room);
         if self.other_joined {
             text += &joined_line(self.other_name);
         }
--- a/daemon/src/sibling.rs
+++ b/daemon/src/sibling.rs
@@ -113,25 +113,24 @@
 }
 
 /// Waits until the core knows the request ids that the sibling has accepted: a copy of such a message must not be
-/// accepted here. If the sibling does not share them in time, those in its log are taken instead.
+/// accepted here. Those in the sibling's log are taken in any case: it may share none in time, or not all for lack of
+/// room.
 pub async fn learn_request_ids(core: &Sender<CoreMessage>, sibling_log: &Path) {
     let started = Instant::now();
-    while started.elapsed() < REQUEST_IDS_TIMEOUT {
-        let (reply, all_known) = bounded(1);
+    let mut all_known = false;
+    while !all_known && started.elapsed() < REQUEST_IDS_TIMEOUT {
+        let (reply, known) = bounded(1);
         let _ = core.send(CoreMessage::LearnRequestIds(reply)).await;
-        if all_known.recv().await.unwrap_or(true) {
-            return;
+        all_known = known.recv().await.unwrap_or(true);
+        if !all_known {
+            Timer::after(REQUEST_IDS_CHECK_INTERVAL).await;
         }
-        Timer::after(REQUEST_IDS_CHECK_INTERVAL).await;
+    }
+    if !all_known {
+        tracing::warn!("ids: the other process shares no request ids; those in its log are taken");
     }
     match shared_ids::ids_in_log(sibling_log) {
-        Ok(ids) => {
-            tracing::warn!(
-                "ids: the other process shares no request ids; {} are taken from its log",
-                ids.len()
-            );
-            let _ = core.send(CoreMessage::SiblingRequestIds(ids)).await;
-        }
+        Ok(ids) => drop(core.send(CoreMessage::SiblingRequestIds(ids)).await),
         Err(e) => tracing::error!("ids: the log of the other process cannot be read: {e}"),
     }
 }
--- a/daemon/src/wal.rs
+++ b/daemon/src/wal.rs
@@ -95,6 +95,11 @@
         &self.folder
     }
 
+    /// Bytes that other files of the folder may still take within the budget.
+    pub fn free_bytes(&self) -> u64 {
+        self.budget.saturating_sub(self.disk_usage(0).total())
+    }
+
     /// The size of the log in bytes.
     pub fn size(&self) -> u64 {
         self.size
