Unanswered DNS datagrams give others their turn, and taking a request out needs no memory

Cause: a continue before the turn; Buffer::take copied up to 16 KiB, and any request that did not begin its buffer.

Change: the turn comes behind every datagram. A request of over 4 KiB and what is left behind it take what the buffer had. An update that is refused before it has changed anything no longer counts the records of the zone.

The SMPP encoder of the harness serves both new test files.

--- a/daemon/src/list/dns.rs
+++ b/daemon/src/list/dns.rs
@@ -157,11 +157,12 @@
             }
             Event::Datagram(Err(e)) => tracing::error!("dns: cannot receive from the socket: {e}"),
             Event::Datagram(Ok((length, sender))) => {
-                let Some((reply, changed)) = dns.answer(&bytes[..length]) else { continue };
                 shared.counters.dns_messages.increment();
-                let _ = dns.socket.send_to(&reply, sender).await;
-                if changed {
-                    list_due.get_or_insert(next_list_from.max(shared.clock.now()));
+                if let Some((reply, changed)) = dns.answer(&bytes[..length]) {
+                    let _ = dns.socket.send_to(&reply, sender).await;
+                    if changed {
+                        list_due.get_or_insert(next_list_from.max(shared.clock.now()));
+                    }
                 }
             }
         }
--- a/daemon/src/list/zone.rs
+++ b/daemon/src/list/zone.rs
@@ -151,6 +151,9 @@
 
     /// Reverts an update, of which this is what it has changed.
     pub fn revert(&mut self, change: ZoneChange) {
+        if change.before.is_empty() {
+            return;
+        }
         for (name, before) in change.before {
             if before.records.is_empty() {
                 self.names.remove(&name);
--- a/daemon/src/net/buffer.rs
+++ b/daemon/src/net/buffer.rs
@@ -61,16 +61,20 @@
         let wanted = if self.expected > size { self.expected } else { doubled };
         wanted.min(self.max_bytes)
     }
-    /// Takes `count` bytes from the front out of the buffer, without a copy of them where they are many.
+    /// Takes `count` bytes from the front out of the buffer. Where they are many, they and the rest need no more memory
+    /// than the buffer did.
     pub fn take(&mut self, count: usize) -> Vec<u8> {
-        if count <= 4 * INITIAL_BYTES || self.start > 0 {
+        if count <= INITIAL_BYTES {
             let taken = self.data()[..count].to_vec();
             self.consume(count);
             return taken;
         }
+        self.bytes.copy_within(self.start..self.end, 0);
+        (self.start, self.end) = (0, self.end - self.start);
         let rest = self.bytes[count..self.end].to_vec();
         let mut taken = std::mem::replace(&mut self.bytes, rest);
         taken.truncate(count);
+        taken.shrink_to_fit();
         (self.end, self.expected) = (self.bytes.len(), 0);
         taken
     }
--- a/daemon/tests/bad_clients.rs
+++ b/daemon/tests/bad_clients.rs
@@ -6,6 +6,7 @@
 use harness::Harness;
 use harness::dns;
 use harness::pressure::{self, UsualClients};
+use harness::smpp::encode_pdu;
 use rstest::rstest;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -78,6 +79,7 @@
 #[case::stop_half_way(almost_whole_request(), 1)]
 #[case::write_slowly(almost_whole_request(), 20)]
 #[case::whole_and_unsound(pressure::submission("same", 64 * 1024), 1)]
+#[case::whole_behind_one_another([pressure::submission("a", 15_000), pressure::submission("b", 50_000)].concat().repeat(3), 1)]
 #[case::many_short_fields(head_of_short_fields(), 1)]
 #[case::slow_short_fields(head_of_short_fields(), 20)]
 #[case::slow_long_head(head_of_few_fields(), 20)]
@@ -92,22 +94,17 @@
     assert!(seen.accepted >= 9 * (seen.refused + seen.unanswered), "{seen:?}");
 }
 
-/// A PDU of SMPP, encoded byte by byte.
-fn pdu(command_id: u32, length: usize, body: &[u8]) -> Vec<u8> {
-    let header = [length as u32, command_id, 0, 1];
-    header.iter().flat_map(|n| n.to_be_bytes()).chain(body.iter().copied()).collect()
-}
-
 /// bind_transceiver.
 fn bind_pdu(system_id: &str) -> Vec<u8> {
     let body = [system_id.as_bytes(), b"\0\0\0\x34\0\0\0"].concat();
-    pdu(0x09, 16 + body.len(), &body)
+    encode_pdu(0x09, 0, 1, &body)
 }
 
 /// The longest submit_sm, without its last byte.
 fn almost_whole_pdu() -> Vec<u8> {
-    let length = 66 * 1024;
-    pdu(0x04, length, &vec![0; length - 16 - 1])
+    let mut pdu = encode_pdu(0x04, 0, 1, &vec![0; 66 * 1024 - 16]);
+    pdu.pop();
+    pdu
 }
 
 /// Guards against the same over SMPP.
@@ -164,15 +161,15 @@
 fn submission_of_short_fields() -> Vec<u8> {
     let fixed = [0; 17];
     let fields = [0x13, 0xff, 0, 0].repeat(16_000);
-    pdu(0x04, 16 + fixed.len() + fields.len(), &[&fixed[..], &fields].concat())
+    encode_pdu(0x04, 0, 1, &[&fixed[..], &fields].concat())
 }
 
 #[rstest]
-#[case::enquire_link(bind_pdu("office"), pdu(0x15, 16, &[]))]
-#[case::unknown_command(bind_pdu("office"), pdu(0x77, 16, &[]))]
-#[case::unsound_submission(bind_pdu("office"), pdu(0x04, 33, &[0; 17]))]
+#[case::enquire_link(bind_pdu("office"), encode_pdu(0x15, 0, 1, &[]))]
+#[case::unknown_command(bind_pdu("office"), encode_pdu(0x77, 0, 1, &[]))]
+#[case::unsound_submission(bind_pdu("office"), encode_pdu(0x04, 0, 1, &[0; 17]))]
 #[case::many_short_fields(bind_pdu("office"), submission_of_short_fields())]
-#[case::unbound(Vec::new(), pdu(0x04, 33, &[0; 17]))]
+#[case::unbound(Vec::new(), encode_pdu(0x04, 0, 1, &[0; 17]))]
 #[case::new_system_ids(Vec::new(), bind_pdu("x#"))]
 fn others_are_answered_beside_a_flood_of_pdus(#[case] first: Vec<u8>, #[case] then: Vec<u8>) {
     let harness = started_daemon();
--- a/daemon/tests/departed_clients.rs
+++ b/daemon/tests/departed_clients.rs
@@ -5,6 +5,7 @@
 
 use harness::Harness;
 use harness::pressure::submission;
+use harness::smpp::encode_pdu;
 use rstest::rstest;
 use rustix::net::sockopt::set_socket_linger;
 use std::io::{Read, Write};
@@ -36,16 +37,10 @@
     (harness, arrivals)
 }
 
-/// A PDU of SMPP, encoded byte by byte.
-fn pdu(command_id: u32, sequence: u32, body: &[u8]) -> Vec<u8> {
-    let header = [16 + body.len() as u32, command_id, 0, sequence];
-    header.iter().flat_map(|n| n.to_be_bytes()).chain(body.iter().copied()).collect()
-}
-
 /// submit_sm of class `status` to destination 1.
 fn submit_sm(sequence: u32) -> Vec<u8> {
     let (addresses, rest) = (b"\0\0\0\0\x01\x011234\0", b"\0\0\0\0\0\0\0\0\0\x02ok");
-    pdu(0x04, sequence, &[&addresses[..], rest].concat())
+    encode_pdu(0x04, 0, sequence, &[&addresses[..], rest].concat())
 }
 
 fn connected_http_client(harness: &Harness) -> TcpStream {
@@ -54,7 +49,7 @@
 
 fn bound_smpp_client(harness: &Harness) -> TcpStream {
     let mut client = TcpStream::connect(harness.addresses().smpp.unwrap()).unwrap();
-    client.write_all(&pdu(0x09, 1, b"office\0\0\0\x34\0\0\0")).unwrap();
+    client.write_all(&encode_pdu(0x09, 0, 1, b"office\0\0\0\x34\0\0\0")).unwrap();
     let mut response = [0; 16];
     client.read_exact(&mut response).unwrap();
     assert_eq!(response[4..12], [0x80, 0, 0, 0x09, 0, 0, 0, 0], "bound");
--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -5,7 +5,7 @@
 mod http;
 mod operators;
 pub mod pressure;
-mod smpp;
+pub mod smpp;
 
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
--- a/daemon/tests/harness/smpp.rs
+++ b/daemon/tests/harness/smpp.rs
@@ -34,7 +34,8 @@
     table.iter().find(|entry| entry.0 == code).map_or(format!("{code:x}"), |entry| entry.1.to_owned())
 }
 
-fn encode_pdu(command_id: u32, status: u32, sequence: u32, body: &[u8]) -> Vec<u8> {
+/// A PDU, encoded byte by byte.
+pub fn encode_pdu(command_id: u32, status: u32, sequence: u32, body: &[u8]) -> Vec<u8> {
     let length = 16 + body.len() as u32;
     let header = [length, command_id, status, sequence];
     header.iter().flat_map(|n| n.to_be_bytes()).chain(body.iter().copied()).collect()
