Sessions over SMPP wait for the core without their decoded PDU

Operators see a process that is killed for its memory, and with it all that it had accepted.

Cause: a decoded PDU takes 1 to 2 MB for its 64 KB. Session::handle_pdu held it across each wait: for the core, and for a client that does not read its response. Its reservation ended with its last byte, so the next session could read one.

Change: net/smpp/request.rs makes what the client asks for out of the PDU, which is dropped before anything is waited for. So one decoded PDU is in memory at a time, whatever the number of sessions. The message keeps its reservation until the core has it, and no longer: a client that does not read its response holds no memory (over HTTP as well). A PDU is split off its buffer as HTTP requests are.

--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -432,6 +432,8 @@
             Ok(()) => core_reply.recv().await.unwrap_or(SubmitReply::FailFast(None)),
             Err(_) => SubmitReply::FailFast(None),
         };
+        // The core has the message now. A client that does not read its answer must not hold the memory.
+        self.reservation.shrink_to(self.buffer.capacity());
         match reply {
             SubmitReply::Accepted(number) => {
                 let delivered = match PeerState::of(&self.stream) {
--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -1,9 +1,9 @@
 //! SMPP sessions of clients, each served by an actor of its own.
 
 use super::receipts::{ToReceipts, receipt};
+use super::request::{BindKind, Request, Submitter};
 use super::{
-    FRONTEND_ID, IO_TIMEOUT, MAX_PDU_BYTES, MessageNote, ReadResult, c_octet_string, c_octet_text,
-    encode_pdu, first_ready, take_pdu, time, write_pdu,
+    IO_TIMEOUT, MAX_PDU_BYTES, ReadResult, c_octet_string, encode_pdu, first_ready, take_pdu, write_pdu,
 };
 use crate::core_actor::{CoreMessage, StatusNotice, Submission, SubmitReply};
 use crate::net::SharedState;
@@ -16,16 +16,12 @@
 use onyxrock::core::AcceptedMessage;
 use onyxrock::interface::Micros;
 use onyxrock_config::smpp::SmppSettings;
-use rusmpp::pdus::{BindReceiverResp, BindTransceiverResp, BindTransmitterResp, SubmitSm, SubmitSmResp};
-use rusmpp::tlvs::TlvValue;
-use rusmpp::values::InterfaceVersion;
-use rusmpp::{Command, CommandStatus, Pdu};
+use rusmpp::pdus::SubmitSmResp;
+use rusmpp::{CommandStatus, Pdu};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 
-/// Subtracted from a message's validity: the receipt has to arrive before the message expires.
-const VALIDITY_MARGIN: Micros = Micros(150_000);
 /// Largest PDU of a connection that has not bound: a bind has some hundred bytes.
 const MAX_UNBOUND_PDU_BYTES: usize = 1024;
 /// A connection that has not bound by then is closed.
@@ -92,7 +88,7 @@
     unacknowledged: BTreeMap<u32, u64>,
     /// Sequence numbers of enquire_link requests without a response.
     pending_enquiries: BTreeSet<u32>,
-    /// Memory for the read buffer.
+    /// Memory for the read buffer, and for the request that was read last.
     reservation: InputReservation<'a>,
     /// A part of a PDU is in the buffer.
     pdu_begun: bool,
@@ -165,7 +161,10 @@
                 Event::Pdu(None) => false,
                 Event::Pdu(Some(ReadResult::Pdu(pdu))) => {
                     last_received = clock.now();
-                    self.handle_pdu(*pdu, &mailbox).await
+                    let sequence = pdu.sequence_number();
+                    let request = Request::of(&pdu, &self.submitter());
+                    drop(pdu);
+                    self.handle(sequence, request, &mailbox).await
                 }
                 Event::Pdu(Some(ReadResult::Undecodable(sequence))) => {
                     self.frontend.shared.counters.smpp_bad_pdus.increment();
@@ -196,6 +195,7 @@
             if !session_ok {
                 return;
             }
+            self.reservation.shrink_to(self.buffer.capacity());
             // The next PDU may be there already and may need no other actor.
             future::yield_now().await;
         }
@@ -209,7 +209,6 @@
         loop {
             if let Some(result) = take_pdu(&mut self.buffer, max_bytes) {
                 self.reservation.complete();
-                self.reservation.shrink_to(self.buffer.capacity());
                 self.pdu_begun = false;
                 return Some(result);
             }
@@ -229,6 +228,12 @@
         }
     }
 
+    /// Who submits messages over this session.
+    fn submitter(&self) -> Submitter<'_> {
+        let system_id = self.bound.as_ref().filter(|(_, submits)| *submits).map(|(id, _)| id.as_str());
+        Submitter { frontend: self.frontend, session: self.number, system_id }
+    }
+
     fn next_sequence(&mut self) -> u32 {
         self.sequence = self.sequence % 0x7fff_ffff + 1;
         self.sequence
@@ -243,44 +248,31 @@
         matches!(clock.timeout_at(deadline, write_pdu(&mut self.stream, &bytes)).await, Some(Ok(())))
     }
 
-    /// Handles a PDU of the client. Returns false if the session has ended.
-    async fn handle_pdu(&mut self, pdu: Command, mailbox: &Sender<StatusNotice>) -> bool {
-        let (sequence, ok) = (pdu.sequence_number(), CommandStatus::EsmeRok);
-        let unbound = CommandStatus::EsmeRinvbndsts;
-        match pdu.pdu() {
-            Some(Pdu::BindTransmitter(bind)) => {
-                let status = self.bind(c_octet_text(&bind.system_id), true, None).await;
-                let resp = BindTransmitterResp::new(self.own_system_id(), Some(InterfaceVersion::Smpp3_4));
-                self.send_pdu(status, sequence, resp).await && status == ok
-            }
-            Some(Pdu::BindReceiver(bind)) => {
-                let status = self.bind(c_octet_text(&bind.system_id), false, Some(mailbox)).await;
-                let resp = BindReceiverResp::new(self.own_system_id(), Some(InterfaceVersion::Smpp3_4));
-                self.send_pdu(status, sequence, resp).await && status == ok
+    /// Handles a request of the client. Returns false if the session has ended.
+    async fn handle(&mut self, sequence: u32, request: Request, mailbox: &Sender<StatusNotice>) -> bool {
+        let ok = CommandStatus::EsmeRok;
+        match request {
+            Request::Bind(kind, system_id) => {
+                let status = self.bind(&system_id, kind, mailbox).await;
+                let response = kind.response(&self.frontend.smpp.system_id);
+                self.send_pdu(status, sequence, response).await && status == ok
             }
-            Some(Pdu::BindTransceiver(bind)) => {
-                let status = self.bind(c_octet_text(&bind.system_id), true, Some(mailbox)).await;
-                let resp = BindTransceiverResp::new(self.own_system_id(), Some(InterfaceVersion::Smpp3_4));
-                self.send_pdu(status, sequence, resp).await && status == ok
+            Request::Submit(message) => self.submit(sequence, message).await,
+            Request::SubmitUnbound => {
+                self.send_pdu(CommandStatus::EsmeRinvbndsts, sequence, SubmitSmResp::default()).await
             }
-            Some(Pdu::SubmitSm(sm)) => match self.bound.clone() {
-                Some((system_id, true)) => self.submit(sequence, &system_id, sm).await,
-                _ => self.send_pdu(unbound, sequence, SubmitSmResp::default()).await,
-            },
-            Some(Pdu::EnquireLink) => self.send_pdu(ok, sequence, Pdu::EnquireLinkResp).await,
-            Some(Pdu::Unbind) => {
+            Request::EnquireLink => self.send_pdu(ok, sequence, Pdu::EnquireLinkResp).await,
+            Request::Unbind => {
                 self.send_pdu(ok, sequence, Pdu::UnbindResp).await;
                 false
             }
-            Some(Pdu::EnquireLinkResp) => {
+            Request::EnquireLinkResponse => {
                 self.pending_enquiries.remove(&sequence);
                 true
             }
-            Some(Pdu::DeliverSmResp(_) | Pdu::GenericNack) => self.on_receipt_response(sequence).await,
-            // Some clients omit the body of a response with an error status.
-            None if pdu.id() == rusmpp::CommandId::DeliverSmResp => self.on_receipt_response(sequence).await,
-            Some(Pdu::UnbindResp) => false,
-            _ => {
+            Request::ReceiptResponse => self.on_receipt_response(sequence).await,
+            Request::UnbindResponse => false,
+            Request::Unknown => {
                 self.frontend.shared.counters.smpp_bad_pdus.increment();
                 self.send_pdu(CommandStatus::EsmeRinvcmdid, sequence, Pdu::GenericNack).await
             }
@@ -295,13 +287,9 @@
         true
     }
 
-    fn own_system_id(&self) -> rusmpp::types::COctetString<1, 16> {
-        c_octet_string(&self.frontend.smpp.system_id)
-    }
-
     /// Binds the session to a client; returns the status of the response.
     async fn bind(
-        &mut self, system_id: &str, submits: bool, receives: Option<&Sender<StatusNotice>>,
+        &mut self, system_id: &str, kind: BindKind, mailbox: &Sender<StatusNotice>,
     ) -> CommandStatus {
         if self.bound.is_some() {
             return CommandStatus::EsmeRalybnd;
@@ -313,8 +301,8 @@
             return CommandStatus::EsmeRbindfail;
         }
         self.frontend.shared.counters.smpp_sessions.increment();
-        self.bound = Some((system_id.to_owned(), submits));
-        if let Some(mailbox) = receives {
+        self.bound = Some((system_id.to_owned(), kind.submits()));
+        if kind.receives() {
             let (system_id, mailbox) = (system_id.to_owned(), mailbox.clone());
             let bound_event = ToReceipts::Bound { session: self.number, system_id, mailbox };
             let _ = self.frontend.receipts.send(bound_event).await;
@@ -323,9 +311,9 @@
     }
 
     /// Submits a message to the core and answers with the result.
-    async fn submit(&mut self, sequence: u32, system_id: &str, sm: &SubmitSm) -> bool {
-        let message = match self.accepted_message(system_id, sm) {
-            Ok(message) => message,
+    async fn submit(&mut self, sequence: u32, message: Result<Box<AcceptedMessage>, CommandStatus>) -> bool {
+        let message = match message {
+            Ok(message) => *message,
             Err(status) => {
                 self.frontend.shared.counters.bad_requests.increment();
                 return self.send_pdu(status, sequence, SubmitSmResp::default()).await;
@@ -341,6 +329,8 @@
         let core = &self.frontend.shared.core;
         let sent = core.send(CoreMessage::Submit(Submission { message, reply })).await;
         let reply = if sent.is_ok() { core_reply.recv().await.ok() } else { None };
+        // The core has the message now. A client that does not read its response must not hold the memory.
+        self.reservation.shrink_to(self.buffer.capacity());
         match reply.unwrap_or(SubmitReply::FailFast(None)) {
             SubmitReply::Accepted(number) => {
                 let resp = SubmitSmResp::new(c_octet_string(&id), Vec::new());
@@ -368,54 +358,6 @@
             }
         }
     }
-
-    /// The message of a submit_sm PDU, or the status that refuses it.
-    fn accepted_message(&self, system_id: &str, sm: &SubmitSm) -> Result<AcceptedMessage, CommandStatus> {
-        let Frontend { shared, smpp, give_up_after: give_up, .. } = self.frontend;
-        let now = shared.clock.now();
-        let service = c_octet_text(sm.service_type.value());
-        let class = smpp.class_for(service).ok_or(CommandStatus::EsmeRinvsertyp)?;
-        let destination_address = c_octet_text(&sm.destination_addr);
-        let destination = smpp.destination_for(destination_address).ok_or(CommandStatus::EsmeRinvdstadr)?;
-        let longest = *give_up.get(class).ok_or(CommandStatus::EsmeRinvsertyp)?;
-        let period = c_octet_text(&sm.validity_period);
-        let lifetime = match period {
-            "" => longest,
-            period => time::validity(period, now).ok_or(CommandStatus::EsmeRinvexpiry)?.min(longest),
-        };
-        if !c_octet_text(&sm.schedule_delivery_time).is_empty() {
-            return Err(CommandStatus::EsmeRinvsched);
-        }
-        let payload = sm.tlvs().iter().find_map(|tlv| match tlv.value() {
-            Some(TlvValue::MessagePayload(payload)) => Some(payload.value.as_ref().to_vec()),
-            _ => None,
-        });
-        let note = MessageNote {
-            system_id: system_id.to_owned(),
-            source: c_octet_text(&sm.source_addr).to_owned(),
-            destination: destination_address.to_owned(),
-            data_coding: sm.data_coding.into(),
-            esm_class: sm.esm_class.into(),
-        };
-        let margin = VALIDITY_MARGIN.min(Micros(lifetime.0 / 8));
-        // Unique over sessions and restarts: no two submissions share a microsecond and a serial number of
-        // the process.
-        let id = format!("{:x}-{:x}-{:x}", now.0, self.number, shared.next_serial());
-        Ok(AcceptedMessage {
-            number: 0,
-            frontend: FRONTEND_ID,
-            request_id: id,
-            class: class.to_owned(),
-            recorded_class: None,
-            tenant: smpp.tenant_by_system_id.get(system_id).cloned().unwrap_or_default(),
-            destination,
-            idempotency_key: String::new(),
-            frontend_note: note.encode(),
-            wants_receipt: true,
-            deadline: now.plus(lifetime.since(margin)),
-            body: payload.unwrap_or_else(|| sm.short_message().as_ref().to_vec()),
-        })
-    }
 }
 
 #[cfg(test)]
--- a/daemon/src/net/smpp/mod.rs
+++ b/daemon/src/net/smpp/mod.rs
@@ -4,6 +4,7 @@
 pub mod gateway;
 pub mod inbound;
 pub mod receipts;
+pub mod request;
 #[cfg(test)]
 pub mod tests;
 pub mod time;
@@ -45,13 +46,13 @@
     if !(HEADER_BYTES..=max_bytes).contains(&length) {
         return Some(ReadResult::FramingLost);
     }
-    let Some(pdu) = data.get(..length) else {
+    if data.len() < length {
         buffer.expect(length);
         return None;
-    };
+    }
+    let pdu = buffer.take(length);
     let sequence = u32::from_be_bytes(pdu[12..16].try_into().ok()?);
     let mut bytes = BytesMut::from(&pdu[4..]);
-    buffer.consume(length);
     Some(match Command::decode(&mut bytes, length - 4) {
         Ok((decoded, _)) => ReadResult::Pdu(Box::new(decoded)),
         Err(_) => ReadResult::Undecodable(sequence),
--- a/daemon/tests/bad_clients.rs
+++ b/daemon/tests/bad_clients.rs
@@ -123,6 +123,39 @@
     assert!(seen.accepted >= 9 * (seen.refused + seen.unanswered), "{seen:?}");
 }
 
+/// submit_sm of class `status` to destination 1, with these optional fields.
+fn submission_with_fields(fields: &[u8]) -> Vec<u8> {
+    let mandatory = b"\0\0\0\0\x01\x011234\0\0\0\0\0\0\0\0\0\0\0";
+    encode_pdu(0x04, 0, 2, &[&mandatory[..], fields].concat())
+}
+
+/// As many short optional fields as a PDU has room for.
+fn short_fields() -> Vec<u8> {
+    [0x13, 0xff, 0, 0].repeat(16_000)
+}
+
+/// message_payload of nearly the largest size.
+fn payload_field() -> Vec<u8> {
+    const LENGTH: u16 = 65_000;
+    [&[0x04, 0x24][..], &LENGTH.to_be_bytes(), &vec![b'x'; LENGTH.into()]].concat()
+}
+
+/// Guards against a process that is killed for its memory, because sessions each hold a decoded PDU while they wait for
+/// the core or for a client that does not read.
+#[rstest]
+#[case::short_fields(submission_with_fields(&short_fields()))]
+#[case::large_payload(submission_with_fields(&payload_field()))]
+#[case::large_payload_behind_a_small_one([submission_with_fields(&[]), submission_with_fields(&payload_field())].concat())]
+fn memory_stays_within_its_limit_while_many_sessions_submit(#[case] pdu: Vec<u8>) {
+    let harness = started_daemon();
+    let address = harness.addresses().smpp.unwrap();
+    let (seen, peak) = measure(&harness, |stop| {
+        pressure::repeated_requests(address, CONNECTIONS, &bind_pdu("office"), &pdu, stop)
+    });
+    println!("{} bytes: {seen:?}, peak {:.1} MB", pdu.len(), peak as f64 / 1e6);
+    assert!(peak < MEMORY_MB * 1_000_000, "{peak} bytes");
+}
+
 #[rstest]
 #[case::status("GET /ready HTTP/1.1\r\n\r\n")]
 #[case::counters("GET /counters HTTP/1.1\r\n\r\n")]
@@ -159,9 +192,7 @@
 
 /// submit_sm with as many optional fields as fit.
 fn submission_of_short_fields() -> Vec<u8> {
-    let fixed = [0; 17];
-    let fields = [0x13, 0xff, 0, 0].repeat(16_000);
-    encode_pdu(0x04, 0, 1, &[&fixed[..], &fields].concat())
+    encode_pdu(0x04, 0, 1, &[&[0; 17][..], &short_fields()].concat())
 }
 
 #[rstest]
--- a/daemon/tests/harness/pressure.rs
+++ b/daemon/tests/harness/pressure.rs
@@ -122,6 +122,30 @@
         .collect()
 }
 
+/// Misbehaving clients until the flag is set: `count` connections that each write `first` and then `next`, again and
+/// again, read nothing, and begin anew when the daemon closes them.
+pub fn repeated_requests(
+    address: SocketAddr, count: usize, first: &[u8], next: &[u8], stop: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<()>> {
+    let (first, next): (Arc<[u8]>, Arc<[u8]>) = (first.into(), next.into());
+    let repeat = move |stop: Arc<AtomicBool>, first: Arc<[u8]>, next: Arc<[u8]>| {
+        while !stop.load(Ordering::Relaxed) {
+            let Ok(mut stream) = TcpStream::connect(address) else { continue };
+            stream.set_write_timeout(Some(Duration::from_millis(500))).unwrap();
+            let mut sent = stream.write_all(&first);
+            while sent.is_ok() && !stop.load(Ordering::Relaxed) {
+                sent = stream.write_all(&next);
+            }
+        }
+    };
+    (0..count)
+        .map(|_| {
+            let (stop, first, next) = (stop.clone(), first.clone(), next.clone());
+            std::thread::spawn(move || repeat(stop, first, next))
+        })
+        .collect()
+}
+
 /// One misbehaving client until the flag is set: writes what `next` returns at full speed over one connection, reads
 /// and ignores the answers, and connects anew when the daemon closes it.
 pub fn flood(
