--- a/daemon/tests/address_reuse.rs
+++ b/daemon/tests/address_reuse.rs
@@ -44,3 +44,29 @@
     run_step(&mut harness, "send list new Gone");
     run_step(&mut harness, "expect counter listed=2");
 }
+
+/// Guards against a list that goes on naming endpoints of a discovery that has gone: another one at its address counts
+/// its generations anew, and answers with its whole list where it does not know the one that it is asked from.
+#[rstest]
+#[case::generations_that_begin_anew(0)]
+#[case::the_same_generation(7)]
+#[case::later_generations(4000)]
+fn the_list_of_a_new_discovery_at_the_same_address_replaces_the_former_one(#[case] generation: u64) {
+    let mut harness = Harness::default();
+    run_step(&mut harness, "given endpoint former dest=1");
+    run_step(&mut harness, "given endpoint current dest=1");
+    harness.replace_discovery(&["former"], 7);
+    run_step(&mut harness, "send daemon start");
+    run_step(&mut harness, "expect counter list_answers=1");
+    run_step(&mut harness, "send c1 status id=m0 dest=1");
+    run_step(&mut harness, "expect former m0");
+    run_step(&mut harness, "send former m0 200");
+    run_step(&mut harness, "expect counter delivered=1");
+    harness.replace_discovery(&["current"], generation);
+    run_step(&mut harness, "expect log endpoint is Gone");
+    run_step(&mut harness, "send c2 status id=m1 dest=1");
+    run_step(&mut harness, "expect current m1");
+    run_step(&mut harness, "send current m1 200");
+    run_step(&mut harness, "expect counter delivered=2");
+    run_step(&mut harness, "expect former nothing 200");
+}
--- a/daemon/tests/bad_clients.rs
+++ b/daemon/tests/bad_clients.rs
@@ -191,6 +191,18 @@
     assert_others_are_served(&seen, peak);
 }
 
+#[rstest]
+#[case::members("GET /members HTTP/1.1\r\n\r\n")]
+#[case::duties("GET /duties HTTP/1.1\r\n\r\n")]
+fn others_are_answered_beside_a_flood_of_questions_about_duties(#[case] request: &'static str) {
+    let harness = daemon_with_duties();
+    let address = harness.addresses().http;
+    let (seen, peak) =
+        measure(&harness, |stop| vec![pressure::flood(address, |_| request.as_bytes().to_vec(), stop)]);
+    println!("{}: {seen:?}, peak {:.1} MB", request.trim_end(), peak as f64 / 1e6);
+    assert_others_are_served(&seen, peak);
+}
+
 /// submit_sm with as many optional fields as fit.
 fn submission_of_short_fields() -> Vec<u8> {
     encode_pdu(0x04, 0, 1, &[&[0; 17][..], &short_fields()].concat())
@@ -271,17 +283,22 @@
     assert_others_are_served(&seen, peak);
 }
 
-/// Neither a datagram that nobody signed nor one from a stranger costs others anything.
-#[rstest]
-#[case::short(40)]
-#[case::long(1400)]
-fn others_are_answered_beside_a_flood_of_member_datagrams(#[case] length: usize) {
+fn daemon_with_duties() -> Harness {
     let mut harness = Harness::default();
     harness.add_accepting_endpoint("e1", "1", Arc::default());
     run_step(&mut harness, &format!("given limit memory_mb={MEMORY_MB}"));
     run_step(&mut harness, "given duties per_s=5");
     run_step(&mut harness, "send daemon start");
     run_step(&mut harness, "expect counter list_answers=1");
+    harness
+}
+
+/// Neither a datagram that nobody signed nor one from a stranger costs others anything.
+#[rstest]
+#[case::short(40)]
+#[case::long(1400)]
+fn others_are_answered_beside_a_flood_of_member_datagrams(#[case] length: usize) {
+    let harness = daemon_with_duties();
     let address = harness.addresses().members.unwrap();
     let (seen, peak) = measure(&harness, |stop| {
         let next = move |n: u64| n.to_be_bytes().into_iter().cycle().take(length).collect();
--- a/daemon/tests/departed_clients.rs
+++ b/daemon/tests/departed_clients.rs
@@ -107,3 +107,21 @@
     let calls = arrivals.lock().unwrap().len();
     assert!((1 + REQUESTS / 2..=1 + REQUESTS).contains(&calls), "{calls} calls");
 }
+
+/// A call of operators counts from the moment it was made, whether its caller stays for the answer or not.
+#[test]
+fn a_call_of_operators_is_carried_out_after_its_caller_has_left() {
+    let mut harness = Harness::default();
+    run_step(&mut harness, "given operators");
+    run_step(&mut harness, "given endpoint e1 dest=1");
+    run_step(&mut harness, "send daemon start");
+    run_step(&mut harness, "expect counter list_answers=1");
+    run_step(&mut harness, "send daemon STOP");
+    let mut caller = TcpStream::connect(harness.addresses().operators.unwrap()).unwrap();
+    caller.write_all(b"maint-on e1\n").unwrap();
+    drop(caller);
+    run_step(&mut harness, "send daemon CONT");
+    run_step(&mut harness, "expect counter maintenance=1");
+    run_step(&mut harness, "send c1 status id=m1 dest=1");
+    run_step(&mut harness, "expect e1 nothing 500");
+}
--- a/daemon/tests/harness/http.rs
+++ b/daemon/tests/harness/http.rs
@@ -235,8 +235,11 @@
     start_server(move |mut stream| {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         let own_address = stream.local_addr().ok();
+        let own_process = state.lock().unwrap().process;
+        let has_ended =
+            |state: &PlatformState| state.current_address != own_address || state.process != own_process;
         while let Some((first_line, _, body)) = read_message(&mut reader) {
-            if state.lock().unwrap().current_address != own_address {
+            if has_ended(&state.lock().unwrap()) {
                 return;
             }
             if state.lock().unwrap().unavailable {
@@ -263,13 +266,16 @@
             let (since, timeout_ms) = (number_after("since="), number_after("timeout_ms=").unwrap_or(0));
             state.lock().unwrap().complete_list_requests += u64::from(since.is_none());
             let mut waited_ms = 0;
-            while since.is_some_and(|s| s >= state.lock().unwrap().generation) && waited_ms < timeout_ms {
+            while since.is_some_and(|s| s >= state.lock().unwrap().generation)
+                && waited_ms < timeout_ms
+                && !has_ended(&state.lock().unwrap())
+            {
                 std::thread::sleep(Duration::from_millis(10));
                 waited_ms += 10;
             }
             // A replaced platform sends no more responses: one would race with the reload of the
             // configuration that contains the new platform's address.
-            if state.lock().unwrap().current_address != own_address {
+            if has_ended(&state.lock().unwrap()) {
                 return;
             }
             let body = {
--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -121,6 +121,8 @@
     pub last_served_generation: Option<u64>,
     /// The number of requests for the complete list.
     pub complete_list_requests: u64,
+    /// Counts the processes that have served this platform's address; a connection ends with the process that accepted it.
+    pub process: u64,
     /// The platform's current address; a simulated platform at another address closes its connections.
     pub current_address: Option<SocketAddr>,
 }
@@ -145,8 +147,9 @@
                 "lifecycle": endpoint.lifecycle, "weight": 50.0,
                 "startedAtMs": option_value(&attributes, "started").map_or(0u64, |ms| ms.parse().unwrap())})
         };
+        let listed = self.endpoints.iter().filter(|endpoint| endpoint.lifecycle != "Unlisted");
         json!({"generation": self.generation, "reset": true,
-            "instances": self.endpoints.iter().map(entry_json).collect::<Vec<_>>()})
+            "instances": listed.map(entry_json).collect::<Vec<_>>()})
     }
 }
 
@@ -267,6 +270,18 @@
         });
     }
 
+    /// Another discovery comes up at the address of the one that has gone: it lists these endpoints alone, at this
+    /// generation. Connections to the former one are closed.
+    pub fn replace_discovery(&self, listed: &[&str], generation: u64) {
+        let mut platform = self.platform.lock().unwrap();
+        platform.endpoints.iter_mut().for_each(|endpoint| {
+            let is_listed = listed.contains(&endpoint.name.as_str());
+            endpoint.lifecycle = if is_listed { "Ready" } else { "Unlisted" }.to_owned();
+        });
+        platform.generation = generation;
+        platform.process += 1;
+    }
+
     /// The id of the daemon's process.
     pub fn daemon_id(&self) -> u32 {
         self.daemon.as_ref().expect("a daemon runs").id()
