At the limit a connection is closed only for another that waits

With as many client connections open as are allowed, a client that had not written within some 20 ms of its connect was closed unread, although nobody waited for its place.

Cause: the listener closed a waiting connection first and accepted then, so one place was always kept free. Silent connections are closed first, and where all others have been answered the newest one is the only silent one.

Change: at the limit the listener waits until a connection is there to be accepted, and closes one for it then. Where connections keep coming nothing changes but the order of the two.

Test: at_the_limit_connections_are_closed_only_for_others_that_wait, before 9 of 10 open and one closed, now ten.

--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -70,9 +70,21 @@
         if stop.is_closed() {
             break;
         }
-        // At the limit a connection that waits for a request is closed to make room: silent ones first, the
-        // oldest of them first.
+        // At the limit a connection that waits for a request is closed to make room for one that waits to be
+        // accepted: silent ones first, the oldest of them first.
         if shared.counters.inbound_open.get() >= shared.max_inbound {
+            let waits = async {
+                // An error shows when the connection is accepted.
+                let _ = listener.readable().await;
+                true
+            };
+            let stopped = async {
+                let _ = stop.recv().await;
+                false
+            };
+            if !future::or(stopped, waits).await {
+                continue;
+            }
             if shared.eviction_queue.evict_first(shared.clock.now(), MIN_IDLE_BEFORE_EVICTION) {
                 shared.counters.inbound_sent_off.increment();
                 future::yield_now().await;
--- a/daemon/src/net/http/inbound/tests.rs
+++ b/daemon/src/net/http/inbound/tests.rs
@@ -45,6 +45,26 @@
     assert_eq!(shared.counters.inbound_opened.get(), 8);
 }
 
+/// Guards against a connection that is closed before its client has written, although no other one needs its place.
+#[test]
+fn at_the_limit_connections_are_closed_only_for_others_that_wait() {
+    let shared = SharedState::for_test(bounded(1).0);
+    let (listener, address) = listen_on_loopback();
+    let (_keep_open, stop) = bounded(1);
+    let connect = || TcpStream::connect(address).unwrap();
+    let _silent: Vec<_> = (0..shared.max_inbound).map(|_| connect()).collect();
+    shared.executor.spawn(listen(shared.clone(), listener, stop)).detach();
+    let all = async {
+        async_io::Timer::after(std::time::Duration::from_millis(200)).await;
+        assert_eq!((shared.counters.inbound_open.get(), shared.counters.inbound_sent_off.get()), (10, 0));
+        let mut client = connect();
+        client.write_all(b"GET /ready HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
+        assert!(read_answer(client).await.starts_with("HTTP/1.1 503"));
+        assert!(shared.counters.inbound_sent_off.get() > 0);
+    };
+    async_io::block_on(shared.executor.run(all));
+}
+
 /// A connection that was opened just before the shutdown still gets an answer to its first request.
 #[test]
 fn a_new_connection_is_answered_during_shutdown() {
