--- a/daemon/tests/bad_clients.rs
+++ b/daemon/tests/bad_clients.rs
@@ -95,6 +95,29 @@
     assert!(seen.accepted >= 9 * (seen.refused + seen.unanswered), "{seen:?}");
 }
 
+/// Files count as memory, too, and so do messages that are open because their endpoint does not answer.
+#[test]
+fn memory_stays_within_its_limit_with_a_full_folder_and_requests_that_do_not_end() {
+    const MEMORY_MB: u64 = 48;
+    let mut harness = Harness::default();
+    harness.add_accepting_endpoint("e1", "1", Arc::default());
+    run_step(&mut harness, "given endpoint hangs dest=2");
+    run_step(&mut harness, &format!("given limit memory_mb={MEMORY_MB}"));
+    run_step(&mut harness, "send daemon start");
+    run_step(&mut harness, "expect counter list_answers=1");
+    let large: Vec<_> =
+        (0..60).map(|n| format!("payment id=open{n} dest=2 deadline=25 size=65000")).collect();
+    let accepted = harness.http_client().submit_all(&large);
+    assert!((1..large.len()).contains(&accepted), "{accepted} accepted: the folder is not full");
+    let (address, bytes) = (harness.addresses().http, almost_whole_request());
+    let (seen, peak) = measure(&harness, |stop| {
+        pressure::unfinished_requests(address, CONNECTIONS, &bytes, 1, SLOW_INTERVAL, stop)
+    });
+    let files = harness.state_bytes();
+    println!("{accepted} large messages: {seen:?}, peak {:.1} MB, files {files} bytes", peak as f64 / 1e6);
+    assert!(peak + files < MEMORY_MB * 1_000_000, "{peak} and {files} bytes");
+}
+
 /// bind_transceiver.
 fn bind_pdu(system_id: &str) -> Vec<u8> {
     let body = [system_id.as_bytes(), b"\0\0\0\x34\0\0\0"].concat();
--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -282,6 +282,12 @@
         platform.process += 1;
     }
 
+    /// Bytes of the files in the daemon's state folder.
+    pub fn state_bytes(&self) -> u64 {
+        let files = std::fs::read_dir(self.folder.join("state")).unwrap();
+        files.map(|file| file.unwrap().metadata().map_or(0, |metadata| metadata.len())).sum()
+    }
+
     /// The id of the daemon's process.
     pub fn daemon_id(&self) -> u32 {
         self.daemon.as_ref().expect("a daemon runs").id()
