--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -102,10 +102,47 @@
     assert_eq!(arrivals.lock().unwrap().len(), MESSAGE_COUNT, "{}", harness.log());
 }
 
+/// Upgrades that follow one another at once.
+const UPGRADES: usize = 3;
+
+/// Guards against the same where one upgrade follows another at once, and the process that stays has not noticed yet that
+/// the third one is not the first one.
+#[rstest]
+#[case::old_process_ends("TERM", Some("expect old exit 0"))]
+#[case::old_process_is_killed("KILL", None)]
+fn copies_of_a_request_are_accepted_once_over_upgrades_in_a_row(
+    #[case] signal: &str, #[case] then: Option<&str>,
+) {
+    let mut harness = Harness::default();
+    let arrivals = Arc::new(Mutex::new(Vec::new()));
+    harness.add_accepting_endpoint("e1", "1", arrivals.clone());
+    run_steps(&mut harness, &["given operators", "send daemon start"]);
+    for upgrade in 0..UPGRADES {
+        let submit = |harness: &Harness| accepted_copies(harness, &format!("payment id=u{upgrade}m"));
+        let mut accepted = 0;
+        if upgrade > 0 {
+            accepted += submit(&harness);
+        }
+        run_steps(&mut harness, &["send daemon beside"]);
+        accepted += submit(&harness) + submit(&harness);
+        run_steps(&mut harness, &[&format!("send old {signal}")]);
+        accepted += submit(&harness);
+        run_steps(&mut harness, then.as_slice());
+        accepted += submit(&harness);
+        assert_eq!(accepted, MESSAGE_COUNT, "{}", harness.log());
+    }
+    assert!(arrivals.lock().unwrap().len() <= UPGRADES * MESSAGE_COUNT, "{}", harness.log());
+}
+
 /// Submits each message over a connection of its own; returns how many were accepted.
 fn accepted_submissions(harness: &Harness) -> usize {
+    accepted_copies(harness, "status id=m")
+}
+
+/// Submits messages, whose line begins so, each over a connection of its own; returns how many were accepted.
+fn accepted_copies(harness: &Harness, message: &str) -> usize {
     let client = harness.http_client();
-    (0..MESSAGE_COUNT).map(|index| client.submit_all(&[format!("status id=m{index} dest=1")])).sum()
+    (0..MESSAGE_COUNT).map(|index| client.submit_all(&[format!("{message}{index} dest=1")])).sum()
 }
 
 /// The notice of a message's end is in time up to this long after the message's deadline.
