The process that runs ends the messages of one that hangs in an upgrade

While the old process stood still, its messages ended with it alone, so callers were told up to 3.7 s late.

Cause: the log of the other process was read only once its lock was free.

Change: sibling_log.rs. The other one copies these messages, as it does at a takeover, and ends them by its own rules. Their deadline has passed, so no call is made. The later takeover knows the copies by their ids. A log that changes is not looked into.

--- a/daemon/src/core_actor/messages.rs
+++ b/daemon/src/core_actor/messages.rs
@@ -116,6 +116,8 @@
     DrainsTold(Vec<SharedDrain>),
     /// An entry of the sibling's waits file.
     FromSibling(SiblingEntry),
+    /// Ends the messages in this log of a sibling, which hangs, whose deadline has passed.
+    EndOverdue(PathBuf),
     /// Takes over the messages in the log of a sibling that is gone.
     TakeOverLog(OrphanedLog),
     /// Sends no new calls.
--- a/daemon/src/core_actor/takeover.rs
+++ b/daemon/src/core_actor/takeover.rs
@@ -1,7 +1,9 @@
 //! Messages that an earlier process of this forwarder, or a sibling that is gone, has left open.
 
 use super::*;
+use crate::sibling_log::overdue_messages;
 use crate::wal::WritePurpose;
+use std::path::Path;
 
 impl CoreActor {
     /// Notes all messages that this forwarder's own log names, ended ones included.
@@ -41,9 +43,13 @@
                 scan.damaged_bytes
             );
         }
+        self.copy_messages(recover(scan.records).into_values().collect())
+    }
+
+    /// Copies messages of another process that are not known here, under new numbers.
+    fn copy_messages(&mut self, mut open_messages: Vec<OpenMessage>) -> std::io::Result<()> {
         let open_keys: BTreeSet<_> =
             self.ledger.open_messages().map(|open| message_key(&open.accepted)).collect();
-        let mut open_messages: Vec<_> = recover(scan.records).into_values().collect();
         open_messages.retain(|open| {
             !open_keys.contains(&message_key(&open.accepted))
                 && !self.logged_keys.contains(&message_key(&open.accepted))
@@ -61,6 +67,15 @@
         Ok(())
     }
 
+    /// Ends messages of a sibling that hangs, whose deadline has passed. No call is made for them any more, and their
+    /// copies are recognized once the sibling is gone. If it goes on before, it ends them as well, which does no harm.
+    pub(super) fn end_overdue_messages(&mut self, now: Micros, sibling_log: &Path) {
+        let ended = overdue_messages(sibling_log, now).and_then(|overdue| self.copy_messages(overdue));
+        if let Err(e) = ended {
+            tracing::error!("log: overdue messages of another process could not be ended: {e}");
+        }
+    }
+
     /// Copies the open messages of an orphaned log, then removes the log.
     pub(super) fn take_over_log(&mut self, orphaned_log: &OrphanedLog) -> std::io::Result<()> {
         self.copy_open_messages(orphaned_log)?;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod shared_waits;
 pub mod show;
 pub mod sibling;
+pub mod sibling_log;
 pub mod startup;
 pub mod state_files;
 pub mod state_folder;
--- a/daemon/src/sibling.rs
+++ b/daemon/src/sibling.rs
@@ -5,6 +5,7 @@
 use crate::net::SharedState;
 use crate::shared_ids;
 use crate::shared_waits::WaitsFileReader;
+use crate::sibling_log::SiblingLog;
 use crate::state_folder::{Claim, OrphanedLog, OtherProcess, remove_if_exists};
 use async_channel::{Sender, bounded};
 use async_io::Timer;
@@ -30,7 +31,9 @@
 
 /// Watches until the process ends, and keeps the process's claim until then.
 pub async fn watch(shared: Rc<SharedState>, claim: Claim, sibling_running: bool, upgrades_expected: bool) {
-    let watcher = SiblingWatcher { shared, claim, waits_reader: None };
+    let [sibling_log, _] = claim.other_logs();
+    let sibling_log = SiblingLog::new(sibling_log);
+    let watcher = SiblingWatcher { shared, claim, waits_reader: None, sibling_log };
     watcher.run(sibling_running, upgrades_expected).await;
 }
 
@@ -39,6 +42,7 @@
     claim: Claim,
     /// Set while a sibling runs.
     waits_reader: Option<WaitsFileReader>,
+    sibling_log: SiblingLog,
 }
 
 impl SiblingWatcher {
@@ -79,6 +83,20 @@
             let _ = self.shared.core.send(CoreMessage::SiblingChanged(Some(Box::new(files)))).await;
         }
         self.forward_entries().await;
+        self.end_overdue_messages().await;
+    }
+
+    /// Ends messages that the sibling should have ended: it hangs.
+    async fn end_overdue_messages(&mut self) {
+        match self.sibling_log.has_overdue(self.shared.clock.now()) {
+            Ok(false) => {}
+            Ok(true) => {
+                tracing::warn!("another process of this forwarder does not end its messages: it hangs");
+                let [sibling_log, _] = self.claim.other_logs();
+                let _ = self.shared.core.send(CoreMessage::EndOverdue(sibling_log)).await;
+            }
+            Err(e) => tracing::warn!("log: the log of another process cannot be read: {e}"),
+        }
     }
 
     /// Forwards the entries that the sibling has added since the last read.
--- a/daemon/tests/upgrade.rs
+++ b/daemon/tests/upgrade.rs
@@ -169,6 +169,31 @@
     assert!(Instant::now() < deadline + NOTICE_WITHIN, "the notice of the message's end came late");
 }
 
+/// Guards against a payment of a process that hangs which is told as refused, or sent once more, although its call is out.
+#[test]
+fn a_payment_whose_call_is_out_fails_if_its_process_hangs() {
+    let mut harness = Harness::default();
+    run_steps(&mut harness, &["given endpoint e1 dest=1", "send daemon start"]);
+    run_steps(&mut harness, &["send c1 payment id=p1 dest=1 deadline=4", "expect c1 202", "expect e1 p1"]);
+    run_steps(&mut harness, &["send daemon beside", "expect log another process of this forwarder is there"]);
+    run_steps(&mut harness, &["send old STOP", "expect platform p1 failed"]);
+    run_steps(&mut harness, &["send old CONT", "expect e1 nothing 500"]);
+    run_steps(&mut harness, &["send old KILL", "expect e1 nothing 500", "expect counter resumed=1"]);
+}
+
+/// Guards against a process that is taken for one that hangs: each message has one notice.
+#[test]
+fn a_process_that_runs_ends_its_messages_by_itself_in_an_upgrade() {
+    let mut harness = Harness::default();
+    run_steps(&mut harness, &["given nobody e1 dest=1", "send daemon start"]);
+    run_steps(
+        &mut harness,
+        &["send c1 booking id=b1 dest=1 deadline=2", "expect c1 202", "send daemon beside"],
+    );
+    run_steps(&mut harness, &["expect platform b1 returned", "expect platform nothing 800"]);
+    run_steps(&mut harness, &["expect counter resumed=0"]);
+}
+
 /// Messages of the largest size, whose records take more than a third of the state folder.
 const LARGE_MESSAGE_COUNT: usize = 20;
 
