A keyed message has a key or is not repeated once it may have run

Cause: submit_sm has no idempotency key, the message was accepted without one, and Classes::resolve took its class for keyed all the same.

Change: the core gives a message of a keyed class over SMPP its id as key. The id stands in the record of the acceptance, so repeats have the same key over restarts and upgrades. Whatever the frontend, a keyed message without a key is treated as one that must not be repeated.

--- a/daemon/src/core_actor/messages.rs
+++ b/daemon/src/core_actor/messages.rs
@@ -27,6 +27,9 @@
 pub struct Submission {
     /// The message, whose number the core actor assigns.
     pub message: AcceptedMessage,
+    /// Clients of this frontend cannot name an idempotency key: a message of a keyed class gets one here, which its
+    /// repeats have as well, whichever process sends them.
+    pub makes_key: bool,
     /// Where the reply goes.
     pub reply: Sender<SubmitReply>,
 }
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -439,7 +439,7 @@
             }
         }
         let (reply, core_reply) = bounded(1);
-        let submission = CoreMessage::Submit(Submission { message, reply });
+        let submission = CoreMessage::Submit(Submission { message, makes_key: false, reply });
         let reply = match self.shared.core.send(submission).await {
             Ok(()) => core_reply.recv().await.unwrap_or(SubmitReply::FailFast(None)),
             Err(_) => SubmitReply::FailFast(None),
--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -327,7 +327,7 @@
         let id = message.request_id.clone();
         let (reply, core_reply) = bounded(1);
         let core = &self.frontend.shared.core;
-        let sent = core.send(CoreMessage::Submit(Submission { message, reply })).await;
+        let sent = core.send(CoreMessage::Submit(Submission { message, makes_key: true, reply })).await;
         let reply = if sent.is_ok() { core_reply.recv().await.ok() } else { None };
         // The core has the message now. A client that does not read its response must not hold the memory.
         self.reservation.shrink_to(self.buffer.capacity());
--- a/daemon/tests/harness/http.rs
+++ b/daemon/tests/harness/http.rs
@@ -72,7 +72,8 @@
     }
 }
 
-/// Starts an endpoint that records each call as `ID key=KEY body=BODY` (a probe has the id `probe`), and
+/// Starts an endpoint that records each call as `ID key=KEY body=BODY` (a probe has the id `probe`, and a key that is the id
+/// is written as `the-id`), and
 /// keeps the connection under the id for the scenario's response.
 pub fn start_endpoint(recorder: PeerRecorder) -> SocketAddr {
     start_server(move |stream| {
@@ -87,7 +88,10 @@
                 closing.insert(id.to_owned());
             }
             drop(closing);
-            let key = header_value(&headers, "idempotency-key");
+            let key = match header_value(&headers, "idempotency-key") {
+                key if !key.is_empty() && key == id => "the-id",
+                key => key,
+            };
             recorder.record_event(format!("{id} key={key} body={}", String::from_utf8_lossy(&body)));
         }
     })
--- a/src/core/classes.rs
+++ b/src/core/classes.rs
@@ -17,7 +17,7 @@
     versions: BTreeMap<String, Vec<usize>>,
     /// Destinations that do not drop repeats.
     without_dedup: BTreeSet<DestinationId>,
-    /// For each keyed class, the index of the class that replaces it at a destination in `without_dedup`.
+    /// For keyed classes, the index of the class that replaces them for a message whose repeat would not be dropped.
     unsafe_variants: BTreeMap<usize, usize>,
 }
 
@@ -27,9 +27,7 @@
         all: Vec<ClassSettings>, names: BTreeMap<String, usize>, without_dedup: BTreeSet<DestinationId>,
     ) -> Classes {
         let versions = names.iter().map(|(name, index)| (name.clone(), vec![*index])).collect();
-        let mut classes = Classes { names, all, versions, without_dedup, unsafe_variants: BTreeMap::new() };
-        (0..classes.all.len()).for_each(|index| classes.add_unsafe_variant(index));
-        classes
+        Classes { names, all, versions, without_dedup, unsafe_variants: BTreeMap::new() }
     }
 
     /// Replaces the names: from now on only these stand for classes.
@@ -48,19 +46,21 @@
         let index = self.all.len();
         versions.push(index);
         self.all.push(class.clone());
-        self.add_unsafe_variant(index);
         index
     }
 
-    /// Adds the variant of a keyed class for destinations that do not drop repeats: there its messages must
-    /// not be repeated.
-    fn add_unsafe_variant(&mut self, index: usize) {
+    /// The variant of a class whose messages must not be repeated once they may have run. It is added when a message
+    /// of a keyed class first needs it; for other classes it is the class itself.
+    fn without_repeats(&mut self, index: usize) -> usize {
         let class = &self.all[index];
-        if self.without_dedup.is_empty() || !matches!(class.effect, Effect::Keyed { .. }) {
-            return;
+        if !matches!(class.effect, Effect::Keyed { .. }) {
+            return index;
         }
-        self.unsafe_variants.insert(index, self.all.len());
-        self.all.push(ClassSettings { effect: Effect::Unsafe, ..class.clone() });
+        let all = &mut self.all;
+        *self.unsafe_variants.entry(index).or_insert_with(|| {
+            all.push(ClassSettings { effect: Effect::Unsafe, ..all[index].clone() });
+            all.len() - 1
+        })
     }
 
     /// All classes, in the order of the policy engine's class ids.
@@ -73,6 +73,11 @@
         self.names.contains_key(name)
     }
 
+    /// Whether receivers drop the repeat of a message of this class by its key.
+    pub fn is_keyed(&self, name: &str) -> bool {
+        self.names.get(name).is_some_and(|index| matches!(self.all[*index].effect, Effect::Keyed { .. }))
+    }
+
     /// The class that this name currently stands for.
     pub fn current(&self, name: &str) -> Option<RecordedClass> {
         self.names.get(name).map(|index| RecordedClass::from(&self.all[*index]))
@@ -85,9 +90,10 @@
             Some(recorded) => self.version(&accepted.class, &ClassSettings::from(recorded)),
             None => *self.names.get(&accepted.class)?,
         };
-        let lacks_dedup = self.without_dedup.contains(&DestinationId(accepted.destination));
-        let unsafe_variant = self.unsafe_variants.get(&index).filter(|_| lacks_dedup);
-        Some(ClassId(unsafe_variant.copied().unwrap_or(index)))
+        // A receiver drops the repeat of a key that it sees.
+        let drops_repeats = !accepted.idempotency_key.is_empty()
+            && !self.without_dedup.contains(&DestinationId(accepted.destination));
+        Some(ClassId(if drops_repeats { index } else { self.without_repeats(index) }))
     }
 
     /// The span from submission to deadline of a message of this class that is accepted now.
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -231,6 +231,11 @@
         self.next_number - 1
     }
 
+    /// Whether receivers drop the repeat of a message of this class by its key.
+    pub fn is_keyed(&self, class: &str) -> bool {
+        self.classes.is_keyed(class)
+    }
+
     /// The current settings of the class with this name, for the record of a submission.
     pub fn current_class(&self, name: &str) -> Option<RecordedClass> {
         self.classes.current(name)
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -31,6 +31,10 @@
     }
     /// Accepts and logs a message of a class with this time left.
     fn accept_message(&mut self, class: &str, time_left_ms: u64) -> u64 {
+        self.accept_message_with_key(class, time_left_ms, "key")
+    }
+    /// The same for a message with this idempotency key.
+    fn accept_message_with_key(&mut self, class: &str, time_left_ms: u64, key: &str) -> u64 {
         let number = self.ledger.allocate_number();
         let deadline = self.now.plus(ms(time_left_ms));
         let message = AcceptedMessage {
@@ -39,6 +43,7 @@
             class: class.into(),
             destination: 1,
             deadline,
+            idempotency_key: key.to_owned(),
             ..AcceptedMessage::default()
         };
         self.log.push(Record::Accepted(message.clone()));
@@ -209,6 +214,26 @@
     assert_eq!(harness.final_statuses(100), [(number, FinalStatus::Failed)]);
 }
 
+/// Guards against a booking that takes effect twice: a receiver cannot drop the repeat of a message without a key.
+#[rstest]
+fn keyed_message_without_a_key_is_not_repeated(#[values(false, true)] restarts: bool) {
+    let mut harness = LedgerHarness::new(&[]);
+    let number = harness.accept_message_with_key("zoned", 20_000, "");
+    let call = harness.begin_attempt();
+    if restarts {
+        harness.restart(700, &[]);
+    } else {
+        harness.end_attempt(call, Verdict::Reset);
+    }
+    assert_eq!(harness.final_statuses(100), [(number, FinalStatus::Failed)]);
+    // Nothing has run: it may go anywhere.
+    let number = harness.accept_message_with_key("zoned", 20_000, "");
+    let call = harness.begin_attempt();
+    harness.end_attempt(call, Verdict::Full(None));
+    harness.now = harness.now.plus(ms(2000));
+    assert_eq!(harness.begin_attempt().0, number);
+}
+
 #[test]
 fn recorded_final_status_is_not_decided_again_after_a_restart() {
     let mut harness = LedgerHarness::new(&[]);
--- a/tower/src/lib.rs
+++ b/tower/src/lib.rs
@@ -24,6 +24,9 @@
     /// The destination that the request must be delivered to.
     fn destination(&self) -> DestinationId;
     /// Its class: an index into [`Settings::classes`].
+    ///
+    /// A request of a keyed class must hold a key by which its receivers drop a repeat: the middleware sends the request as
+    /// it is and does not look for one.
     fn class(&self) -> ClassId;
     /// Its tenant, if any.
     fn tenant(&self) -> Option<TenantId> {
