A response in pieces ends its call a quarter of a second behind its time at most

Cause: Conn::read_final_head gave each head a quarter of a second from its first byte on. Where a piece holds the rest of one interim head and the beginning of the next, the buffer is never empty, so the time of the call was not looked at.

Change: a connection knows when the response that is read last must have ended, a quarter of a second behind the time until which it may begin; heads, copies that are skipped, and bodies end by then. The body of an answer of discovery other than 200 is not read any more, as it could be endless and its connection is closed.

--- a/daemon/src/list/fetch.rs
+++ b/daemon/src/list/fetch.rs
@@ -111,6 +111,9 @@
 
     /// Reads the body in parts; also returns whether the connection can carry another call.
     async fn read(&self, conn: &mut Conn, response: &Response) -> Result<(FetchedList, bool), FetchError> {
+        if response.status != 200 {
+            return Err(FetchError::Unavailable(format!("answer {}", response.status)));
+        }
         let limits = &self.discovery.limits;
         let (most, memory_mb) = (limits.entries.0 as usize, limits.memory_mb.0);
         let mut entries = StagedList::new(most, memory_mb as usize * 1_000_000);
@@ -133,9 +136,6 @@
             }
             // Lets other actors run while a long response is read.
             future::yield_now().await;
-            if response.status != 200 {
-                continue;
-            }
             if text.len() <= MAX_LIST_UPDATE_BYTES {
                 text.extend_from_slice(part);
             }
@@ -150,9 +150,6 @@
                 })
             })?;
         }
-        if response.status != 200 {
-            return Err(FetchError::Unavailable(format!("answer {}", response.status)));
-        }
         let (generation, complete) = reader.finish()?;
         if text.len() > MAX_LIST_UPDATE_BYTES {
             text = Vec::new();
--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -15,8 +15,9 @@
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 
-/// Time limit for a response to end once it has begun.
-pub const RESPONSE_END_TIMEOUT: Micros = Micros(250_000);
+/// Time limit for a head, and for a body, to end once it has begun. No part of a response may come later than this behind
+/// the time until which the response may begin, into however many pieces and heads it is cut.
+const RESPONSE_END_TIMEOUT: Micros = Micros(250_000);
 /// Most interim (1xx) responses that are skipped before the final one.
 const MAX_INTERIM_RESPONSES: u32 = 32;
 /// Most copies of the first response that are skipped before the second one.
@@ -33,6 +34,8 @@
     buffer: Buffer,
     /// The first call has had its response, so that the second one is the last.
     answered_once: bool,
+    /// The response that is read last must have ended by then.
+    response_end: Micros,
     /// Responses that did not belong to the second call, and how many of them are skipped at most.
     skipped_copies: u32,
     most_copies: u32,
@@ -119,7 +122,15 @@
         let stream = Async::<TcpStream>::connect(address).await?;
         stream.get_ref().set_nodelay(true)?;
         let buffer = Buffer::new(buffer_limit);
-        Ok(Conn { stream, buffer, answered_once: false, skipped_copies: 0, most_copies: MAX_COPIES })
+        let response_end = Micros(u64::MAX);
+        Ok(Conn {
+            stream,
+            buffer,
+            answered_once: false,
+            response_end,
+            skipped_copies: 0,
+            most_copies: MAX_COPIES,
+        })
     }
 
     /// Whether the server has closed the connection or has sent unexpected bytes, which must not be taken
@@ -195,7 +206,7 @@
             if self.skipped_copies > self.most_copies {
                 return Err(ResponseError::Malformed("it does not confirm the connection's end".into()));
             }
-            let end_by = clock.now().plus(RESPONSE_END_TIMEOUT);
+            let end_by = self.part_end(clock.now());
             match clock.timeout_at(end_by, self.discard_body(&mut response)).await {
                 Some(Ok(_)) => {}
                 Some(Err(e)) => return Err(ResponseError::Malformed(e.to_string())),
@@ -204,10 +215,16 @@
         }
     }
 
+    /// When a head or a body that begins now must have ended.
+    pub fn part_end(&self, now: Micros) -> Micros {
+        now.plus(RESPONSE_END_TIMEOUT).min(self.response_end)
+    }
+
     /// Reads the head of a response. Its first byte may arrive until `deadline`; from then on the head must be
-    /// complete within `RESPONSE_END_TIMEOUT`. A first line with status 200 counts even if the rest of the
+    /// complete within `RESPONSE_END_TIMEOUT`, and so must all else of the response that comes after `deadline`. A first line with status 200 counts even if the rest of the
     /// head cannot be read.
     pub async fn read_head(&mut self, clock: &Clock, deadline: Micros) -> Result<Response, ResponseError> {
+        self.response_end = deadline.plus(RESPONSE_END_TIMEOUT);
         let response = self.read_final_head(clock, deadline).await?;
         self.answered_once = true;
         Ok(response)
@@ -222,7 +239,7 @@
                     .await
                     .unwrap_or(Err(ResponseError::TimedOut))?;
             }
-            let end_by = clock.now().plus(RESPONSE_END_TIMEOUT);
+            let end_by = self.part_end(clock.now());
             match clock.timeout_at(end_by, self.parse_head()).await {
                 Some(Ok(interim)) if (100..200).contains(&interim.status) => {}
                 Some(Ok(response)) => return Ok(response),
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -1,9 +1,7 @@
 //! The actor of one HTTP endpoint: its idle connections and the outbound calls over them.
 
 use super::MAX_HEAD_BYTES;
-use super::client::{
-    CLOSE_HEADER, Conn, RESPONSE_END_TIMEOUT, Response, ResponseError, RetryAfter, is_local_failure,
-};
+use super::client::{CLOSE_HEADER, Conn, Response, ResponseError, RetryAfter, is_local_failure};
 use super::idle::{Idle, IdleConnections, Returned};
 use super::reuse::STALE_BREAK_WITHIN;
 use crate::clock::Clock;
@@ -107,7 +105,7 @@
         // The first line of the response was enough for the verdict; the connection can be used again after
         // its end.
         (Some(mut response), Some(mut conn)) => {
-            let end_by = shared.clock.now().plus(RESPONSE_END_TIMEOUT);
+            let end_by = conn.part_end(shared.clock.now());
             let reusable = shared.clock.timeout_at(end_by, conn.discard_body(&mut response)).await;
             Some(conn).filter(|_| matches!(reusable, Some(Ok(true))))
         }
@@ -253,7 +251,7 @@
     }
     // That a call has not run is believed only from a complete response.
     if response.status != 200 {
-        let end_by = clock.now().plus(RESPONSE_END_TIMEOUT);
+        let end_by = conn.part_end(clock.now());
         match clock.timeout_at(end_by, conn.discard_body(&mut response)).await {
             Some(Ok(_)) => {}
             Some(Err(e)) => return malformed_response(shared, address, &e.to_string()),
--- a/daemon/src/net/http/endpoint/tests.rs
+++ b/daemon/src/net/http/endpoint/tests.rs
@@ -30,6 +30,11 @@
         self.start_call(id, body, true)
     }
     fn start_call(&self, id: &str, body: usize, unsafe_to_repeat: bool) -> Sender<()> {
+        self.start_call_with_timeout(id, body, unsafe_to_repeat, Micros(20_000_000))
+    }
+    fn start_call_with_timeout(
+        &self, id: &str, body: usize, unsafe_to_repeat: bool, timeout: Micros,
+    ) -> Sender<()> {
         let (cancel, cancelled) = bounded(1);
         let call = OutboundCall {
             endpoint: "e1".into(),
@@ -41,7 +46,7 @@
             frontend_note: String::new(),
             body: vec![b'x'; body],
             started: self.shared.clock.now(),
-            timeout: Micros(20_000_000),
+            timeout,
             unsafe_to_repeat,
             probe_path: None,
             cancellation: Some(cancelled),
@@ -128,6 +133,36 @@
     );
 }
 
+/// Guards against a response in pieces without end: the call ended seconds behind its time, and its message with it.
+#[rstest::rstest]
+#[case::interim_heads("HTTP/1.1 102 ", "X\r\n\r\nHTTP/1.1 102 ")]
+#[case::body("HTTP/1.1 503 X\r\nContent-Length: 1000\r\n\r\n", "x")]
+fn a_response_in_pieces_ends_its_call_in_time(#[case] first: &'static str, #[case] piece: &'static str) {
+    const TIMEOUT: Micros = Micros(500_000);
+    const ENDS_WITHIN: std::time::Duration = std::time::Duration::from_millis(300);
+    const PIECE_INTERVAL: std::time::Duration = std::time::Duration::from_millis(100);
+    let harness = Harness::new();
+    let started = std::time::Instant::now();
+    let _call = harness.start_call_with_timeout("pieces", 0, true, TIMEOUT);
+    harness.answer_permit_request(Ok(PERMIT));
+    let mut stream = harness.accept(&mut Vec::new(), "\r\n\r\n");
+    // The rest of an interim head and the beginning of the next one come in one piece.
+    let pieces = std::thread::spawn(move || {
+        std::thread::sleep(PIECE_INTERVAL * 4);
+        let mut sent = stream.write_all(first.as_bytes());
+        while sent.is_ok() {
+            std::thread::sleep(PIECE_INTERVAL);
+            sent = stream.write_all(piece.as_bytes());
+        }
+    });
+    let outcome = harness.next_outcome();
+    assert_eq!(outcome.verdict, Verdict::Error, "it may have run");
+    let late = started.elapsed().saturating_sub(std::time::Duration::from_micros(TIMEOUT.0));
+    assert!(late < ENDS_WITHIN, "{late:?} behind its time");
+    drop(harness);
+    pieces.join().unwrap();
+}
+
 /// An endpoint that is gone refuses the connect; one that runs with a full connection table answers and
 /// closes.
 #[test]
