A message that its receiver calls over is not reported as delivered

Cause: Ledger::end_attempt recorded each attempt that ends its message as a delivery. Clients over HTTP are told of neither, so SMPP alone showed it.

Change: behind such an answer the message is returned (REJECTD), or has failed (UNDELIV) if an earlier attempt, or another one that is out, may have run.

--- a/daemon/tests/harness/http.rs
+++ b/daemon/tests/harness/http.rs
@@ -73,8 +73,7 @@
 }
 
 /// Starts an endpoint that records each call as `ID key=KEY body=BODY` (a probe has the id `probe`, and a key that is the id
-/// is written as `the-id`), and
-/// keeps the connection under the id for the scenario's response.
+/// is written as `the-id`), and keeps the connection under the id, and under the name `last`, for the scenario's response.
 pub fn start_endpoint(recorder: PeerRecorder) -> SocketAddr {
     start_server(move |stream| {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
@@ -82,6 +81,7 @@
             let is_probe = first_line.starts_with("GET ");
             let id = if is_probe { "probe" } else { header_value(&headers, "x-request-id") };
             recorder.keep_stream(id, &stream);
+            recorder.keep_stream("last", &stream);
             let mut closing = recorder.closing.lock().unwrap();
             closing.remove(id);
             if header_value(&headers, "connection") == "close" {
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -57,13 +57,26 @@
     recovery_stats: RecoveryStats,
     /// Times of the timers that the policy engine requested.
     timers: BTreeSet<Micros>,
-    /// Delivered messages whose client is to be sent a receipt.
-    receipts: Vec<u64>,
+    /// Messages that their last attempt has ended and whose client is to be sent a receipt.
+    receipts: Vec<(u64, FinalStatus)>,
     /// Probes that the policy engine holds, with their destinations.
     probes: BTreeMap<u64, DestinationId>,
     actions: Vec<Action>,
 }
 
+/// The final status of a message that this attempt has ended: a delivery, or a response that nothing more is owed for a
+/// message that has not run there. Another attempt may have run all the same.
+fn final_status(message: &OpenMessage, ended: &AttemptOutcome) -> FinalStatus {
+    let others_in_flight = message.in_flight.keys().any(|attempt| *attempt != ended.attempt);
+    if ended.verdict == Verdict::Delivered {
+        FinalStatus::Delivered
+    } else if others_in_flight || message.first_possible_run.is_some() {
+        FinalStatus::Failed
+    } else {
+        FinalStatus::Returned(None)
+    }
+}
+
 impl Ledger {
     /// An empty ledger.
     ///
@@ -421,11 +434,12 @@
                 .get_mut(&ended.number)
                 .filter(|message| message.accepted.wants_receipt && message.final_status.is_none())
             {
-                message.final_status = Some(FinalStatus::Delivered);
+                let status = final_status(message, ended);
+                message.final_status = Some(status);
                 message.in_flight.clear();
                 self.with_final_status += 1;
-                self.receipts.push(ended.number);
-                return Some(Record::FinalStatus { number: ended.number, status: FinalStatus::Delivered });
+                self.receipts.push((ended.number, status));
+                return Some(Record::FinalStatus { number: ended.number, status });
             }
             return self.close(ended.number);
         }
@@ -477,7 +491,7 @@
         actions.extend(
             self.receipts
                 .drain(..)
-                .map(|number| LedgerAction::ReportFinalStatus { number, status: FinalStatus::Delivered }),
+                .map(|(number, status)| LedgerAction::ReportFinalStatus { number, status }),
         );
         for action in std::mem::take(&mut self.actions) {
             actions.extend(self.ledger_action(now, action));
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -31,21 +31,24 @@
     }
     /// Accepts and logs a message of a class with this time left.
     fn accept_message(&mut self, class: &str, time_left_ms: u64) -> u64 {
-        self.accept_message_with_key(class, time_left_ms, "key")
+        self.accept_edited_message(class, time_left_ms, |_| ())
     }
-    /// The same for a message with this idempotency key.
-    fn accept_message_with_key(&mut self, class: &str, time_left_ms: u64, key: &str) -> u64 {
+    /// The same for a message that is changed before it is accepted.
+    fn accept_edited_message(
+        &mut self, class: &str, time_left_ms: u64, edit: impl FnOnce(&mut AcceptedMessage),
+    ) -> u64 {
         let number = self.ledger.allocate_number();
         let deadline = self.now.plus(ms(time_left_ms));
-        let message = AcceptedMessage {
+        let mut message = AcceptedMessage {
             number,
             request_id: format!("m{number}"),
             class: class.into(),
             destination: 1,
             deadline,
-            idempotency_key: key.to_owned(),
+            idempotency_key: "key".to_owned(),
             ..AcceptedMessage::default()
         };
+        edit(&mut message);
         self.log.push(Record::Accepted(message.clone()));
         self.ledger.accept(self.now, message);
         number
@@ -74,7 +77,13 @@
         call
     }
     /// Ends an attempt after 100 ms and logs its outcome.
-    fn end_attempt(&mut self, (number, attempt, receiver): (u64, u32, ReceiverId), verdict: Verdict) {
+    fn end_attempt(&mut self, call: (u64, u32, ReceiverId), verdict: Verdict) {
+        self.end_attempt_and_message(call, verdict, false);
+    }
+    /// The same, with whether the receiver has said that the message is over.
+    fn end_attempt_and_message(
+        &mut self, (number, attempt, receiver): (u64, u32, ReceiverId), verdict: Verdict, finished: bool,
+    ) {
         let elapsed = ms(100);
         self.now = self.now.plus(elapsed);
         let outcome = AttemptOutcome {
@@ -83,7 +92,7 @@
             receiver,
             verdict,
             elapsed,
-            finished: false,
+            finished,
             load_report: (None, None),
             wait_until: Micros(0),
         };
@@ -218,7 +227,8 @@
 #[rstest]
 fn keyed_message_without_a_key_is_not_repeated(#[values(false, true)] restarts: bool) {
     let mut harness = LedgerHarness::new(&[]);
-    let number = harness.accept_message_with_key("zoned", 20_000, "");
+    let without_key = |message: &mut AcceptedMessage| message.idempotency_key.clear();
+    let number = harness.accept_edited_message("zoned", 20_000, without_key);
     let call = harness.begin_attempt();
     if restarts {
         harness.restart(700, &[]);
@@ -227,7 +237,7 @@
     }
     assert_eq!(harness.final_statuses(100), [(number, FinalStatus::Failed)]);
     // Nothing has run: it may go anywhere.
-    let number = harness.accept_message_with_key("zoned", 20_000, "");
+    let number = harness.accept_edited_message("zoned", 20_000, without_key);
     let call = harness.begin_attempt();
     harness.end_attempt(call, Verdict::Full(None));
     harness.now = harness.now.plus(ms(2000));
@@ -271,6 +281,25 @@
     assert_eq!(harness.final_statuses(10), [(number + 1, FinalStatus::Delivered)]);
 }
 
+/// Guards against a receipt that says delivered where the receiver said that the message is over and has not run.
+#[rstest]
+#[case::nothing_has_run(None, FinalStatus::Returned(None))]
+#[case::an_earlier_attempt_may_have_run(Some(Verdict::Reset), FinalStatus::Failed)]
+fn message_that_its_receiver_calls_over_is_not_reported_as_delivered(
+    #[case] earlier: Option<Verdict>, #[case] status: FinalStatus,
+) {
+    let mut harness = LedgerHarness::new(&[]);
+    let number = harness.accept_edited_message("safe", 20_000, |message| message.wants_receipt = true);
+    if let Some(verdict) = earlier {
+        let call = harness.begin_attempt();
+        harness.end_attempt(call, verdict);
+        harness.now = harness.now.plus(ms(2000));
+    }
+    let call = harness.begin_attempt();
+    harness.end_attempt_and_message(call, Verdict::Moot, true);
+    assert_eq!(harness.final_statuses(10), [(number, status)]);
+}
+
 #[test]
 fn attempt_of_an_ended_message_is_not_recorded() {
     let mut harness = LedgerHarness::new(&[]);
