A zone file that was cut short leaves the kept zone in use

A file that broke off within a name was read, and took endpoints out.

Cause: DnsServer::open read the configured file first and returned its error. A zone was kept with an update only.

Change: each start keeps the zone that it serves. A file that cannot be read, or whose last line does not end, leaves the kept zone in use; the log and status say so. Without a kept zone all is as before.

Open: a file cut between two records; the line of the fault is not named.

--- a/daemon/src/core_actor/endpoint_list.rs
+++ b/daemon/src/core_actor/endpoint_list.rs
@@ -156,7 +156,8 @@
         }
         self.shared.counters.list_old.set(0);
         self.shared.counters.listed.set(self.directory.listed_endpoint_count());
-        *self.shared.list_state.borrow_mut() = ListState::Current;
+        *self.shared.list_state.borrow_mut() =
+            self.shared.list_fault.borrow().clone().map_or(ListState::Current, ListState::Outdated);
         self.ledger.on_list_event(now, Event::ListChanges(Vec::new()));
         self.set_list_generation(now, Some(generation));
     }
--- a/daemon/src/list/dns.rs
+++ b/daemon/src/list/dns.rs
@@ -12,7 +12,7 @@
 use onyxrock::interface::Micros;
 use onyxrock_roster::StagedList;
 use std::net::{SocketAddr, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 /// Largest copy of the zone that is kept in the state folder, where it needs twice that space while a new
@@ -40,32 +40,39 @@
     pub names: NameIndex,
     /// Receives updates.
     pub socket: Async<UdpSocket>,
+    /// Why the configured zone file is not in use, although it may be the latest.
+    pub file_fault: Option<String>,
     folder: PathBuf,
     max_bytes: u64,
 }
 
 impl DnsServer {
     /// Opens the socket and reads the zone: the one that an earlier process kept, if it is later than the
-    /// configured one.
+    /// configured one or that cannot be read whole.
+    ///
+    /// # Errors
+    /// There is no zone to serve, or the socket cannot be opened.
     pub fn open(
         text: &str, origin: &str, listen: SocketAddr, folder: PathBuf, max_bytes: u64, names: NameIndex,
     ) -> Result<DnsServer, String> {
-        let mut zone = Zone::parse(text, origin)?;
-        if let Ok(stored) = std::fs::read(folder.join(STORED_ZONE_FILE)) {
-            match stored_zone::decode(&stored, origin) {
-                Ok((stored, left_out)) if is_later(&stored, &zone) => {
-                    left_out.iter().for_each(|line| tracing::error!("dns: stored record left out: {line}"));
-                    zone = stored;
-                }
-                Ok(_) => {}
-                Err(e) => {
-                    tracing::error!("dns: cannot read the stored zone, using the configured one: {e}");
-                }
+        let (zone, file_fault) = match (parse_whole(text, origin), read_stored(&folder, origin)) {
+            (Ok(configured), Some(stored)) if is_later(&stored, &configured) => (stored, None),
+            (Ok(configured), _) => (configured, None),
+            (Err(fault), Some(stored)) => {
+                tracing::error!("dns: the zone file is not used, the stored zone is: {fault}");
+                (stored, Some(fault))
             }
-        }
+            // There is nothing else to serve.
+            (Err(_), None) => (Zone::parse(text, origin)?, None),
+        };
         let socket = Async::<UdpSocket>::bind(listen)
             .map_err(|e| format!("cannot listen on {listen} for DNS: {e}"))?;
-        Ok(DnsServer { zone, names, socket, folder, max_bytes })
+        let server = DnsServer { zone, names, socket, file_fault, folder, max_bytes };
+        // A later start can serve it if the file is cut short by then.
+        if let Err(e) = server.store() {
+            tracing::warn!("dns: cannot store the zone: {e}");
+        }
+        Ok(server)
     }
 
     /// The generation and the entries of the complete list.
@@ -127,6 +134,30 @@
     }
 }
 
+/// Reads a zone file.
+///
+/// # Errors
+/// It cannot be read, or ends within a line and may have been cut short there.
+fn parse_whole(text: &str, origin: &str) -> Result<Zone, String> {
+    let zone = Zone::parse(text, origin).map_err(|e| format!("the zone file cannot be read: {e}"))?;
+    if text.ends_with('\n') { Ok(zone) } else { Err("the last line of the zone file does not end".into()) }
+}
+
+/// The zone that an earlier process kept, if there is one that can be read.
+fn read_stored(folder: &Path, origin: &str) -> Option<Zone> {
+    let stored = std::fs::read(folder.join(STORED_ZONE_FILE)).ok()?;
+    match stored_zone::decode(&stored, origin) {
+        Ok((zone, left_out)) => {
+            left_out.iter().for_each(|line| tracing::error!("dns: stored record left out: {line}"));
+            Some(zone)
+        }
+        Err(e) => {
+            tracing::error!("dns: cannot read the stored zone: {e}");
+            None
+        }
+    }
+}
+
 /// Whether a zone has a later serial number than another, which wraps around (RFC 1982).
 fn is_later(zone: &Zone, other: &Zone) -> bool {
     zone.serial().wrapping_sub(other.serial()) as i32 > 0
--- a/daemon/src/list/dns/tests.rs
+++ b/daemon/src/list/dns/tests.rs
@@ -32,6 +32,31 @@
 
 const ORIGIN: &str = "partners.example.";
 
+/// Guards against a start that fails, or that loses endpoints, because the zone file has been cut short.
+#[rstest]
+#[case::within_a_record("e2 60 IN A 127.0.\n")]
+#[case::within_a_name("_onyxrock._tcp.2 60 IN SRV 0 50 7070 n")]
+fn zone_file_that_was_cut_short_leaves_the_stored_zone_in_use(#[case] last_line: &str) {
+    let folder =
+        std::env::temp_dir().join(format!("onyxrock-cut-{}-{}", last_line.len(), std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let open = |text: &str| {
+        let listen = ([127, 0, 0, 1], 0).into();
+        DnsServer::open(text, ORIGIN, listen, folder.clone(), 1 << 16, NameIndex::default())
+    };
+    let whole = format!("{ZONE}_onyxrock._tcp.1 60 IN SRV 0 50 7070 ns\n");
+    let stored = stored_zone::encode(&open(&whole).unwrap().zone);
+    let later = format!("{}{last_line}", ZONE.replace("admin 7 ", "admin 8 "));
+    let server = open(&later).unwrap();
+    assert_eq!((stored_zone::encode(&server.zone), server.list().1.len()), (stored, 1));
+    assert!(server.file_fault.is_some());
+    // The whole file is in use again.
+    let server = open(&whole.replace("admin 7 ", "admin 9 ")).unwrap();
+    assert_eq!((server.zone.serial(), server.file_fault), (9, None));
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(open(&later).is_ok(), !last_line.ends_with('\n'), "without a stored zone");
+}
+
 /// An update that adds these records.
 fn update(id: u16, records: Vec<Record>) -> Vec<u8> {
     let mut message = Message::new(id, MessageType::Query, OpCode::Update);
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -52,6 +52,8 @@
     pub taking_over: Cell<bool>,
     /// State of the endpoint list in use.
     pub list_state: std::cell::RefCell<ListState>,
+    /// Why the list may be outdated although it has come.
+    pub list_fault: std::cell::RefCell<Option<String>>,
     /// When discovery last answered, or when the process started.
     pub list_answered_at: Cell<Micros>,
     /// Address of discovery, which serves the endpoint list and receives the final statuses. A reload of
@@ -104,6 +106,7 @@
             stopping: Cell::new(false),
             taking_over: Cell::new(false),
             list_state: Default::default(),
+            list_fault: Default::default(),
             list_answered_at: Cell::default(),
             discovery: Cell::new(([127, 0, 0, 1], 1).into()),
             connect_timeout: Micros(1_000_000),
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -126,6 +126,7 @@
         stopping: Cell::new(false),
         taking_over: Cell::new(false),
         list_state: Default::default(),
+        list_fault: Default::default(),
         list_answered_at: Cell::default(),
         discovery: Cell::new(config.discovery),
         connect_timeout: config.connect_timeout,
@@ -255,6 +256,7 @@
         )
     });
     let zone = zone.transpose()?;
+    shared.list_fault.replace(zone.as_ref().and_then(|zone| zone.file_fault.clone()));
     // In a large fleet a starting process asks only for changes: sending a complete list to each keeps
     // discovery busy for seconds, in which it answers no other call.
     let known_generation =
--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -435,6 +435,10 @@
                 self.dns_enabled = true;
                 Ok(())
             }
+            ["given", "zone", "line", words @ ..] => {
+                self.add_zone_lines(&(words.join(" ") + "\n"));
+                Ok(())
+            }
             // Clients that connect and send nothing.
             ["given", "silent", count] => {
                 for index in 0..count.parse().map_err(|_| "the number of clients is not a number")? {
