Receipts that a client does not acknowledge take no room of others

Change: the ledger counts the receipts that each tenant's clients owe an acknowledgement for. Messages without receipts, and those of other tenants, are not affected. The bound is the operators' own.

--- a/daemon/tests/bad_clients.rs
+++ b/daemon/tests/bad_clients.rs
@@ -238,6 +238,7 @@
 #[case::many_short_fields(bind_pdu("office"), submission_of_short_fields())]
 #[case::unbound(Vec::new(), encode_pdu(0x04, 0, 1, &[0; 17]))]
 #[case::new_system_ids(Vec::new(), bind_pdu("x#"))]
+#[case::receipts_that_nobody_acknowledges(bind_pdu("office"), submission_with_fields(&[]))]
 fn others_are_answered_beside_a_flood_of_pdus(#[case] first: Vec<u8>, #[case] then: Vec<u8>) {
     let harness = started_daemon();
     let address = harness.addresses().smpp.unwrap();
@@ -250,6 +251,25 @@
     assert_others_are_served(&seen, peak);
 }
 
+/// Guards against messages of others that are refused, because the receipts of a client that acknowledges none fill the
+/// folder.
+#[test]
+fn others_are_accepted_beside_a_client_that_acknowledges_no_receipts() {
+    let mut harness = Harness::default();
+    harness.add_accepting_endpoint("e1", "1", Arc::default());
+    for line in ["given limit disk_mb=0.3", "given setting limits.maxOpen=100", "send daemon start"] {
+        run_step(&mut harness, line);
+    }
+    let address = harness.addresses().smpp.unwrap();
+    let (seen, _) = measure(&harness, |stop| {
+        let next = |n| if n == 0 { bind_pdu("office") } else { submission_with_fields(&[]) };
+        vec![pressure::flood(address, next, stop)]
+    });
+    println!("{seen:?}, {}", harness.counters()["refused_full"]);
+    let others = harness.http_client().submit_all(&["status id=small dest=1".to_owned()]);
+    assert_eq!((others, harness.counters()["refused_log"].as_u64()), (1, Some(0)), "{seen:?}");
+}
+
 #[rstest]
 #[case::status("status\n")]
 #[case::unknown_call("x#\n")]
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -52,6 +52,8 @@
     request_ids: RecentIds,
     /// Number of open messages that have a final status.
     with_final_status: usize,
+    /// How many of them wait for a client of each tenant to acknowledge their receipt.
+    unacknowledged: BTreeMap<String, usize>,
     /// Messages of an earlier process that have had no attempt yet.
     untried: BTreeSet<u64>,
     recovery_stats: RecoveryStats,
@@ -100,6 +102,7 @@
             attempts: BTreeMap::new(),
             next_number: 1,
             with_final_status: 0,
+            unacknowledged: BTreeMap::new(),
             untried: BTreeSet::new(),
             recovery_stats: RecoveryStats::default(),
             timers: BTreeSet::new(),
@@ -179,6 +182,11 @@
     pub fn is_full(&self) -> bool {
         self.held_count() >= self.max_held
     }
+    /// Whether no further message with a receipt may be accepted for this tenant: its clients have as many receipts to
+    /// acknowledge as messages may be held, and those take the room of others.
+    pub fn is_full_of_receipts(&self, tenant: &str) -> bool {
+        self.unacknowledged.get(tenant).is_some_and(|count| *count >= self.max_held)
+    }
     /// Whether an attempt in flight may be cancelled.
     pub fn can_cancel_attempts(&self) -> bool {
         self.allow_cancel
@@ -318,8 +326,11 @@
             }
         }
         self.attempts.insert(number, open.attempts);
+        let status = open.final_status;
         self.open.insert(number, open);
-        self.with_final_status += usize::from(has_final_status);
+        if let Some(status) = status {
+            self.note_final_status(number, status);
+        }
         match message {
             _ if has_final_status => {}
             Some(message) => {
@@ -435,9 +446,8 @@
                 .filter(|message| message.accepted.wants_receipt && message.final_status.is_none())
             {
                 let status = final_status(message, ended);
-                message.final_status = Some(status);
                 message.in_flight.clear();
-                self.with_final_status += 1;
+                self.note_final_status(ended.number, status);
                 self.receipts.push((ended.number, status));
                 return Some(Record::FinalStatus { number: ended.number, status });
             }
@@ -460,7 +470,7 @@
     pub fn close(&mut self, number: u64) -> Option<Record> {
         let message = self.open.remove(&number)?;
         self.request_ids.message_closed(RequestIdDigest::of(&message.accepted.request_id));
-        self.with_final_status -= usize::from(message.final_status.is_some());
+        self.forget_final_status(&message);
         self.untried.remove(&number);
         self.attempts.remove(&number);
         self.class_of.remove(&number);
@@ -560,11 +570,10 @@
     }
 
     fn set_final_status(&mut self, now: Micros, number: u64, status: FinalStatus) -> Option<LedgerAction> {
-        let message = self.open.get_mut(&number).filter(|message| message.final_status.is_none())?;
-        message.final_status = Some(status);
-        self.with_final_status += 1;
+        let message = self.open.get(&number).filter(|message| message.final_status.is_none())?;
+        let expired = now.plus(EXPIRY_MARGIN) >= message.accepted.deadline;
+        self.note_final_status(number, status);
         if self.untried.remove(&number) {
-            let expired = now.plus(EXPIRY_MARGIN) >= message.accepted.deadline;
             *(if expired {
                 &mut self.recovery_stats.expired_unattempted
             } else {
@@ -573,4 +582,29 @@
         }
         Some(LedgerAction::ReportFinalStatus { number, status })
     }
+
+    /// Notes the final status of an open message, which had none here.
+    fn note_final_status(&mut self, number: u64, status: FinalStatus) {
+        let Some(message) = self.open.get_mut(&number) else { return };
+        message.final_status = Some(status);
+        self.with_final_status += 1;
+        if message.accepted.wants_receipt {
+            *self.unacknowledged.entry(message.accepted.tenant.clone()).or_default() += 1;
+        }
+    }
+
+    /// A message is not open any more.
+    fn forget_final_status(&mut self, message: &OpenMessage) {
+        if message.final_status.is_none() {
+            return;
+        }
+        self.with_final_status -= 1;
+        let tenant = &message.accepted.tenant;
+        if let Some(count) = self.unacknowledged.get_mut(tenant).filter(|_| message.accepted.wants_receipt) {
+            *count -= 1;
+            if *count == 0 {
+                self.unacknowledged.remove(tenant);
+            }
+        }
+    }
 }
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -300,6 +300,30 @@
     assert_eq!(harness.final_statuses(10), [(number, status)]);
 }
 
+/// Guards against a client that acknowledges no receipt and takes the room of all others.
+#[test]
+fn receipts_that_nobody_acknowledges_are_bounded_for_each_tenant() {
+    let mut harness = LedgerHarness::new(&[]);
+    let max_held = settings().max_held as usize;
+    let receipt_of = |tenant: &str| {
+        let tenant = tenant.to_owned();
+        move |message: &mut AcceptedMessage| (message.wants_receipt, message.tenant) = (true, tenant)
+    };
+    let mut last = 0;
+    for _ in 0..max_held {
+        assert!(!harness.ledger.is_full_of_receipts("a"));
+        last = harness.accept_edited_message("safe", 20_000, receipt_of("a"));
+        let call = harness.begin_attempt();
+        harness.end_attempt(call, Verdict::Delivered);
+    }
+    let full = |harness: &LedgerHarness| ["a", "b"].map(|tenant| harness.ledger.is_full_of_receipts(tenant));
+    assert_eq!((full(&harness), harness.ledger.is_full()), ([true, false], false));
+    let receipts = harness.restart(10, &[]);
+    assert_eq!((receipts, full(&harness)), (max_held, [true, false]));
+    harness.ledger.close(last);
+    assert_eq!(full(&harness), [false, false]);
+}
+
 #[test]
 fn attempt_of_an_ended_message_is_not_recorded() {
     let mut harness = LedgerHarness::new(&[]);
