Requests of HTTP clients are parsed in a module of their own

net/http/inbound.rs had grown to 680 lines with two jobs: the connection of a client, and what a request is. No behaviour changes; the tests of the daemon's library, the scenarios and departed_clients pass.

--- a/daemon/src/net/http/mod.rs
+++ b/daemon/src/net/http/mod.rs
@@ -5,6 +5,7 @@
 pub mod endpoint;
 mod idle;
 pub mod inbound;
+pub mod request;
 pub mod reuse;
 
 /// Largest body of a request or a response, in bytes.
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -6,7 +6,7 @@
 use crate::list::{self, DiscoveryParams, dns};
 use crate::maintenance;
 use crate::net::SharedState;
-use crate::net::http::inbound;
+use crate::net::http::{inbound, request};
 use crate::net::input_budget::{FREE_BYTES, InputBudget};
 use crate::net::mgmt;
 use crate::net::smpp;
@@ -143,7 +143,7 @@
     let (notice_target_changed, notice_target_changes) = bounded(1);
     let (http_notices, http_notice_inbox) = bounded(1024);
     let (smpp_notices, smpp_notice_inbox) = bounded(1024);
-    let frontends = BTreeMap::from([(inbound::FRONTEND_ID, http_notices), (smpp::FRONTEND_ID, smpp_notices)]);
+    let frontends = BTreeMap::from([(request::FRONTEND_ID, http_notices), (smpp::FRONTEND_ID, smpp_notices)]);
     let slots = (config.settings.slots as usize).min(4096);
     let (poll_interval, large_fleet) = (config.settings.list_poll_interval, config.settings.large_fleet());
     // Whether the call limit of discovery has room for two calls: one that shows whether discovery responds,
