A receipt that is not acknowledged goes to another session of its client

Cause: receipts::run passed a receipt to the oldest session with room and to no other until that had ended.

Change: the session that was bound last is first. A session that has not acknowledged a receipt after 2 s counts as silent until it acknowledges one; the receipt goes to another session as well, to a silent one last, to none twice. The first acknowledgement ends it. The client of a receipt is read from its note once, and not with each event.

--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -282,7 +282,8 @@
     /// Reports a receipt as acknowledged; a response with an error status counts as well.
     async fn on_receipt_response(&mut self, sequence: u32) -> bool {
         if let Some(number) = self.unacknowledged.remove(&sequence) {
-            let _ = self.frontend.receipts.send(ToReceipts::Acknowledged(number)).await;
+            let acknowledged = ToReceipts::Acknowledged { number, session: self.number };
+            let _ = self.frontend.receipts.send(acknowledged).await;
         }
         true
     }
--- a/daemon/src/net/smpp/receipts.rs
+++ b/daemon/src/net/smpp/receipts.rs
@@ -18,6 +18,9 @@
 
 /// Time after a message's deadline for which its receipt is kept if no session binds or acknowledges it.
 const KEEP_AFTER_DEADLINE: Micros = Micros(60_000_000);
+/// A session that has not acknowledged a receipt by then is taken for silent, and another session of its client gets the
+/// receipt as well.
+const ACKNOWLEDGEMENT_TIMEOUT: Micros = Micros(2_000_000);
 /// How often receipts that no session holds are offered again.
 const OFFER_INTERVAL: Micros = Micros(250_000);
 
@@ -28,21 +31,57 @@
     Bound { session: u64, system_id: String, mailbox: Sender<StatusNotice> },
     /// The session with this number has ended.
     Closed(u64),
-    /// The client has acknowledged the receipt of the message with this ledger number.
-    Acknowledged(u64),
+    /// The client has acknowledged the receipt of the message with this ledger number over a session.
+    Acknowledged { number: u64, session: u64 },
 }
 
 /// A bound session that receives receipts.
 struct Session {
     system_id: String,
     mailbox: Sender<StatusNotice>,
+    /// It has left a receipt unacknowledged, and has acknowledged none since.
+    silent: bool,
+}
+
+/// A receipt that no session has acknowledged.
+struct PendingReceipt {
+    notice: StatusNotice,
+    /// The client that is to get it.
+    system_id: String,
+    /// The sessions that have it, each with the time at which it was passed to them, the latest last.
+    passed_to: Vec<(u64, Micros)>,
+}
+
+impl PendingReceipt {
+    fn new(notice: StatusNotice) -> PendingReceipt {
+        let system_id = MessageNote::decode(&notice.frontend_note).system_id;
+        PendingReceipt { notice, system_id, passed_to: Vec::new() }
+    }
+
+    /// Passes the receipt to a session of its client that does not have it, a silent one last. The session that was
+    /// bound last is the likeliest to be there.
+    fn pass_on(&mut self, now: Micros, sessions: &BTreeMap<u64, Session>) {
+        let has_it = |id: &u64| self.passed_to.iter().any(|(session, _)| session == id);
+        let of_client = sessions.iter().rev().filter(|(id, s)| s.system_id == self.system_id && !has_it(id));
+        let (silent, sound): (Vec<_>, Vec<_>) = of_client.partition(|(_, session)| session.silent);
+        let taken_by = sound
+            .into_iter()
+            .chain(silent)
+            .find(|(_, session)| session.mailbox.try_send(self.notice.clone()).is_ok());
+        self.passed_to.extend(taken_by.map(|(id, _)| (*id, now)));
+    }
+
+    /// The session that got the receipt last, if it has had it for too long.
+    fn silent_holder(&self, now: Micros) -> Option<u64> {
+        let (session, at) = self.passed_to.last()?;
+        (now >= at.plus(ACKNOWLEDGEMENT_TIMEOUT)).then_some(*session)
+    }
 }
 
 /// Passes receipts to sessions of their clients until they are acknowledged.
 pub async fn run(shared: Rc<SharedState>, notices: Receiver<StatusNotice>, sessions: Receiver<ToReceipts>) {
     let mut bound_sessions: BTreeMap<u64, Session> = BTreeMap::new();
-    // Each receipt with the session that it was passed to.
-    let mut pending: BTreeMap<u64, (StatusNotice, Option<u64>)> = BTreeMap::new();
+    let mut pending: BTreeMap<u64, PendingReceipt> = BTreeMap::new();
     loop {
         let notice = async { notices.recv().await.ok().map(|notice| (Some(notice), None)) };
         let session = async { sessions.recv().await.ok().map(|event| (None, Some(event))) };
@@ -54,43 +93,44 @@
         };
         let Some((notice, session)) = future::or(future::or(notice, session), offer).await else { return };
         if let Some(notice) = notice {
-            pending.insert(notice.number, (notice, None));
+            pending.insert(notice.number, PendingReceipt::new(notice));
         }
         match session {
             Some(ToReceipts::Bound { session, system_id, mailbox }) => {
-                bound_sessions.insert(session, Session { system_id, mailbox });
+                bound_sessions.insert(session, Session { system_id, mailbox, silent: false });
             }
             Some(ToReceipts::Closed(session)) => {
                 bound_sessions.remove(&session);
-                pending
-                    .values_mut()
-                    .filter(|entry| entry.1 == Some(session))
-                    .for_each(|entry| entry.1 = None);
+                let is_other = |(id, _): &mut (u64, Micros)| *id != session;
+                pending.values_mut().for_each(|receipt| receipt.passed_to.retain_mut(is_other));
             }
-            Some(ToReceipts::Acknowledged(number)) if pending.remove(&number).is_some() => {
-                shared.counters.smpp_receipts.increment();
-                let _ = shared.core.send(CoreMessage::NoticeDelivered(number)).await;
+            Some(ToReceipts::Acknowledged { number, session }) => {
+                bound_sessions.entry(session).and_modify(|session| session.silent = false);
+                if pending.remove(&number).is_some() {
+                    shared.counters.smpp_receipts.increment();
+                    let _ = shared.core.send(CoreMessage::NoticeDelivered(number)).await;
+                }
             }
-            _ => {}
-        }
-        for (notice, session) in pending.values_mut().filter(|entry| entry.1.is_none()) {
-            let system_id = MessageNote::decode(&notice.frontend_note).system_id;
-            let candidates = bound_sessions.iter().filter(|(_, s)| s.system_id == system_id);
-            *session = candidates
-                .into_iter()
-                .find(|(_, s)| s.mailbox.try_send(notice.clone()).is_ok())
-                .map(|(id, _)| *id);
+            None => {}
         }
         let now = shared.clock.now();
+        for receipt in pending.values_mut() {
+            let silent_holder = receipt.silent_holder(now);
+            if let Some(session) = silent_holder {
+                bound_sessions.entry(session).and_modify(|session| session.silent = true);
+            }
+            if receipt.passed_to.is_empty() || silent_holder.is_some() {
+                receipt.pass_on(now, &bound_sessions);
+            }
+        }
         // Also applies to a receipt that a session holds and never acknowledges: nothing else would remove
         // it.
-        let is_expired =
-            |entry: &(StatusNotice, Option<u64>)| now > entry.0.deadline.plus(KEEP_AFTER_DEADLINE);
+        let is_expired = |receipt: &PendingReceipt| now > receipt.notice.deadline.plus(KEEP_AFTER_DEADLINE);
         let expired: Vec<_> =
-            pending.iter().filter(|(_, entry)| is_expired(entry)).map(|(number, _)| *number).collect();
+            pending.iter().filter(|(_, receipt)| is_expired(receipt)).map(|(number, _)| *number).collect();
         for number in expired {
             tracing::warn!(
-                request = %pending[&number].0.request_id,
+                request = %pending[&number].notice.request_id,
                 "smpp: receipt not acknowledged in time, dropped"
             );
             pending.remove(&number);
--- a/daemon/tests/harness/http.rs
+++ b/daemon/tests/harness/http.rs
@@ -80,14 +80,14 @@
         while let Some((first_line, headers, body)) = read_message(&mut reader) {
             let is_probe = first_line.starts_with("GET ");
             let id = if is_probe { "probe" } else { header_value(&headers, "x-request-id") };
-            recorder.keep_stream(id, &stream);
-            recorder.keep_stream("last", &stream);
-            let mut closing = recorder.closing.lock().unwrap();
-            closing.remove(id);
-            if header_value(&headers, "connection") == "close" {
-                closing.insert(id.to_owned());
+            for name in [id, "last"] {
+                recorder.keep_stream(name, &stream);
+                let mut closing = recorder.closing.lock().unwrap();
+                closing.remove(name);
+                if header_value(&headers, "connection") == "close" {
+                    closing.insert(name.to_owned());
+                }
             }
-            drop(closing);
             let key = match header_value(&headers, "idempotency-key") {
                 key if !key.is_empty() && key == id => "the-id",
                 key => key,
