--- a/daemon/src/core_actor/takeover.rs
+++ b/daemon/src/core_actor/takeover.rs
@@ -72,7 +72,9 @@
     pub(super) fn end_overdue_messages(&mut self, now: Micros, sibling_log: &Path) {
         let ended = overdue_messages(sibling_log, now).and_then(|overdue| self.copy_messages(overdue));
         if let Err(e) = ended {
-            tracing::error!("log: overdue messages of another process could not be ended: {e}");
+            tracing::error!(
+                "log: overdue messages of another process could not be ended, they end once it is gone: {e}"
+            );
         }
     }
 
--- a/daemon/src/list/dns.rs
+++ b/daemon/src/list/dns.rs
@@ -72,7 +72,7 @@
         let server = DnsServer { zone, names, socket, file_fault, folder, max_bytes };
         // A later start can serve it if the file is cut short by then.
         if let Err(e) = server.store() {
-            tracing::warn!("dns: cannot store the zone: {e}");
+            tracing::warn!("dns: cannot store the zone, a later start has the zone file alone: {e}");
         }
         Ok(server)
     }
@@ -163,7 +163,7 @@
             Some(zone)
         }
         Err(e) => {
-            tracing::error!("dns: cannot read the stored zone: {e}");
+            tracing::error!("dns: cannot read the stored zone, the zone file alone is used: {e}");
             None
         }
     }
--- a/daemon/src/net/http/client.rs
+++ b/daemon/src/net/http/client.rs
@@ -221,8 +221,8 @@
     }
 
     /// Reads the head of a response. Its first byte may arrive until `deadline`; from then on the head must be
-    /// complete within `RESPONSE_END_TIMEOUT`, and so must all else of the response that comes after `deadline`. A first line with status 200 counts even if the rest of the
-    /// head cannot be read.
+    /// complete within `RESPONSE_END_TIMEOUT`, and so must all else of the response that comes after `deadline`.
+    /// A first line with status 200 counts even if the rest of the head cannot be read.
     pub async fn read_head(&mut self, clock: &Clock, deadline: Micros) -> Result<Response, ResponseError> {
         self.response_end = deadline.plus(RESPONSE_END_TIMEOUT);
         let response = self.read_final_head(clock, deadline).await?;
--- a/daemon/src/sibling.rs
+++ b/daemon/src/sibling.rs
@@ -91,11 +91,13 @@
         match self.sibling_log.has_overdue(self.shared.clock.now()) {
             Ok(false) => {}
             Ok(true) => {
-                tracing::warn!("another process of this forwarder does not end its messages: it hangs");
+                tracing::warn!(
+                    "another process of this forwarder hangs: its overdue messages are ended here"
+                );
                 let [sibling_log, _] = self.claim.other_logs();
                 let _ = self.shared.core.send(CoreMessage::EndOverdue(sibling_log)).await;
             }
-            Err(e) => tracing::warn!("log: the log of another process cannot be read: {e}"),
+            Err(e) => tracing::warn!("log: the log of another process cannot be read, will be retried: {e}"),
         }
     }
 
