--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -1,5 +1,6 @@
 //! The counters of a forwarder.
 
+use crate::resource_usage::ResourceUsage;
 use serde_json::{Value, json};
 use std::cell::Cell;
 
@@ -50,6 +51,8 @@
     requests_read, requests_answered, requests_abandoned,
     // why a client connection was closed
     closed_by_client, closed_quiet, closed_ending, closed_by_error,
+    // requests that did not end in time, and those beyond a bound on their length: both are closed by error as well
+    requests_timed_out, requests_too_large,
     // why a submission was refused at once
     refused_full, refused_memory, refused_ending, refused_late, refused_no_list, refused_unlisted, refused_log,
     // recovered messages without an attempt: their number, and what became of them
@@ -74,6 +77,18 @@
     operator_calls, operator_calls_refused, maintenance,
     // duties shared with other members
     probes, probes_refused, notes_told, notes_heard, notes_unknown, leases_won, lead_epoch, fence_refused,
+    // memory, files in the state folder (which count as memory) and descriptors, as the system counts them
+    memory_bytes, memory_peak_bytes, file_bytes, descriptors,
     // SMPP
     smpp_sessions, smpp_bad_pdus, smpp_receipts, smpp_receipts_lost,
 }
+
+impl Counters {
+    /// Sets the gauges of what this process uses.
+    pub fn set_resource_usage(&self, usage: &ResourceUsage) {
+        self.memory_bytes.set(usage.resident_bytes as usize);
+        self.memory_peak_bytes.set(usage.peak_resident_bytes as usize);
+        self.file_bytes.set(usage.file_bytes as usize);
+        self.descriptors.set(usage.descriptors as usize);
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod maintenance;
 pub mod net;
 pub mod notices;
+pub mod resource_usage;
 pub mod serve;
 pub mod shared_ids;
 pub mod shared_waits;
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -191,6 +191,12 @@
                 NextInput::Invalid(ClientError(status, reason)) => {
                     counters.closed_by_error.increment();
                     counters.bad_requests.increment();
+                    match status {
+                        408 => counters.requests_timed_out.increment(),
+                        413 | 431 => counters.requests_too_large.increment(),
+                        _ => {}
+                    }
+                    tracing::debug!(status, reason, "connection closed: its request cannot be read");
                     let _ = self.respond(status, None, reason, true).await;
                     return self.discard_input().await;
                 }
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -11,6 +11,7 @@
 use crate::net::mgmt;
 use crate::net::smpp;
 use crate::notices;
+use crate::resource_usage::{self, ResourceUsage};
 use crate::shared_ids;
 use crate::sibling;
 use crate::startup::{OpenedState, open_folder};
@@ -330,7 +331,11 @@
     executor.spawn(core.run(core_inbox)).detach();
 
     let state_folder = claim.folder.clone();
+    executor
+        .spawn(resource_usage::watch(shared.clone(), state_folder.clone(), config.max_memory_bytes))
+        .detach();
     let [sibling_log, _] = claim.other_logs();
+    let counted_folder = claim.folder.clone();
     let upgrades_expected = config.mgmt.is_some();
     executor.spawn(sibling::watch(shared.clone(), claim, sibling_running, upgrades_expected)).detach();
     if sibling_running {
@@ -403,6 +408,7 @@
     let (check_done, checked) = bounded(1);
     let _ = to_core.send(CoreMessage::FinalCheck(check_done)).await;
     let _ = checked.recv().await;
+    shared.counters.set_resource_usage(&ResourceUsage::read(&counted_folder));
     tracing::info!("counters {}", shared.counters_json());
     Ok(())
 }
