--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod dns;
 mod http;
+pub mod memory;
 mod operators;
 pub mod pressure;
 pub mod smpp;
@@ -293,6 +294,23 @@
         self.daemon.as_ref().expect("a daemon runs").id()
     }
 
+    /// The ids of the daemon's processes: the newest, and the one before during an upgrade.
+    pub fn process_ids(&self) -> Vec<u32> {
+        self.daemon.iter().chain(&self.previous_daemon).map(Child::id).collect()
+    }
+
+    /// The daemon's state folder.
+    pub fn state_folder(&self) -> PathBuf {
+        self.folder.join("state")
+    }
+
+    /// Kills the newest process and starts another one with the same address for HTTP clients.
+    pub fn kill_and_restart(&mut self) -> StepResult {
+        let address = self.http_address.ok_or("no daemon runs")?.to_string();
+        send_signal(self.process("daemon")?, "KILL")?;
+        self.start_daemon(&address)
+    }
+
     /// The addresses at which the daemon listens.
     pub fn addresses(&self) -> ListenAddresses {
         ListenAddresses {
--- a/daemon/tests/harness/pressure.rs
+++ b/daemon/tests/harness/pressure.rs
@@ -31,6 +31,20 @@
 }
 
 impl UsualClients {
+    /// Runs this many clients at once; returns what they saw together.
+    pub fn run_many(address: SocketAddr, count: usize, until: Instant) -> UsualClients {
+        let start =
+            |n: usize| std::thread::spawn(move || UsualClients::run(address, &format!("usual{n}-"), until));
+        let clients: Vec<_> = (0..count).map(start).collect();
+        let seen = clients.into_iter().map(|client| client.join().unwrap());
+        seen.fold(UsualClients::default(), |all, one| UsualClients {
+            accepted: all.accepted + one.accepted,
+            refused: all.refused + one.refused,
+            unanswered: all.unanswered + one.unanswered,
+            slowest: all.slowest.max(one.slowest),
+        })
+    }
+
     /// Submits messages with ids that begin with `prefix`, each over a connection of its own, until `until`.
     pub fn run(address: SocketAddr, prefix: &str, until: Instant) -> UsualClients {
         let mut seen = UsualClients::default();
@@ -54,9 +68,14 @@
 
 /// A request that submits a message of class `status` for destination 1.
 pub fn submission(id: &str, body_bytes: usize) -> Vec<u8> {
+    submission_to("status", 4.5, 1, id, body_bytes)
+}
+
+/// A request that submits a message of this class, with a deadline in seconds, for this destination.
+pub fn submission_to(class: &str, deadline_s: f64, destination: u64, id: &str, body_bytes: usize) -> Vec<u8> {
     let mut request = format!(
-        "POST /status HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Class: status\r\nX-Deadline: 4.5\r\nX-Envelope: dest=1\r\n\
-         Content-Length: {body_bytes}\r\n\r\n"
+        "POST /{class} HTTP/1.1\r\nX-Request-Id: {id}\r\nX-Class: {class}\r\nX-Deadline: {deadline_s}\r\n\
+         X-Envelope: dest={destination}\r\nContent-Length: {body_bytes}\r\n\r\n"
     )
     .into_bytes();
     request.resize(request.len() + body_bytes, b'x');
@@ -146,6 +165,85 @@
         .collect()
 }
 
+/// What one connection of a crowd writes, made anew for each request from a number that no other one has.
+pub type RequestSource = Arc<dyn Fn(u64) -> Vec<u8> + Send + Sync>;
+
+/// A connection of a crowd.
+struct CrowdConnection {
+    stream: TcpStream,
+    request: Vec<u8>,
+    written: usize,
+}
+
+impl CrowdConnection {
+    fn open(address: SocketAddr, request: Vec<u8>) -> Option<CrowdConnection> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_nonblocking(true).ok()?;
+        Some(CrowdConnection { stream, request, written: 0 })
+    }
+
+    /// Writes as much as the socket takes, `most` bytes at a time. Returns false once the connection has ended.
+    fn advance(&mut self, most: usize) -> bool {
+        let until = self.written.saturating_add(most).min(self.request.len());
+        while self.written < until {
+            match self.stream.write(&self.request[self.written..until]) {
+                Ok(count) => self.written += count,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                Err(_) => return false,
+            }
+        }
+        let mut answer = [0; 512];
+        match self.stream.read(&mut answer) {
+            Ok(count) => count > 0,
+            Err(e) => e.kind() == ErrorKind::WouldBlock,
+        }
+    }
+}
+
+/// How a crowd behaves.
+#[derive(Clone)]
+pub struct Crowd {
+    /// What its connections write: the first one the first of these, and so on, by turns.
+    pub requests: Vec<RequestSource>,
+    pub connections: usize,
+    /// Most bytes that a connection writes in one round.
+    pub most_bytes: usize,
+    /// Time between two rounds. A connection that was closed is opened anew in the next one.
+    pub interval: Duration,
+}
+
+impl Crowd {
+    /// Starts the crowd, which goes on until the flag is set.
+    pub fn start(self, address: SocketAddr, stop: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
+        let threads = self.connections.div_ceil(CONNECTIONS_PER_THREAD);
+        let connections = self.connections.div_ceil(threads);
+        let run = |thread: usize| {
+            let (crowd, stop) = (self.clone(), stop.clone());
+            std::thread::spawn(move || crowd.run(address, thread * connections, connections, &stop))
+        };
+        (0..threads).map(run).collect()
+    }
+
+    fn run(&self, address: SocketAddr, first: usize, count: usize, stop: &AtomicBool) {
+        let mut connections: Vec<Option<CrowdConnection>> = (0..count).map(|_| None).collect();
+        let mut round = 0;
+        while !stop.load(Ordering::Relaxed) {
+            for (index, slot) in connections.iter_mut().enumerate() {
+                if slot.is_none() {
+                    let source = &self.requests[(first + index) % self.requests.len()];
+                    let number = (round << 32) + (first + index) as u64;
+                    *slot = CrowdConnection::open(address, source(number));
+                }
+                if slot.as_mut().is_some_and(|connection| !connection.advance(self.most_bytes)) {
+                    *slot = None;
+                }
+            }
+            round += 1;
+            std::thread::sleep(self.interval);
+        }
+    }
+}
+
 /// One misbehaving client until the flag is set: writes what `next` returns at full speed over one connection, reads
 /// and ignores the answers, and connects anew when the daemon closes it.
 pub fn flood(
