Open messages, files and both processes of an upgrade count as memory

Cause: the limit was divided among input and connections only, each a quarter of the whole. Messages that are open, the log that holds them (up to disk_mb, written anew beside the old one), and the second process of an upgrade had no part in any sum, and the process's own 6 to 12 MB had none either.

daemon/src/memory_plan.rs divides what the limit leaves beyond the start of the process: a quarter for the files, as far as disk_mb allows; a quarter of the rest each for connections, input and open messages, a quarter for all else. Where operators can start a second process each has half from its start on, since open messages cannot be given up. The ledger counts what open messages take; one without room is refused with a 503 before it is logged. Calls share the body of their message and free their bytes once they are written. Remembered request ids and a list that is read have bounds as well.

--- a/daemon/src/core_actor/calls.rs
+++ b/daemon/src/core_actor/calls.rs
@@ -57,7 +57,7 @@
             request_id: String::new(),
             idempotency_key: String::new(),
             frontend_note: String::new(),
-            body: Vec::new(),
+            body: Arc::default(),
             started: now,
             timeout: timeout.min(duty_runner.probe_timeout()),
             probe_path: Some(duty_runner.probe_path.clone()),
--- a/daemon/src/counters.rs
+++ b/daemon/src/counters.rs
@@ -54,7 +54,7 @@
     // requests that did not end in time, and those beyond a bound on their length: both are closed by error as well
     requests_timed_out, requests_too_large,
     // why a submission was refused at once
-    refused_full, refused_memory, refused_ending, refused_late, refused_no_list, refused_unlisted, refused_log,
+    refused_full, refused_memory, refused_open_memory, refused_ending, refused_late, refused_no_list, refused_unlisted, refused_log,
     // recovered messages without an attempt: their number, and what became of them
     resumed_untried, resumed_over, resumed_tried, resumed_late, resumed_early,
     // calls to endpoints, and their outcomes
@@ -79,6 +79,8 @@
     probes, probes_refused, notes_told, notes_heard, notes_unknown, leases_won, lead_epoch, fence_refused,
     // memory, files in the state folder (which count as memory) and descriptors, as the system counts them
     memory_bytes, memory_peak_bytes, file_bytes, descriptors,
+    // memory that open messages are taken to need
+    open_message_bytes,
     // SMPP
     smpp_sessions, smpp_bad_pdus, smpp_receipts, smpp_receipts_lost,
 }
--- a/daemon/src/invariants/tests.rs
+++ b/daemon/src/invariants/tests.rs
@@ -17,7 +17,7 @@
         request_id: "m1".into(),
         idempotency_key: String::new(),
         frontend_note: String::new(),
-        body: Vec::new(),
+        body: std::sync::Arc::default(),
         started: START,
         timeout: Micros(1_000_000),
         unsafe_to_repeat,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod list;
 pub mod log;
 pub mod maintenance;
+pub mod memory_plan;
 pub mod net;
 pub mod notices;
 pub mod resource_usage;
--- a/daemon/src/net/http/endpoint.rs
+++ b/daemon/src/net/http/endpoint.rs
@@ -209,6 +209,8 @@
         }
     }
     let written = clock.now();
+    // The response may be a long time coming.
+    drop(bytes);
     let result = conn.read_own_head(clock, deadline).await;
     (0..conn.skipped_copies()).for_each(|_| counters.copies_skipped.increment());
     match &result {
--- a/daemon/src/net/http/endpoint/tests.rs
+++ b/daemon/src/net/http/endpoint/tests.rs
@@ -44,7 +44,7 @@
             request_id: id.into(),
             idempotency_key: String::new(),
             frontend_note: String::new(),
-            body: vec![b'x'; body],
+            body: vec![b'x'; body].into(),
             started: self.shared.clock.now(),
             timeout,
             unsafe_to_repeat,
--- a/daemon/src/net/http/request.rs
+++ b/daemon/src/net/http/request.rs
@@ -5,6 +5,7 @@
 use onyxrock::core::AcceptedMessage;
 use onyxrock::interface::Micros;
 use percent_encoding::percent_decode_str;
+use std::sync::Arc;
 
 /// Identifies the HTTP frontend in stored records.
 pub const FRONTEND_ID: u8 = 0;
@@ -134,9 +135,7 @@
 pub fn parse(bytes: Vec<u8>, body_at: usize, received_at: Micros) -> Result<Request, ClientError> {
     let mut request = parse_head(&bytes, body_at, received_at)?;
     if let Request::Submit(message) = &mut request {
-        message.body = bytes;
-        message.body.drain(..body_at);
-        message.body.shrink_to_fit();
+        message.body = bytes[body_at..].into();
     }
     Ok(request)
 }
@@ -196,6 +195,6 @@
         frontend_note: note,
         wants_receipt: false,
         deadline: received_at.plus(time_left.since(margin)),
-        body: Vec::new(),
+        body: Arc::default(),
     })))
 }
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -24,6 +24,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// State that all actors of one forwarder share. It makes no delivery decisions.
 pub struct SharedState {
@@ -171,7 +172,7 @@
     pub idempotency_key: String,
     /// Data that the message's frontend recorded for its own use.
     pub frontend_note: String,
-    pub body: Vec<u8>,
+    pub body: Arc<[u8]>,
     pub started: Micros,
     pub timeout: Micros,
     /// The message must not be attempted again once this call may have run.
--- a/daemon/src/net/smpp/gateway/tests.rs
+++ b/daemon/src/net/smpp/gateway/tests.rs
@@ -35,7 +35,7 @@
         request_id: "m1".into(),
         idempotency_key: String::new(),
         frontend_note: String::new(),
-        body: b"hello".to_vec(),
+        body: (*b"hello").into(),
         started: shared.clock.now(),
         timeout: Micros(20_000_000),
         unsafe_to_repeat: false,
--- a/daemon/src/net/smpp/request.rs
+++ b/daemon/src/net/smpp/request.rs
@@ -118,7 +118,7 @@
             return Err(CommandStatus::EsmeRinvsched);
         }
         let payload = sm.tlvs().iter().find_map(|tlv| match tlv.value() {
-            Some(TlvValue::MessagePayload(payload)) => Some(payload.value.as_ref().to_vec()),
+            Some(TlvValue::MessagePayload(payload)) => Some(payload.value.as_ref().into()),
             _ => None,
         });
         let note = MessageNote {
@@ -144,7 +144,7 @@
             frontend_note: note.encode(),
             wants_receipt: true,
             deadline: now.plus(lifetime.since(margin)),
-            body: payload.unwrap_or_else(|| sm.short_message().as_ref().to_vec()),
+            body: payload.unwrap_or_else(|| sm.short_message().as_ref().into()),
         })
     }
 }
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -5,9 +5,10 @@
 use crate::counters::Counters;
 use crate::list::{self, DiscoveryParams, dns};
 use crate::maintenance;
+use crate::memory_plan::MemoryPlan;
 use crate::net::SharedState;
 use crate::net::http::{inbound, request};
-use crate::net::input_budget::{FREE_BYTES, InputBudget};
+use crate::net::input_budget::InputBudget;
 use crate::net::mgmt;
 use crate::net::smpp;
 use crate::notices;
@@ -25,6 +26,7 @@
 use onyxrock::core::{Ledger, Record, RequestIdDigest, add_probe_class, recover};
 use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::{Config, ReadError};
+use onyxrock_config::idle::{BoundedCount, ListLimits};
 use onyxrock_config::product::ProductSettings;
 use onyxrock_membership::Membership;
 use onyxrock_roster::{Directory, DirectorySettings, HealthDecay};
@@ -47,15 +49,6 @@
 /// no new call is sent.
 const EXIT_AFTER_SIGTERM: Duration = Duration::from_millis(3300);
 
-/// Input of clients that is not complete yet may take this part (a quarter) of the memory; the rest is for open messages
-/// and all else.
-const INPUT_MEMORY_DIVISOR: u64 = 4;
-
-/// Connections of clients may take this part (a quarter) of the memory.
-const CONNECTION_MEMORY_DIVISOR: u64 = 4;
-/// Bytes that a connection of a client may take without a reservation: its first buffer, and twice as much for its actor.
-const CONNECTION_BYTES: u64 = 3 * FREE_BYTES as u64;
-
 /// Interval between checks, during shutdown, of whether the last client connections have ended.
 const CONNECTION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -98,7 +91,9 @@
         ));
     }
     // The snapshot of retained health and its replacement share the folder, too.
-    let log_bytes = config.max_disk_bytes.saturating_sub(reserved_bytes + 2 * snapshot_bytes);
+    let other_file_bytes = reserved_bytes + 2 * snapshot_bytes;
+    let memory_plan = MemoryPlan::for_starting(&config, other_file_bytes);
+    let log_bytes = memory_plan.file_bytes.saturating_sub(other_file_bytes);
     let OpenedState { claim, wal, scan, in_maintenance } =
         open_folder(&config.state_folder, log_bytes).await?;
     if scan.damaged_bytes > 0 {
@@ -133,9 +128,9 @@
         connect_timeout: config.connect_timeout,
         idle_timeout: (idle_timeout > Micros(0)).then_some(Micros(idle_timeout.0 * 4 / 5)),
         peers: duties.as_ref().map(|_| to_peers.clone()),
-        max_inbound: max_client_connections(&config),
+        max_inbound: memory_plan.client_connections,
         max_outbound: (config.max_sockets / 4).max(8) as u64,
-        input_budget: InputBudget::new((config.max_memory_bytes / INPUT_MEMORY_DIVISOR) as usize),
+        input_budget: InputBudget::new(memory_plan.input_bytes as usize),
         executor: executor.clone(),
     });
     shared.list_answered_at.set(shared.clock.now());
@@ -164,7 +159,9 @@
         let probe_delay = if with_leases { Micros(duty_settings.lease_duration.0 * 3) } else { Micros(0) };
         add_probe_class(&mut settings, Micros(duty_settings.probe.timeout.0 * 2), probe_delay)
     });
-    let ledger = Ledger::new(settings, config.names.clone(), non_idempotent, config.seed);
+    let mut ledger = Ledger::new(settings, config.names.clone(), non_idempotent, config.seed);
+    ledger.set_max_message_bytes(memory_plan.message_bytes as usize);
+    ledger.set_max_request_ids(memory_plan.request_ids as usize);
     let health_decay = idle_settings
         .map(|i| HealthDecay { half_life: i.half_life, forget_after: i.forget_after })
         .unwrap_or_default();
@@ -309,7 +306,7 @@
         generation: known_generation,
         large_fleet: !two_calls_fit,
         lists_pushed: config.lists_pushed,
-        limits: bounds,
+        limits: ListLimits { memory_mb: BoundedCount(bounds.memory_mb.0.min(memory_plan.list_mb)), ..bounds },
         watch_wait: watch_wait.clamp(Micros(1_000_000), list::MAX_WATCH_WAIT),
     };
     if let Some(dns) = zone {
@@ -413,12 +410,6 @@
     Ok(())
 }
 
-/// How many connections clients may open: half of the sockets, as far as there is memory for them.
-fn max_client_connections(config: &Config) -> u64 {
-    let by_memory = config.max_memory_bytes / CONNECTION_MEMORY_DIVISOR / CONNECTION_BYTES;
-    (config.max_sockets as u64 / 2).min(by_memory).max(8)
-}
-
 /// Opens the listener for clients. A sibling process may listen on the same address, to take over. Any other
 /// listener there is a configuration error, which is detected as long as no sibling runs.
 fn client_listener(address: SocketAddr, sibling_running: bool) -> std::io::Result<TcpListener> {
--- a/daemon/src/wal/tests.rs
+++ b/daemon/src/wal/tests.rs
@@ -62,7 +62,7 @@
             number: n,
             request_id: format!("{n}"),
             deadline: Micros(n),
-            body,
+            body: body.into(),
             ..AcceptedMessage::default()
         };
         if !put(&mut wal, &mut open_messages, &Record::Accepted(accepted)) {
@@ -152,7 +152,7 @@
         while wal.size() < most_bytes {
             let number = open_messages.len() as u64 + 1;
             let accepted =
-                AcceptedMessage { number, body: vec![b'x'; body_bytes], ..AcceptedMessage::default() };
+                AcceptedMessage { number, body: vec![b'x'; body_bytes].into(), ..AcceptedMessage::default() };
             if !put(wal, open_messages, &Record::Accepted(accepted)) {
                 return;
             }
--- a/lab/src/experiments/slopes/engine.rs
+++ b/lab/src/experiments/slopes/engine.rs
@@ -80,7 +80,7 @@
         destination,
         idempotency_key: format!("key-{number:012}"),
         deadline: MESSAGE_DEADLINE,
-        body: vec![7; BODY_BYTES],
+        body: vec![7; BODY_BYTES].into(),
         ..AcceptedMessage::default()
     }
 }
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -2,6 +2,7 @@
 
 use super::actions::{AttemptDenied, AttemptOutcome, LedgerAction, RecoveryStats, Sending};
 use super::classes::Classes;
+use super::message_memory::MessageMemory;
 use super::record::{AcceptedMessage, AttemptStatus, FinalStatus, Record, RecordedClass};
 use super::recovery::OpenMessage;
 use super::{NameIndex, RecentIds, RequestIdDigest};
@@ -41,6 +42,8 @@
     /// The class under which each message was accepted.
     class_of: BTreeMap<u64, ClassId>,
     open: BTreeMap<u64, OpenMessage>,
+    /// What the open messages take.
+    memory: MessageMemory,
     /// Attempts made for each message, as the policy engine counts them.
     attempts: BTreeMap<u64, u32>,
     next_number: u64,
@@ -99,6 +102,7 @@
             policy: PolicyEngine::new(settings, seed),
             names,
             open: BTreeMap::new(),
+            memory: MessageMemory::new(usize::MAX),
             attempts: BTreeMap::new(),
             next_number: 1,
             with_final_status: 0,
@@ -187,6 +191,22 @@
     pub fn is_full_of_receipts(&self, tenant: &str) -> bool {
         self.unacknowledged.get(tenant).is_some_and(|count| *count >= self.max_held)
     }
+    /// Bounds the memory of open messages. Messages of an earlier process are owed their end and may exceed it.
+    pub fn set_max_message_bytes(&mut self, max_bytes: usize) {
+        self.memory.set_bound(max_bytes);
+    }
+    /// Whether there is memory for one more message.
+    pub fn has_memory_for(&self, message: &AcceptedMessage) -> bool {
+        self.memory.has_room_for(message)
+    }
+    /// Bytes of memory that the open messages take.
+    pub fn message_bytes(&self) -> usize {
+        self.memory.used_bytes()
+    }
+    /// Bounds the number of request ids of ended messages that are remembered.
+    pub fn set_max_request_ids(&mut self, max_ids: usize) {
+        self.request_ids.set_max_ids(max_ids);
+    }
     /// Whether an attempt in flight may be cancelled.
     pub fn can_cancel_attempts(&self) -> bool {
         self.allow_cancel
@@ -285,6 +305,7 @@
         self.next_number = self.next_number.max(accepted.number + 1);
         self.class_of.insert(accepted.number, message.class);
         self.request_ids.message_opened(RequestIdDigest::of(&accepted.request_id));
+        self.memory.add(&accepted);
         self.open.insert(accepted.number, OpenMessage { accepted, ..OpenMessage::default() });
         self.policy.on_event(now, Event::Submit(message), &mut self.actions);
     }
@@ -327,6 +348,7 @@
         }
         self.attempts.insert(number, open.attempts);
         let status = open.final_status;
+        self.memory.add(&open.accepted);
         self.open.insert(number, open);
         if let Some(status) = status {
             self.note_final_status(number, status);
@@ -469,6 +491,7 @@
     /// Removes a message for which nothing more has to be done. Returns the record to keep.
     pub fn close(&mut self, number: u64) -> Option<Record> {
         let message = self.open.remove(&number)?;
+        self.memory.remove(&message.accepted);
         self.request_ids.message_closed(RequestIdDigest::of(&message.accepted.request_id));
         self.forget_final_status(&message);
         self.untried.remove(&number);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,12 +5,14 @@
 mod actions;
 mod classes;
 mod ledger;
+mod message_memory;
 mod recent_ids;
 mod record;
 mod recovery;
 
 pub use actions::{AttemptDenied, AttemptOutcome, LedgerAction, RecoveryStats, Sending};
 pub use ledger::{Ledger, add_probe_class};
+pub use message_memory::MessageMemory;
 pub use recent_ids::{NoDigest, RecentIds, RequestIdDigest};
 pub use record::{AcceptedMessage, AttemptStatus, FinalStatus, LogScan, Record, RecordedClass, scan_log};
 pub use recovery::{OpenMessage, recover};
--- a/src/core/recent_ids.rs
+++ b/src/core/recent_ids.rs
@@ -51,9 +51,10 @@
 
 /// Remembers each id for as long as a message with it could still run: a second message with that id would be
 /// a second copy at an endpoint. The id of an open message is never dropped.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RecentIds {
     retention: Micros,
+    max_ids: usize,
     recent: HashSet<RequestIdDigest>,
     /// When each recent id was added, oldest first.
     oldest_first: VecDeque<(Micros, RequestIdDigest)>,
@@ -65,7 +66,18 @@
     /// An empty set that keeps each id for `retention`.
     #[must_use]
     pub fn new(retention: Micros) -> RecentIds {
-        RecentIds { retention, ..RecentIds::default() }
+        RecentIds {
+            retention,
+            max_ids: MAX_IDS,
+            recent: HashSet::new(),
+            oldest_first: VecDeque::new(),
+            open: HashMap::new(),
+        }
+    }
+
+    /// Remembers at most this many ids of ended messages, and never more than `MAX_IDS`.
+    pub fn set_max_ids(&mut self, max_ids: usize) {
+        self.max_ids = max_ids.min(MAX_IDS);
     }
 
     /// Keeps each id for `retention` from now on, if that is longer than before.
@@ -84,7 +96,7 @@
         if self.contains(now, id) {
             return false;
         }
-        if self.oldest_first.len() >= MAX_IDS {
+        if self.oldest_first.len() >= self.max_ids {
             self.drop_oldest();
         }
         self.recent.insert(id);
--- a/src/core/record.rs
+++ b/src/core/record.rs
@@ -1,6 +1,7 @@
 //! Log records and their encoding. A frame in the log is a marker, a length, a checksum and a payload.
 
 use crate::interface::{ClassSettings, DedupScope, Effect, Micros, Verdict};
+use std::sync::Arc;
 
 const FRAME_MARKER: [u8; 2] = [0xa7, 0x1e];
 /// Length of marker, payload length and checksum.
@@ -34,8 +35,8 @@
     pub wants_receipt: bool,
     /// Its deadline.
     pub deadline: Micros,
-    /// The content to deliver.
-    pub body: Vec<u8>,
+    /// The content to deliver, which its calls share.
+    pub body: Arc<[u8]>,
 }
 
 /// The settings of a class at the time when a message was accepted.
@@ -312,7 +313,7 @@
                     tenant: reader.text()?,
                     idempotency_key: reader.text()?,
                     frontend_note: reader.text()?,
-                    body: reader.bytes()?.to_vec(),
+                    body: reader.bytes()?.into(),
                 };
                 Record::Accepted(AcceptedMessage {
                     recorded_class: RecordedClass::read(&mut reader),
--- a/tests/record_class.rs
+++ b/tests/record_class.rs
@@ -35,7 +35,7 @@
         number: 1,
         class: "a".into(),
         recorded_class,
-        body: vec![7; 9],
+        body: vec![7; 9].into(),
         ..AcceptedMessage::default()
     };
     assert_eq!(write_and_read(&message), [Record::Accepted(message)]);
@@ -43,7 +43,11 @@
 
 #[test]
 fn record_without_a_class_is_read() {
-    let message =
-        AcceptedMessage { number: 1, class: "a".into(), body: vec![7; 9], ..AcceptedMessage::default() };
+    let message = AcceptedMessage {
+        number: 1,
+        class: "a".into(),
+        body: vec![7; 9].into(),
+        ..AcceptedMessage::default()
+    };
     assert_eq!(write_and_read(&message), [Record::Accepted(message)]);
 }
