A log is read and rewritten piece by piece

What callers saw: a process that is killed with a full folder needs many times the size of its log to start, and passes limits.memory_mb before it is ready. Cause: a start held the whole log, all its records (some 280 bytes each, of 20 to 60 in the log) and the open messages at a time; an upgrade did the same with the log of the other process, for its request ids and to see whether its messages are overdue; a rewrite held the whole new log beside the messages.

The core decodes a log from pieces (LogDecoder), and recovery applies record by record; the daemon reads 64 KiB at a time (daemon/src/log_reader.rs) and keeps the open messages and the keys of the others. What is read to see whether a sibling hangs has no bodies: no call is made for an overdue message. A rewritten log is written in pieces; what does not fit beside the old log ends the rewrite, as before.

--- a/daemon/src/core_actor/takeover.rs
+++ b/daemon/src/core_actor/takeover.rs
@@ -7,11 +7,8 @@
 
 impl CoreActor {
     /// Notes all messages that this forwarder's own log names, ended ones included.
-    pub fn note_logged_messages(&mut self, records: &[Record]) {
-        self.logged_keys = records
-            .iter()
-            .filter_map(|r| if let Record::Accepted(message) = r { Some(message_key(message)) } else { None })
-            .collect();
+    pub fn note_logged_messages(&mut self, accepted: Vec<MessageKey>) {
+        self.logged_keys = accepted.into_iter().collect();
     }
 
     /// Resumes the open messages of an earlier process.
@@ -36,14 +33,14 @@
     /// copied between the two logs leaves messages in both. A message that is already open here, or was
     /// copied before and has ended since, is recognized by its key and skipped.
     pub(super) fn copy_open_messages(&mut self, orphaned_log: &OrphanedLog) -> std::io::Result<()> {
-        let scan = orphaned_log.scan()?;
-        if scan.damaged_bytes > 0 {
+        let logged = orphaned_log.read()?;
+        if logged.damaged_bytes > 0 {
             tracing::warn!(
                 "log: {} bytes in the log of another process belong to no complete record and are skipped",
-                scan.damaged_bytes
+                logged.damaged_bytes
             );
         }
-        self.copy_messages(recover(scan.records).into_values().collect())
+        self.copy_messages(logged.open.into_values().collect())
     }
 
     /// Copies messages of another process that are not known here, under new numbers.
--- a/daemon/src/core_actor/tests.rs
+++ b/daemon/src/core_actor/tests.rs
@@ -1,6 +1,8 @@
 //! The core actor's handling of its messages, tested without sockets.
 
 use super::*;
+use crate::state_folder::PROCESS_FILES;
+use onyxrock::core::{AcceptedMessage, scan_log};
 use onyxrock::interface::{ClassSettings, Effect, KindSettings, Settings};
 use onyxrock::interface::{DestinationId, KindId, ListEntry, ZoneId};
 use onyxrock_config::list::ListedEndpoint;
@@ -130,7 +132,7 @@
     let (reply, withdrawn) = bounded(1);
     actor.handle(CoreMessage::WithdrawIfUntried(1, reply));
     assert_eq!((withdrawn.try_recv(), actor.ledger.get(1).is_some()), (Ok(!permitted), permitted));
-    let logged = recover(Wal::open(&folder, 1_000_000).unwrap().1.records);
+    let logged = Wal::open(&folder, 1_000_000).unwrap().1.open;
     assert_eq!(logged.contains_key(&1), permitted, "the log must agree");
     if !permitted {
         assert_eq!(
@@ -283,9 +285,9 @@
         0,
         "the message must not be taken over again from the log that remained"
     );
-    let scan = Wal::open(&folder, 1_000_000).unwrap().1;
+    let logged = Wal::open(&folder, 1_000_000).unwrap().1;
     let mut next_process = new_actor(&folder);
-    next_process.note_logged_messages(&scan.records);
+    next_process.note_logged_messages(logged.accepted);
     next_process.copy_open_messages(&orphaned_log).unwrap();
     assert_eq!(
         next_process.ledger.open_messages().count(),
@@ -382,7 +384,7 @@
     let log = folder.join(crate::state_folder::PROCESS_FILES[0].log);
     actor.ledger.decide(now, Sending::Allowed, &mut Vec::new());
     assert!(actor.permit_call(now, permit_request(0, false)).is_ok());
-    let logged = || recover(Wal::open(&folder, 1_000_000).unwrap().1.records);
+    let logged = || Wal::open(&folder, 1_000_000).unwrap().1.open;
     let before = std::fs::read(&log).unwrap();
     // The log has no room at all.
     actor.wal = Wal::open(&folder, 0).unwrap().0;
@@ -422,7 +424,7 @@
     let message =
         AcceptedMessage { number: 2, deadline: now.plus(Micros(5_000_000)), ..AcceptedMessage::default() };
     assert!(actor.log_now(&[Record::Accepted(message)], WritePurpose::Acceptance));
-    let records = Wal::open(&folder, 1_000_000).unwrap().1.records;
+    let records = scan_log(&std::fs::read(folder.join(PROCESS_FILES[0].log)).unwrap()).records;
     assert!(
         matches!(
             records[..],
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod invariants;
 pub mod list;
 pub mod log;
+pub mod log_reader;
 pub mod maintenance;
 pub mod memory_plan;
 pub mod net;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -23,7 +23,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{StreamExt, future};
-use onyxrock::core::{Ledger, Record, RequestIdDigest, add_probe_class, recover};
+use onyxrock::core::{Ledger, RequestIdDigest, add_probe_class};
 use onyxrock::interface::{DestinationId, Micros};
 use onyxrock_config::daemon::{Config, ReadError};
 use onyxrock_config::idle::{BoundedCount, ListLimits};
@@ -94,10 +94,10 @@
     let other_file_bytes = reserved_bytes + 2 * snapshot_bytes;
     let memory_plan = MemoryPlan::for_starting(&config, other_file_bytes);
     let log_bytes = memory_plan.file_bytes.saturating_sub(other_file_bytes);
-    let OpenedState { claim, wal, scan, in_maintenance } =
+    let OpenedState { claim, wal, logged, in_maintenance } =
         open_folder(&config.state_folder, log_bytes).await?;
-    if scan.damaged_bytes > 0 {
-        tracing::warn!("log: {} bytes belong to no complete record and are skipped", scan.damaged_bytes);
+    if logged.damaged_bytes > 0 {
+        tracing::warn!("log: {} bytes belong to no complete record and are skipped", logged.damaged_bytes);
     }
     let (to_core, core_inbox) = bounded::<CoreMessage>(4096);
     let (shutdown_signal, shutdown_started) = bounded(1);
@@ -264,15 +264,11 @@
     }
     // A message with a request id that an earlier process received may still run.
     let now = shared.clock.now();
-    for record in &scan.records {
-        if let Record::Accepted(message) = record
-            && message.deadline > now
-        {
-            core.ledger.remember_request_id(now, RequestIdDigest::of(&message.request_id));
-        }
+    for (_, request_id, _) in logged.accepted.iter().filter(|(.., deadline)| *deadline > now) {
+        core.ledger.remember_request_id(now, RequestIdDigest::of(request_id));
     }
-    core.note_logged_messages(&scan.records);
-    core.resume(recover(scan.records).into_values());
+    core.note_logged_messages(logged.accepted);
+    core.resume(logged.open.into_values());
     if config.lists_pushed && zone.is_none() {
         core.first_list = Some(FirstListHold::new(now));
         let _ = core.list_requests.try_send(());
--- a/daemon/src/shared_ids.rs
+++ b/daemon/src/shared_ids.rs
@@ -6,7 +6,8 @@
 //! process has added, so one of two copies comes second. A process joins by adding all ids that it knows, and a
 //! line that says so: before that line a starting process accepts nothing.
 
-use crate::state_folder::{read_or_empty, remove_if_exists};
+use crate::log_reader::for_each_request_id;
+use crate::state_folder::remove_if_exists;
 use onyxrock::core::RequestIdDigest;
 use std::fs::{File, OpenOptions, TryLockError, rename};
 use std::io::{self, ErrorKind, Read, Seek, SeekFrom, Write};
@@ -222,12 +223,9 @@
 /// # Errors
 /// The log cannot be read.
 pub fn ids_in_log(log: &Path) -> io::Result<Vec<RequestIdDigest>> {
-    let scan = onyxrock::core::scan_log(&read_or_empty(log)?);
-    let ids = scan.records.iter().filter_map(|record| match record {
-        onyxrock::core::Record::Accepted(message) => Some(RequestIdDigest::of(&message.request_id)),
-        _ => None,
-    });
-    Ok(ids.collect())
+    let mut ids = Vec::new();
+    for_each_request_id(log, |id| ids.push(RequestIdDigest::of(id)))?;
+    Ok(ids)
 }
 
 fn joined_line(name: &str) -> String {
--- a/daemon/src/sibling_log.rs
+++ b/daemon/src/sibling_log.rs
@@ -3,8 +3,8 @@
 //! A process writes to its log when it ends a message, before anything else. So a log that has not changed although a
 //! message in it should have ended belongs to a process that stands still.
 
-use crate::state_folder::read_or_empty;
-use onyxrock::core::{OpenMessage, recover, scan_log};
+use crate::log_reader::read_open_without_bodies;
+use onyxrock::core::OpenMessage;
 use onyxrock::interface::Micros;
 use std::io::{self, ErrorKind};
 use std::os::unix::fs::MetadataExt;
@@ -57,23 +57,20 @@
 }
 
 /// The messages in the log of a sibling that should have ended by now. Those whose client waits for a receipt are not
-/// among them: one process alone has its sessions.
+/// among them: one process alone has its sessions. Their bodies are left out, since no call is made for them.
 ///
 /// # Errors
 /// The log cannot be read.
 pub fn overdue_messages(path: &Path, now: Micros) -> io::Result<Vec<OpenMessage>> {
-    let mut messages = open_messages(path)?;
-    messages.retain(|message| end_time(message) <= now);
+    let mut messages = read_open_without_bodies(path)?;
+    messages.retain(|message| !message.accepted.wants_receipt && end_time(message) <= now);
     Ok(messages)
 }
 
-fn open_messages(path: &Path) -> io::Result<Vec<OpenMessage>> {
-    let open = recover(scan_log(&read_or_empty(path)?).records);
-    Ok(open.into_values().filter(|message| !message.accepted.wants_receipt).collect())
-}
-
 fn end_times(path: &Path) -> io::Result<Vec<Micros>> {
-    let mut end_times: Vec<_> = open_messages(path)?.iter().map(end_time).collect();
+    let open_messages = read_open_without_bodies(path)?;
+    let with_end = open_messages.iter().filter(|message| !message.accepted.wants_receipt);
+    let mut end_times: Vec<_> = with_end.map(end_time).collect();
     end_times.sort_unstable_by(|a, b| b.cmp(a));
     Ok(end_times)
 }
--- a/daemon/src/startup.rs
+++ b/daemon/src/startup.rs
@@ -1,10 +1,10 @@
 //! Opens the state folder at the start of a process.
 
+use crate::log_reader::LoggedMessages;
 use crate::maintenance::MaintenanceFile;
 use crate::state_folder::{Claim, ClaimError, remove_if_exists};
 use crate::wal::Wal;
 use async_io::Timer;
-use onyxrock::core::LogScan;
 use std::collections::BTreeSet;
 use std::io;
 use std::path::Path;
@@ -23,8 +23,8 @@
     pub claim: Claim,
     /// The write-ahead log.
     pub wal: Wal,
-    /// The content of the log.
-    pub scan: LogScan,
+    /// The messages in the log.
+    pub logged: LoggedMessages,
     /// Endpoints that operators have taken out of use.
     pub in_maintenance: BTreeSet<String>,
 }
@@ -55,12 +55,12 @@
 }
 
 fn open(claim: Claim, log_bytes: u64) -> io::Result<OpenedState> {
-    let (wal, scan) = Wal::open_claimed(&claim, log_bytes)?;
+    let (wal, logged) = Wal::open_claimed(&claim, log_bytes)?;
     let in_maintenance = MaintenanceFile::new(&claim.folder).load()?;
     // The waits file of an earlier process that was killed says nothing about this one.
     let [waits_file, _] = claim.waits_files();
     remove_if_exists(&waits_file)?;
-    Ok(OpenedState { claim, wal, scan, in_maintenance })
+    Ok(OpenedState { claim, wal, logged, in_maintenance })
 }
 
 #[cfg(test)]
--- a/daemon/src/startup/tests.rs
+++ b/daemon/src/startup/tests.rs
@@ -14,7 +14,7 @@
         std::fs::create_dir_all(missing_folder).unwrap();
     });
     let opened = block_on(open_folder(&folder, 1_000_000)).expect("the folder exists by then");
-    assert!(opened.scan.records.is_empty());
+    assert!(opened.logged.accepted.is_empty() && opened.logged.log_bytes == 0);
     creation.join().unwrap();
     std::fs::remove_dir_all(&folder).unwrap();
 }
--- a/daemon/src/state_folder.rs
+++ b/daemon/src/state_folder.rs
@@ -4,8 +4,8 @@
 //! Each of the two has its own log, and its own lock, which is released when the process dies.
 //! docs/design/upgrade.md gives the reasons.
 
+use crate::log_reader::{LoggedMessages, read_messages};
 use crate::shared_ids::SharedIds;
-use onyxrock::core::{LogScan, scan_log};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
@@ -174,12 +174,12 @@
         self.log.exists()
     }
 
-    /// Reads the log.
+    /// Reads the messages in the log.
     ///
     /// # Errors
     /// The log cannot be read.
-    pub fn scan(&self) -> io::Result<LogScan> {
-        read_or_empty(&self.log).map(|bytes| scan_log(&bytes))
+    pub fn read(&self) -> io::Result<LoggedMessages> {
+        read_messages(&self.log)
     }
 
     /// Removes the log, after its content has been taken over.
--- a/daemon/src/state_folder/tests.rs
+++ b/daemon/src/state_folder/tests.rs
@@ -19,7 +19,7 @@
         panic!("the first process is gone")
     };
     assert!(orphaned_log.exists());
-    assert_eq!(orphaned_log.scan().unwrap().damaged_bytes, 5);
+    assert_eq!(orphaned_log.read().unwrap().damaged_bytes, 5);
     assert_eq!(
         lock(&folder, PROCESS_FILES[0]).unwrap().map(drop),
         None,
--- a/daemon/src/wal.rs
+++ b/daemon/src/wal.rs
@@ -1,15 +1,18 @@
 //! The write-ahead log in the state folder. Data that write() has accepted survives the process, so it is not
 //! synced to disk.
 
-use crate::state_folder::{Claim, PROCESS_FILES, ProcessFiles, read_or_empty, remove_if_exists};
+use crate::log_reader::{LoggedMessages, read_messages};
+use crate::state_folder::{Claim, PROCESS_FILES, ProcessFiles, remove_if_exists};
 use crate::{maintenance, shared_ids};
-use onyxrock::core::{LogScan, OpenMessage, Record, scan_log};
+use onyxrock::core::{OpenMessage, Record};
 use std::fs::{File, OpenOptions, rename};
 use std::io::{self, ErrorKind, Write};
 use std::path::{Path, PathBuf};
 
 /// Bytes kept free for the later records of messages that are already accepted.
 const FOLLOW_UP_RESERVE_BYTES: u64 = 96 * 1024;
+/// Bytes of a rewritten log that are written at a time.
+const PIECE_BYTES: usize = 64 * 1024;
 /// The log is rewritten once it exceeds twice the size of the open messages by this many bytes.
 const COMPACTION_SLACK_BYTES: u64 = 256 * 1024;
 
@@ -49,28 +52,27 @@
 
 impl Wal {
     /// Opens the log that this process has claimed.
-    pub fn open_claimed(claim: &Claim, budget: u64) -> io::Result<(Wal, LogScan)> {
-        let (wal, scan) = Wal::open_files(&claim.folder, claim.files, budget)?;
+    pub fn open_claimed(claim: &Claim, budget: u64) -> io::Result<(Wal, LoggedMessages)> {
+        let (wal, logged) = Wal::open_files(&claim.folder, claim.files, budget)?;
         let sibling_logs = claim.other_logs().into();
         let mut shared_files: Vec<_> = maintenance::files(&claim.folder).into();
         shared_files.extend(shared_ids::files(&claim.folder));
         shared_files.extend(claim.waits_files());
-        Ok((Wal { sibling_logs, shared_files, ..wal }, scan))
+        Ok((Wal { sibling_logs, shared_files, ..wal }, logged))
     }
 
     /// Opens the log of a folder that no other process uses.
-    pub fn open(folder: &Path, budget: u64) -> io::Result<(Wal, LogScan)> {
+    pub fn open(folder: &Path, budget: u64) -> io::Result<(Wal, LoggedMessages)> {
         Wal::open_files(folder, PROCESS_FILES[0], budget)
     }
 
     /// Opens a log, created if there is none, and reads what an earlier process left in it.
-    fn open_files(folder: &Path, files: ProcessFiles, budget: u64) -> io::Result<(Wal, LogScan)> {
+    fn open_files(folder: &Path, files: ProcessFiles, budget: u64) -> io::Result<(Wal, LoggedMessages)> {
         // A rewritten log that has not replaced the old one holds nothing that the old one does not.
         remove_if_exists(&folder.join(files.new))?;
         let path = folder.join(files.log);
-        let bytes = read_or_empty(&path)?;
+        let logged = read_messages(&path)?;
         let file = OpenOptions::new().append(true).create(true).open(&path)?;
-        let size = bytes.len() as u64;
         // Disk use counts in whole blocks, so a part of the budget that covers two of them and a little more
         // stays unused.
         let budget = budget.saturating_sub(4096);
@@ -79,14 +81,14 @@
                 folder: folder.into(),
                 files,
                 file,
-                size,
+                size: logged.log_bytes,
                 budget,
                 sibling_logs: Vec::new(),
                 shared_files: Vec::new(),
                 measure_at_size: COMPACTION_SLACK_BYTES,
                 compactions: 0,
             },
-            scan_log(&bytes),
+            logged,
         ))
     }
 
@@ -194,27 +196,46 @@
 
     /// Writes the open messages to a new log, which then replaces the old one.
     pub fn compact<'a>(&mut self, open_messages: impl Iterator<Item = &'a OpenMessage>) -> io::Result<()> {
-        let mut bytes = Vec::new();
-        open_messages.flat_map(OpenMessage::records).for_each(|r| r.write(&mut bytes));
-        if self.disk_usage(bytes.len() as u64).rewrite_peak(0) > self.budget {
-            return Err(io::Error::new(
-                ErrorKind::StorageFull,
-                "the disk budget has no room for a rewritten log beside the old one",
-            ));
-        }
         let (new, path) = (self.folder.join(self.files.new), self.folder.join(self.files.log));
         let mut file = OpenOptions::new().append(true).create_new(true).open(&new)?;
-        if let Err(e) = file.write_all(&bytes).and_then(|()| rename(&new, &path)) {
-            let _ = std::fs::remove_file(&new);
-            return Err(e);
-        }
-        (self.file, self.size) = (file, bytes.len() as u64);
+        let max_bytes = self.budget.saturating_sub(self.disk_usage(0).total());
+        let written = write_messages(&mut file, open_messages, max_bytes)
+            .and_then(|size| rename(&new, &path).map(|()| size));
+        let size = match written {
+            Ok(size) => size,
+            Err(e) => {
+                let _ = std::fs::remove_file(&new);
+                return Err(e);
+            }
+        };
+        (self.file, self.size) = (file, size);
         self.measure_at_size = self.size + COMPACTION_SLACK_BYTES / 8;
         self.compactions += 1;
         Ok(())
     }
 }
 
+/// Writes the records of these messages, of at most this many bytes, piece by piece. Returns their size.
+fn write_messages<'a>(
+    file: &mut File, open_messages: impl Iterator<Item = &'a OpenMessage>, max_bytes: u64,
+) -> io::Result<u64> {
+    let (mut piece, mut size) = (Vec::with_capacity(2 * PIECE_BYTES), 0);
+    for record in open_messages.flat_map(OpenMessage::records) {
+        record.write(&mut piece);
+        if size + piece.len() as u64 > max_bytes {
+            let reason = "the disk budget has no room for a rewritten log beside the old one";
+            return Err(io::Error::new(ErrorKind::StorageFull, reason));
+        }
+        if piece.len() >= PIECE_BYTES {
+            file.write_all(&piece)?;
+            size += piece.len() as u64;
+            piece.clear();
+        }
+    }
+    file.write_all(&piece)?;
+    Ok(size + piece.len() as u64)
+}
+
 /// Bytes in the files that count against the budget.
 struct DiskUsage {
     log: u64,
--- a/daemon/src/wal/tests.rs
+++ b/daemon/src/wal/tests.rs
@@ -1,7 +1,7 @@
 //! The log in a folder that fails, is full, or was left by a process that died.
 
 use super::*;
-use onyxrock::core::{AcceptedMessage, AttemptStatus, recover};
+use onyxrock::core::{AcceptedMessage, AttemptStatus, scan_log};
 use onyxrock::interface::Micros;
 use rstest::rstest;
 use rustix::fs::{MemfdFlags, SealFlags, fcntl_add_seals, memfd_create};
@@ -88,8 +88,8 @@
         assert!(folder.used() <= BOUND);
     }
     assert!(refused > 0 && wal.compactions > 0, "{refused} refused, {} rewritten", wal.compactions);
-    let (_, scan) = Wal::open(&folder.0, BOUND).unwrap();
-    assert_eq!((scan.damaged_bytes, recover(scan.records)), (0, open_messages));
+    let (_, logged) = Wal::open(&folder.0, BOUND).unwrap();
+    assert_eq!((logged.damaged_bytes, logged.open), (0, open_messages));
 }
 
 #[test]
@@ -99,10 +99,11 @@
     let accepted = Record::Accepted(AcceptedMessage { number: 7, ..AcceptedMessage::default() });
     assert!(put(&mut wal, &mut BTreeMap::new(), &accepted));
     std::fs::write(folder.0.join(PROCESS_FILES[0].new), b"half of a rec").unwrap();
-    let (mut wal, scan) = Wal::open(&folder.0, 1_000_000).unwrap();
-    assert_eq!(scan.records, [accepted]);
-    wal.compact(recover(scan.records).values()).unwrap();
-    assert_eq!(recover(Wal::open(&folder.0, 1_000_000).unwrap().1.records).len(), 1);
+    let (mut wal, logged) = Wal::open(&folder.0, 1_000_000).unwrap();
+    let log = std::fs::read(folder.0.join(PROCESS_FILES[0].log)).unwrap();
+    assert_eq!(scan_log(&log).records, [accepted]);
+    wal.compact(logged.open.values()).unwrap();
+    assert_eq!(Wal::open(&folder.0, 1_000_000).unwrap().1.open.len(), 1);
 }
 
 /// A failed write may leave part of a record that cannot be truncated. The records behind it must stay,
--- a/daemon/tests/memory_limit.rs
+++ b/daemon/tests/memory_limit.rs
@@ -6,13 +6,15 @@
 
 use harness::Harness;
 use harness::memory::{MemoryPeak, MemorySampler};
-use harness::pressure::{Crowd, RequestSource, UsualClients, submission, submission_to};
+use harness::pressure::{Crowd, RequestSource, UsualClients, peak_memory, submission, submission_to};
 use harness::smpp::encode_pdu;
+use onyxrock::core::{AcceptedMessage, AttemptStatus, Record};
+use onyxrock::interface::Micros;
 use rstest::rstest;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// How long a crowd goes on.
 const SPAN: Duration = Duration::from_secs(6);
@@ -230,6 +232,48 @@
     seen.assert_within(MEMORY_MB);
 }
 
+/// A log of open payments, and of many attempts whose records are short.
+fn long_log(payments: u64, attempts: u32) -> Vec<u8> {
+    let wall_clock = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let now = Micros(wall_clock.as_micros() as u64);
+    let mut log = Vec::new();
+    for number in 1..=payments {
+        let payment = AcceptedMessage {
+            number,
+            request_id: format!("kept{number}"),
+            class: "payment".into(),
+            destination: SILENT_DESTINATION,
+            deadline: now.plus(Micros(25_000_000)),
+            body: vec![b'x'; BODY_BYTES].into(),
+            ..AcceptedMessage::default()
+        };
+        Record::Accepted(payment).write(&mut log);
+    }
+    for attempt in 0..attempts {
+        let (endpoint, zone) = (String::new(), String::new());
+        Record::Attempt { number: 1, attempt, endpoint, zone, at: now }.write(&mut log);
+        Record::Outcome { number: 1, attempt, status: AttemptStatus::HeldBack }.write(&mut log);
+    }
+    log
+}
+
+/// Guards against a start that needs many times the memory of the log that it reads.
+#[test]
+fn memory_stays_within_its_limit_when_a_start_reads_a_long_log() {
+    const MEMORY_MB: u64 = 32;
+    let mut harness = Harness::default();
+    std::fs::write(harness.state_folder().join("onyxrock.log"), long_log(30, 40_000)).unwrap();
+    for line in ["given endpoint e1 dest=2", "given limit memory_mb=32", "given limit disk_mb=8"] {
+        run_step(&mut harness, line);
+    }
+    let log_bytes = harness.state_bytes();
+    run_step(&mut harness, "send daemon start");
+    run_step(&mut harness, "expect counter resumed=30");
+    let (peak, files) = (peak_memory(harness.daemon_id()), harness.state_bytes());
+    println!("a log of {log_bytes} bytes: peak {peak}, files {files}");
+    assert!(peak + log_bytes.max(files) <= MEMORY_MB * 1_000_000, "{peak} and {log_bytes} bytes");
+}
+
 /// Guards against two processes of an upgrade that each take the whole limit.
 #[rstest]
 #[case::with_disk_3(3)]
--- a/lab/src/experiments/slopes/engine.rs
+++ b/lab/src/experiments/slopes/engine.rs
@@ -9,7 +9,7 @@
 use crate::capacity::fit::Point;
 use onyxrock::core::{
     AcceptedMessage, AttemptOutcome, AttemptStatus, Ledger, LedgerAction, OpenMessage, Record,
-    RequestIdDigest, Sending, recover,
+    RequestIdDigest, Sending,
 };
 use onyxrock::interface::*;
 use onyxrock::{PolicyEngine, interface::Settings};
@@ -219,8 +219,7 @@
         disk.push(Point { x: messages as f64, y: wal.size() as f64 });
         let us = smallest_of(plan.repeats, || {
             let mut timer = CpuTimer::default();
-            let recovered =
-                timer.time(|| Wal::open(&folder, MAX_LOG_BYTES).map(|(_, scan)| recover(scan.records)));
+            let recovered = timer.time(|| Wal::open(&folder, MAX_LOG_BYTES).map(|(_, logged)| logged.open));
             let recovered = recovered.map_err(|e| e.to_string())?.len() as u64;
             if recovered == messages {
                 Ok(timer.us)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 mod actions;
 mod classes;
 mod ledger;
+mod log_decoder;
 mod message_memory;
 mod recent_ids;
 mod record;
@@ -12,10 +13,11 @@
 
 pub use actions::{AttemptDenied, AttemptOutcome, LedgerAction, RecoveryStats, Sending};
 pub use ledger::{Ledger, add_probe_class};
+pub use log_decoder::{LogDecoder, scan_log};
 pub use message_memory::MessageMemory;
 pub use recent_ids::{NoDigest, RecentIds, RequestIdDigest};
-pub use record::{AcceptedMessage, AttemptStatus, FinalStatus, LogScan, Record, RecordedClass, scan_log};
-pub use recovery::{OpenMessage, recover};
+pub use record::{AcceptedMessage, AttemptStatus, FinalStatus, LogScan, Record, RecordedClass};
+pub use recovery::{OpenMessage, Recovery, recover};
 
 use std::collections::BTreeMap;
 
--- a/src/core/record.rs
+++ b/src/core/record.rs
@@ -373,33 +373,31 @@
     pub damaged_bytes: usize,
 }
 
+/// Why there is no record at the start of a part of a log.
+pub(super) enum FrameError {
+    /// The rest of the frame is missing.
+    Incomplete,
+    /// These bytes are no frame.
+    Damaged,
+}
+
 /// Reads the frame at the start of these bytes. Returns its record and its length.
-fn read_frame(bytes: &[u8]) -> Option<(Record, usize)> {
-    let mut reader = Reader(bytes);
-    if reader.take(2)? != FRAME_MARKER {
-        return None;
+pub(super) fn read_frame(bytes: &[u8]) -> Result<(Record, usize), FrameError> {
+    let marker_bytes = bytes.len().min(FRAME_MARKER.len());
+    if bytes[..marker_bytes] != FRAME_MARKER[..marker_bytes] {
+        return Err(FrameError::Damaged);
     }
-    let payload_len = u32::from_le_bytes(reader.take(4)?.try_into().ok()?) as usize;
-    let checksum = u32::from_le_bytes(reader.take(4)?.try_into().ok()?);
-    let payload = reader.take(payload_len).filter(|_| payload_len <= MAX_PAYLOAD_BYTES)?;
-    if crc32fast::hash(payload) != checksum {
-        return None;
+    let (header, rest) = bytes.split_at_checked(FRAME_HEADER_BYTES).ok_or(FrameError::Incomplete)?;
+    let (length, checksum) = header[FRAME_MARKER.len()..].split_at(size_of::<u32>());
+    let number = |bytes: &[u8]| bytes.try_into().map_or(0, u32::from_le_bytes);
+    let payload_bytes = number(length) as usize;
+    if payload_bytes > MAX_PAYLOAD_BYTES {
+        return Err(FrameError::Damaged);
     }
-    Some((Record::parse(payload)?, FRAME_HEADER_BYTES + payload_len))
-}
-
-/// Reads a log. After damage it continues at the next intact frame: a process that is killed during a write
-/// leaves a torn tail, and a bad sector must not make the records behind it unreadable.
-pub fn scan_log(bytes: &[u8]) -> LogScan {
-    let (mut scan, mut offset) = (LogScan::default(), 0);
-    while offset < bytes.len() {
-        if let Some((record, frame_len)) = read_frame(&bytes[offset..]) {
-            scan.records.push(record);
-            offset += frame_len;
-        } else {
-            scan.damaged_bytes += 1;
-            offset += 1;
-        }
+    let payload = rest.get(..payload_bytes).ok_or(FrameError::Incomplete)?;
+    if crc32fast::hash(payload) != number(checksum) {
+        return Err(FrameError::Damaged);
     }
-    scan
+    let record = Record::parse(payload).ok_or(FrameError::Damaged)?;
+    Ok((record, FRAME_HEADER_BYTES + payload_bytes))
 }
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -68,26 +68,41 @@
     }
 }
 
-/// The messages that are open after these records, by number. An attempt without an outcome was in flight
-/// when the process died: its call may have run, so it counts as one that may have run.
-pub fn recover(records: Vec<Record>) -> BTreeMap<u64, OpenMessage> {
-    let mut open: BTreeMap<u64, OpenMessage> = BTreeMap::new();
-    for record in records {
+/// Recovers the open messages from records, one by one in their order.
+#[derive(Debug, Default)]
+pub struct Recovery(BTreeMap<u64, OpenMessage>);
+
+impl Recovery {
+    /// Applies the next record.
+    pub fn apply(&mut self, record: Record) {
         let number = record.number();
         if let Record::Accepted(accepted) = record {
-            open.insert(number, OpenMessage { accepted, ..OpenMessage::default() });
-        } else if open.get_mut(&number).is_some_and(|message| !message.apply(&record)) {
-            open.remove(&number);
+            self.0.insert(number, OpenMessage { accepted, ..OpenMessage::default() });
+        } else if self.0.get_mut(&number).is_some_and(|message| !message.apply(&record)) {
+            self.0.remove(&number);
         }
     }
-    for message in open.values_mut() {
-        while let Some(attempt) = message.in_flight.keys().next().copied() {
-            message.apply(&Record::Outcome {
-                number: message.accepted.number,
-                attempt,
-                status: AttemptStatus::MayHaveRun,
-            });
+
+    /// The messages that are open after these records, by number. An attempt without an outcome was in flight
+    /// when the process died: its call may have run, so it counts as one that may have run.
+    #[must_use]
+    pub fn finish(mut self) -> BTreeMap<u64, OpenMessage> {
+        for message in self.0.values_mut() {
+            while let Some(attempt) = message.in_flight.keys().next().copied() {
+                message.apply(&Record::Outcome {
+                    number: message.accepted.number,
+                    attempt,
+                    status: AttemptStatus::MayHaveRun,
+                });
+            }
         }
+        self.0
     }
-    open
+}
+
+/// The messages that are open after these records; see [`Recovery::finish`].
+pub fn recover(records: Vec<Record>) -> BTreeMap<u64, OpenMessage> {
+    let mut recovery = Recovery::default();
+    records.into_iter().for_each(|record| recovery.apply(record));
+    recovery.finish()
 }
