A log full of open messages is not rewritten for each message that it refuses

Once a message had ended, each new one was worth a rewrite of the whole log for the room of the one.

A rewrite has to make room now, and for a message that can be refused an eighth of the log has to go, or to have been appended since the last rewrite. The size of a rewritten log is known exactly (OpenMessage::log_bytes), not estimated.

a_log_full_of_open_messages_is_not_rewritten_for_each_message failed before at its first assertion (rewritten although that makes no room).

--- a/daemon/src/wal.rs
+++ b/daemon/src/wal.rs
@@ -13,6 +13,9 @@
 const FOLLOW_UP_RESERVE_BYTES: u64 = 96 * 1024;
 /// Bytes of a rewritten log that are written at a time.
 const PIECE_BYTES: usize = 64 * 1024;
+/// For a message that can be refused, a full log is rewritten only if a part of it (an eighth) would go, or has been
+/// appended since the last rewrite.
+const MIN_CHANGE_DIVISOR: u64 = 8;
 /// The log is rewritten once it exceeds twice the size of the open messages by this many bytes.
 const COMPACTION_SLACK_BYTES: u64 = 256 * 1024;
 
@@ -46,6 +49,8 @@
     shared_files: Vec<PathBuf>,
     /// Size at which the open messages are measured next, which requires a pass over all of them.
     measure_at_size: u64,
+    /// Bytes that were appended since the log was rewritten.
+    appended_bytes: u64,
     /// How often the log has been rewritten.
     pub compactions: u64,
 }
@@ -82,6 +87,7 @@
                 files,
                 file,
                 size: logged.log_bytes,
+                appended_bytes: logged.log_bytes,
                 budget,
                 sibling_logs: Vec::new(),
                 shared_files: Vec::new(),
@@ -125,6 +131,7 @@
             return Err(e);
         }
         self.size += record_bytes;
+        self.appended_bytes += record_bytes;
         Ok(())
     }
 
@@ -136,7 +143,7 @@
         if self.size <= self.measure_at_size && self.is_surely_roomy(record_bytes, purpose) {
             return Ok(());
         }
-        let usage = self.disk_usage(estimated_size(open_messages()));
+        let usage = self.disk_usage(rewritten_size(open_messages()));
         let rewritten = if self.is_rewrite_due(&usage, record_bytes, purpose) {
             self.compact(open_messages())
         } else {
@@ -166,7 +173,12 @@
     /// Whether the log is to be rewritten before a write of this many bytes.
     fn is_rewrite_due(&self, usage: &DiskUsage, record_bytes: u64, purpose: WritePurpose) -> bool {
         if usage.needed(record_bytes, purpose) > self.budget {
-            return true;
+            let rewritten = DiskUsage { log: usage.rewritten_log, ..*usage };
+            let makes_room = rewritten.needed(record_bytes, purpose) <= self.budget;
+            // A message can be refused, so that a rewrite for it waits until it is worth its cost.
+            let is_needed = purpose != WritePurpose::Acceptance;
+            let change_bytes = usage.log.saturating_sub(usage.rewritten_log).max(self.appended_bytes);
+            return makes_room && (is_needed || change_bytes >= usage.log / MIN_CHANGE_DIVISOR);
         }
         // Later a rewritten log would not fit beside the old one.
         let is_last_chance = usage.rewrite_peak(record_bytes) > self.budget;
@@ -208,7 +220,7 @@
                 return Err(e);
             }
         };
-        (self.file, self.size) = (file, size);
+        (self.file, self.size, self.appended_bytes) = (file, size, 0);
         self.measure_at_size = self.size + COMPACTION_SLACK_BYTES / 8;
         self.compactions += 1;
         Ok(())
@@ -273,19 +285,9 @@
     files.iter().filter_map(|path| Some(path.metadata().ok()?.len())).sum()
 }
 
-/// Estimates the size of a rewritten log, rather too high than too low.
-fn estimated_size<'a>(open_messages: impl Iterator<Item = &'a OpenMessage>) -> u64 {
-    let estimate = |open: &OpenMessage| {
-        let message = &open.accepted;
-        message.body.len()
-            + message.request_id.len()
-            + message.idempotency_key.len()
-            + message.frontend_note.len()
-            + message.class.len()
-            + message.tenant.len()
-            + 320
-    };
-    open_messages.map(|open| estimate(open) as u64).sum()
+/// The size of a rewritten log.
+fn rewritten_size<'a>(open_messages: impl Iterator<Item = &'a OpenMessage>) -> u64 {
+    open_messages.map(|open| open.log_bytes() as u64).sum()
 }
 
 #[cfg(test)]
--- a/daemon/src/wal/tests.rs
+++ b/daemon/src/wal/tests.rs
@@ -181,3 +181,37 @@
     }
     assert!(folder.used() <= BOUND, "{} bytes of {BOUND}", folder.used());
 }
+
+/// Guards against a process that does nothing but rewrite its log: each refused message rewrote a log that is full of open
+/// messages, and each message that ended made room for one more rewrite.
+#[test]
+fn a_log_full_of_open_messages_is_not_rewritten_for_each_message() {
+    const BOUND: u64 = 3_000_000;
+    const BODY_BYTES: usize = 20_000;
+    let folder = Folder::new("full");
+    let (mut wal, _) = Wal::open(&folder.0, BOUND).unwrap();
+    let mut open_messages = BTreeMap::new();
+    let accepted = |number: u64| {
+        let body = vec![b'x'; BODY_BYTES].into();
+        Record::Accepted(AcceptedMessage { number, body, ..AcceptedMessage::default() })
+    };
+    let mut next = 1;
+    while put(&mut wal, &mut open_messages, &accepted(next)) {
+        next += 1;
+    }
+    let before = wal.compactions;
+    assert!((0..500).all(|n| !put(&mut wal, &mut open_messages, &accepted(next + n))));
+    assert_eq!(wal.compactions, before, "rewritten although that makes no room");
+    // From here on each message that ends is followed by ten that come.
+    let (mut ended, mut taken) = (0, 0);
+    for _ in 0..200 {
+        let oldest = *open_messages.keys().next().unwrap();
+        ended += u64::from(put(&mut wal, &mut open_messages, &Record::Closed(oldest)));
+        next += 1;
+        taken += (0..10).filter(|n| put(&mut wal, &mut open_messages, &accepted(next * 1000 + n))).count();
+    }
+    assert!(taken as u64 * 10 >= ended * 8, "{taken} taken after {ended} had ended");
+    let rewritten = wal.compactions - before;
+    assert!(rewritten <= ended / 4, "rewritten {rewritten} times for {ended} messages that ended");
+    assert!(folder.used() <= BOUND);
+}
--- a/src/core/record.rs
+++ b/src/core/record.rs
@@ -69,7 +69,21 @@
     }
 }
 
+impl AcceptedMessage {
+    /// Length of the frame of its record.
+    pub(super) fn frame_bytes(&self) -> usize {
+        let texts = [&self.request_id, &self.class, &self.tenant, &self.idempotency_key, &self.frontend_note];
+        let text_bytes: usize = texts.iter().map(|text| size_of::<u32>() + text.len()).sum();
+        let class_bytes = if self.recorded_class.is_some() { RecordedClass::BYTES } else { 0 };
+        let fixed_bytes = 3 + 3 * size_of::<u64>();
+        FRAME_HEADER_BYTES + fixed_bytes + text_bytes + size_of::<u32>() + self.body.len() + class_bytes
+    }
+}
+
 impl RecordedClass {
+    /// Length of its encoding.
+    const BYTES: usize = 2 + 5 * size_of::<u64>();
+
     fn write(&self, writer: &mut Writer) {
         let (code, window) = match self.effect {
             Effect::Safe => (0, Micros(0)),
@@ -242,6 +256,26 @@
         }
     }
 
+    /// Length of the frame of this record.
+    pub fn frame_bytes(&self) -> usize {
+        let text_bytes = |text: &str| size_of::<u32>() + text.len();
+        let number_bytes = size_of::<u64>();
+        FRAME_HEADER_BYTES
+            + match self {
+                Record::Accepted(message) => return message.frame_bytes(),
+                Record::Attempt { endpoint, zone, .. } => {
+                    1 + 3 * number_bytes + text_bytes(endpoint) + text_bytes(zone)
+                }
+                Record::Outcome { .. } => 2 + 2 * number_bytes,
+                Record::AttemptHistory { first_possible_run, .. } => {
+                    let zone = first_possible_run.as_ref().map_or("", |(_, zone)| zone);
+                    2 + 3 * number_bytes + text_bytes(zone)
+                }
+                Record::FinalStatus { .. } => 2 + 2 * number_bytes,
+                Record::Closed(_) => 1 + number_bytes,
+            }
+    }
+
     /// Appends the frame of this record.
     pub fn write(&self, out: &mut Vec<u8>) {
         let mut writer = Writer(Vec::with_capacity(64));
--- a/src/core/recovery.rs
+++ b/src/core/recovery.rs
@@ -47,10 +47,23 @@
         true
     }
 
+    /// Length of [`OpenMessage::records`] in a log.
+    pub fn log_bytes(&self) -> usize {
+        let later_bytes: usize = self.later_records().iter().map(Record::frame_bytes).sum();
+        self.accepted.frame_bytes() + later_bytes
+    }
+
     /// The records from which a new log can recover this message.
     pub fn records(&self) -> Vec<Record> {
-        let number = self.accepted.number;
         let mut records = vec![Record::Accepted(self.accepted.clone())];
+        records.extend(self.later_records());
+        records
+    }
+
+    /// Those records but for the first one.
+    fn later_records(&self) -> Vec<Record> {
+        let number = self.accepted.number;
+        let mut records = Vec::new();
         // Attempts in flight have records of their own and are not counted twice.
         let attempts = self.attempts.saturating_sub(self.in_flight.len() as u32);
         if attempts > 0 || self.first_possible_run.is_some() {
--- a/tests/core.rs
+++ b/tests/core.rs
@@ -500,3 +500,43 @@
     let recovered = recover(open.records()).remove(&1).unwrap();
     assert_eq!((recovered.attempts, recovered.first_possible_run), (2, Some((ms(100), "a".to_owned()))));
 }
+
+/// A log is rewritten, or not, by the size that it would have.
+#[test]
+fn the_length_of_records_is_known_before_they_are_written() {
+    let accepted = AcceptedMessage {
+        request_id: "id".into(),
+        class: "status".into(),
+        tenant: "t".into(),
+        idempotency_key: "key".into(),
+        frontend_note: "a note".into(),
+        body: vec![7; 300].into(),
+        ..AcceptedMessage::default()
+    };
+    let settings = ClassSettings::default();
+    let with_class = AcceptedMessage { recorded_class: Some((&settings).into()), ..accepted.clone() };
+    let run = Some((Micros(5), "zone".to_owned()));
+    let in_flight = [(3, (Micros(9), "floor".to_owned())), (4, (Micros(9), String::new()))];
+    let messages = [
+        OpenMessage { accepted: accepted.clone(), ..OpenMessage::default() },
+        OpenMessage { accepted: with_class, attempts: 4, ..OpenMessage::default() },
+        OpenMessage { accepted: accepted.clone(), first_possible_run: run, ..OpenMessage::default() },
+        OpenMessage { accepted: accepted.clone(), in_flight: in_flight.into(), ..OpenMessage::default() },
+        OpenMessage { accepted, final_status: Some(FinalStatus::Failed), ..OpenMessage::default() },
+    ];
+    let others = [
+        Record::Outcome { number: 1, attempt: 2, status: AttemptStatus::NeverRan },
+        Record::Attempt { number: 1, attempt: 2, endpoint: "e1".into(), zone: "z".into(), at: Micros(4) },
+        Record::Closed(8),
+    ];
+    for record in messages.iter().flat_map(OpenMessage::records).chain(others) {
+        let mut bytes = Vec::new();
+        record.write(&mut bytes);
+        assert_eq!(record.frame_bytes(), bytes.len(), "{record:?}");
+    }
+    for message in messages {
+        let mut bytes = Vec::new();
+        message.records().iter().for_each(|record| record.write(&mut bytes));
+        assert_eq!(message.log_bytes(), bytes.len(), "{message:?}");
+    }
+}
