Both processes of an upgrade keep to the sockets of one forwarder

What callers saw: nothing yet; the platform counts the sockets of both processes together and ends a forwarder that passes them.

While a second process runs each has half of those connections; the older one, which sees it before it listens, closes what it has beyond them: connections that wait for a request, silent ones first.

--- a/daemon/src/net/http/idle.rs
+++ b/daemon/src/net/http/idle.rs
@@ -83,7 +83,8 @@
     fn may_keep(&self, conn: &Conn) -> bool {
         let never_confirms = self.failed_to_confirm == Some(self.is_confirmation_known());
         let may_carry_another = !conn.is_answered_once() || !never_confirms;
-        let below_limit = self.shared.counters.outbound_open.get() <= self.shared.max_outbound;
+        let below_limit =
+            self.shared.counters.outbound_open.get() <= self.shared.connection_limits.max_outbound();
         self.keeps_returned && may_carry_another && below_limit
     }
 
--- a/daemon/src/net/http/inbound.rs
+++ b/daemon/src/net/http/inbound.rs
@@ -63,7 +63,7 @@
         }
         // At the limit a connection that waits for a request is closed to make room for one that waits to be
         // accepted: silent ones first, the oldest of them first.
-        if shared.counters.inbound_open.get() >= shared.max_inbound {
+        if shared.counters.inbound_open.get() >= shared.connection_limits.max_inbound() {
             let waits = async {
                 // An error shows when the connection is accepted.
                 let _ = listener.readable().await;
@@ -103,7 +103,7 @@
     }
     // Connections in the accept queue are established already: dropped with the listener, their requests
     // would be lost without a response.
-    while shared.counters.inbound_open.get() < shared.max_inbound
+    while shared.counters.inbound_open.get() < shared.connection_limits.max_inbound()
         && let Ok((stream, _)) = listener.get_ref().accept()
         && let Ok(stream) = Async::new(stream)
     {
@@ -300,7 +300,8 @@
             }
             // The first request is timed from the connection's start, later ones from their first byte.
             let counters = &self.shared.counters;
-            let many_open = counters.inbound_open.get() * MANY_DIVISOR > self.shared.max_inbound;
+            let many_open =
+                counters.inbound_open.get() * MANY_DIVISOR > self.shared.connection_limits.max_inbound();
             let deadline = match (self.answered, first_byte_at) {
                 (false, _) => self.idle_since.plus(REQUEST_TIMEOUT),
                 (true, Some(received_at)) => received_at.plus(REQUEST_TIMEOUT),
--- a/daemon/src/net/http/inbound/tests.rs
+++ b/daemon/src/net/http/inbound/tests.rs
@@ -52,7 +52,7 @@
     let (listener, address) = listen_on_loopback();
     let (_keep_open, stop) = bounded(1);
     let connect = || TcpStream::connect(address).unwrap();
-    let _silent: Vec<_> = (0..shared.max_inbound).map(|_| connect()).collect();
+    let _silent: Vec<_> = (0..shared.connection_limits.max_inbound()).map(|_| connect()).collect();
     shared.executor.spawn(listen(shared.clone(), listener, stop)).detach();
     let all = async {
         async_io::Timer::after(std::time::Duration::from_millis(200)).await;
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! the outbound calls.
 
 pub mod buffer;
+pub mod connection_limits;
 pub mod eviction;
 pub mod http;
 pub mod input_budget;
@@ -15,6 +16,7 @@
 use crate::core_actor::{CoreMessage, Permit, PermitRequest, PermitResult};
 use crate::counters::Counters;
 use crate::invariants::Invariants;
+use crate::net::connection_limits::ConnectionLimits;
 use crate::net::input_budget::InputBudget;
 use async_channel::{Receiver, Sender, bounded};
 use async_executor::LocalExecutor;
@@ -67,12 +69,10 @@
     pub idle_timeout: Option<Micros>,
     /// Mailbox of the membership actor; `None` where duties are not shared with other instances.
     pub peers: Option<Sender<ToPeers>>,
-    /// Most open connections of clients.
-    pub max_inbound: u64,
+    /// How many connections may be open.
+    pub connection_limits: ConnectionLimits,
     /// Memory for input of clients that is not complete yet.
     pub input_budget: InputBudget,
-    /// Open connections to endpoints above which none is kept after its call.
-    pub max_outbound: u64,
     pub executor: Rc<LocalExecutor<'static>>,
 }
 
@@ -113,9 +113,8 @@
             connect_timeout: Micros(1_000_000),
             idle_timeout: None,
             peers: None,
-            max_inbound: 10,
+            connection_limits: ConnectionLimits::new(10, 10),
             input_budget: InputBudget::new(usize::MAX),
-            max_outbound: 10,
             executor: Rc::new(LocalExecutor::new()),
         })
     }
--- a/daemon/src/net/smpp/inbound.rs
+++ b/daemon/src/net/smpp/inbound.rs
@@ -53,7 +53,7 @@
                 counters.inbound_opened.increment();
                 // At the limit a further connection is closed, so that it does not compete with the bound
                 // sessions.
-                if counters.inbound_open.get() >= frontend.shared.max_inbound {
+                if counters.inbound_open.get() >= frontend.shared.connection_limits.max_inbound() {
                     counters.inbound_turned_away.increment();
                     continue;
                 }
--- a/daemon/src/net/smpp/inbound/tests.rs
+++ b/daemon/src/net/smpp/inbound/tests.rs
@@ -38,7 +38,7 @@
 fn other_actors_run_between_two_connections() {
     const CONNECTION_COUNT: u64 = 50;
     let (shared, _keep_running) = running_state(bounded(1).0);
-    shared.counters.inbound_open.set(shared.max_inbound as usize);
+    shared.counters.inbound_open.set(shared.connection_limits.max_inbound() as usize);
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
     let address = listener.get_ref().local_addr().unwrap();
     let _clients: Vec<_> = (0..CONNECTION_COUNT).map(|_| TcpStream::connect(address).unwrap()).collect();
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::maintenance;
 use crate::memory_plan::MemoryPlan;
 use crate::net::SharedState;
+use crate::net::connection_limits::ConnectionLimits;
 use crate::net::http::{inbound, request};
 use crate::net::input_budget::InputBudget;
 use crate::net::mgmt;
@@ -128,8 +129,10 @@
         connect_timeout: config.connect_timeout,
         idle_timeout: (idle_timeout > Micros(0)).then_some(Micros(idle_timeout.0 * 4 / 5)),
         peers: duties.as_ref().map(|_| to_peers.clone()),
-        max_inbound: memory_plan.client_connections,
-        max_outbound: (config.max_sockets / 4).max(8) as u64,
+        connection_limits: ConnectionLimits::new(
+            memory_plan.client_connections,
+            (config.max_sockets / 4).max(8) as u64,
+        ),
         input_budget: InputBudget::new(memory_plan.input_bytes as usize),
         executor: executor.clone(),
     });
@@ -282,6 +285,7 @@
         core.sibling = Some(SiblingLink::for_starting(now, waits_path));
         core.shared_ids = Some(claim.shared_ids());
         shared.taking_over.set(true);
+        shared.connection_limits.set_shared(true);
     } else {
         shared_ids::remove_left_over(&claim.folder)
             .map_err(|e| format!("cannot use {}: {e}", claim.folder.display()))?;
--- a/daemon/src/sibling.rs
+++ b/daemon/src/sibling.rs
@@ -9,6 +9,7 @@
 use crate::state_folder::{Claim, OrphanedLog, OtherProcess, remove_if_exists};
 use async_channel::{Sender, bounded};
 use async_io::Timer;
+use onyxrock::interface::Micros;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -79,6 +80,8 @@
             let [waits_path, _] = self.claim.waits_files();
             self.waits_reader = Some(self.open_reader());
             tracing::info!("another process of this forwarder is there");
+            self.shared.connection_limits.set_shared(true);
+            self.close_surplus_connections();
             let files = SiblingFiles { waits_path, shared_ids: self.claim.shared_ids() };
             let _ = self.shared.core.send(CoreMessage::SiblingChanged(Some(Box::new(files)))).await;
         }
@@ -86,6 +89,19 @@
         self.end_overdue_messages().await;
     }
 
+    /// Closes connections of clients that wait for a request, as many as the sibling has to have room for.
+    fn close_surplus_connections(&self) {
+        let shared = &self.shared;
+        let surplus =
+            shared.counters.inbound_open.get().saturating_sub(shared.connection_limits.max_inbound());
+        for _ in 0..surplus {
+            if !shared.eviction_queue.evict_first(shared.clock.now(), Micros(0)) {
+                return;
+            }
+            shared.counters.inbound_sent_off.increment();
+        }
+    }
+
     /// Ends messages that the sibling should have ended: it hangs.
     async fn end_overdue_messages(&mut self) {
         match self.sibling_log.has_overdue(self.shared.clock.now()) {
@@ -122,6 +138,7 @@
         // What the sibling wrote before it was killed still applies.
         self.forward_entries().await;
         if self.waits_reader.take().is_some() {
+            self.shared.connection_limits.set_shared(false);
             let [_, sibling_path] = self.claim.waits_files();
             let _ = remove_if_exists(&sibling_path);
             let _ = self.shared.core.send(CoreMessage::SiblingChanged(None)).await;
--- a/daemon/tests/harness/mod.rs
+++ b/daemon/tests/harness/mod.rs
@@ -1,6 +1,7 @@
 //! Test harness: simulated clients, endpoints, platform and SMPP peers, and the daemon under test between
 //! them.
 
+pub mod crowd;
 pub mod dns;
 mod http;
 pub mod memory;
@@ -13,7 +14,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
@@ -306,11 +307,50 @@
 
     /// Kills the newest process and starts another one with the same address for HTTP clients.
     pub fn kill_and_restart(&mut self) -> StepResult {
-        let address = self.http_address.ok_or("no daemon runs")?.to_string();
         send_signal(self.process("daemon")?, "KILL")?;
+        self.restart()
+    }
+
+    /// Starts another process with the same address for HTTP clients, once the newest one has ended.
+    pub fn restart(&mut self) -> StepResult {
+        let address = self.http_address.ok_or("no daemon ran")?.to_string();
         self.start_daemon(&address)
     }
 
+    /// Waits until a process has exited, and kills it after this time. Returns its status.
+    pub fn wait_or_kill(&mut self, name: &str, timeout: Duration) -> Result<ExitStatus, String> {
+        let until = Instant::now() + timeout;
+        let child = self.process(name)?;
+        loop {
+            if let Some(status) = child.try_wait().map_err(|e| e.to_string())? {
+                return Ok(status);
+            }
+            if Instant::now() > until {
+                child.kill().map_err(|e| e.to_string())?;
+                return child.wait().map_err(|e| e.to_string());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// The status of a process that has ended, although nobody told it to.
+    pub fn ended_by_itself(&mut self) -> Option<ExitStatus> {
+        let children = self.daemon.iter_mut().chain(&mut self.previous_daemon);
+        children.filter_map(|child| child.try_wait().ok()?).next()
+    }
+
+    /// Forgets the process that ran before the newest one, which has ended.
+    pub fn forget_previous(&mut self) {
+        self.previous_daemon = None;
+    }
+
+    /// Rolls an upgrade back: kills the newest process, and the one before it goes on.
+    pub fn roll_back(&mut self) -> StepResult {
+        send_signal(self.process("daemon")?, "KILL")?;
+        self.daemon = self.previous_daemon.take();
+        Ok(())
+    }
+
     /// The addresses at which the daemon listens.
     pub fn addresses(&self) -> ListenAddresses {
         ListenAddresses {
--- a/daemon/tests/memory_limit.rs
+++ b/daemon/tests/memory_limit.rs
@@ -5,8 +5,9 @@
 mod harness;
 
 use harness::Harness;
+use harness::crowd::{BODY_BYTES, SILENT_DESTINATION, all_kinds, payments_in_a_row, short_payments};
 use harness::memory::{MemoryPeak, MemorySampler};
-use harness::pressure::{Crowd, RequestSource, UsualClients, peak_memory, submission, submission_to};
+use harness::pressure::{Crowd, RequestSource, UsualClients, peak_memory};
 use harness::smpp::encode_pdu;
 use onyxrock::core::{AcceptedMessage, AttemptStatus, Record};
 use onyxrock::interface::Micros;
@@ -22,10 +23,6 @@
 const CONNECTIONS: usize = 600;
 const USUAL_CLIENTS: usize = 4;
 const INTERVAL: Duration = Duration::from_millis(100);
-/// The longest body that a client may send.
-const BODY_BYTES: usize = 64 * 1024;
-/// Destination whose endpoint answers no call.
-const SILENT_DESTINATION: u64 = 2;
 
 /// Each test needs hundreds of connections, and times answers: they run one after the other.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
@@ -107,39 +104,6 @@
     Crowd { requests, connections: CONNECTIONS, most_bytes: usize::MAX, interval: INTERVAL }
 }
 
-/// Whole payments of the largest size, in a row, whose endpoint does not answer: they stay open.
-fn payments_in_a_row(count: usize) -> RequestSource {
-    let payment = |id: String| submission_to("payment", 25.0, SILENT_DESTINATION, &id, BODY_BYTES);
-    Arc::new(move |n| (0..count).flat_map(|index| payment(format!("p{n}-{index}"))).collect())
-}
-
-/// As `payments_in_a_row`, without bodies: what counts is what each open message takes beside its body.
-fn short_payments(count: usize) -> RequestSource {
-    let payment = |id: String| submission_to("payment", 25.0, SILENT_DESTINATION, &id, 0);
-    Arc::new(move |n| (0..count).flat_map(|index| payment(format!("s{n}-{index}"))).collect())
-}
-
-fn half_a_request() -> RequestSource {
-    Arc::new(|n| {
-        let mut request = submission(&format!("h{n}"), BODY_BYTES);
-        request.pop();
-        request
-    })
-}
-
-fn many_short_fields() -> RequestSource {
-    Arc::new(|_| [&b"POST /status HTTP/1.1\r\n"[..], &b"a:b\r\n".repeat(3000)].concat())
-}
-
-fn nothing() -> RequestSource {
-    Arc::new(|_| Vec::new())
-}
-
-/// All kinds that the pages name, by turns.
-fn all_kinds() -> Vec<RequestSource> {
-    vec![payments_in_a_row(3), half_a_request(), many_short_fields(), nothing(), short_payments(20)]
-}
-
 /// Guards against a process that is killed for its memory, because messages that are open have no part in its sum.
 #[rstest]
 #[case::of_32_mb_with_disk_3(32, 3)]
@@ -293,3 +257,20 @@
     seen.print(&format!("upgrade in a crowd, disk {disk_mb}"));
     seen.assert_within(MEMORY_MB);
 }
+
+/// Guards against two processes of an upgrade that hold more sockets together than the forwarder may.
+#[test]
+fn descriptors_of_both_processes_stay_within_the_limit_in_an_upgrade() {
+    const SOCKETS: usize = 1024;
+    let harness = started_daemon(192, 3, &["given http alone", "given operators"]);
+    let to = harness.addresses().http;
+    let crowd = Crowd { connections: 1500, ..crowd_of(all_kinds()) };
+    let seen = measure(harness, to, crowd, |harness, sampler| {
+        std::thread::sleep(Duration::from_millis(1500));
+        run_step(harness, "send daemon beside");
+        sampler.follow(harness.process_ids());
+        std::thread::sleep(Duration::from_millis(2000));
+    });
+    seen.print("descriptors in an upgrade");
+    assert!(seen.peak.descriptors <= SOCKETS, "{} descriptors", seen.peak.descriptors);
+}
